--- /dev/null
+++ b/kernel/result.h
@@ -0,0 +1,124 @@
+/// @file
+/// The two result types and the one place that converts between them.
+///
+/// `result<T>` is `boost::leaf::result<T>` and stays within synchronous calls: LEAF keeps the error object in
+/// thread-local storage of the enclosing handler, and a coroutine that suspends loses it. `outcome<T>` holds the value
+/// or the error itself and may cross a suspension, a mailbox or a process.
+///
+///     result<document> parse(std::string_view text);
+///     outcome<document> parsed = capture([&] { return parse(text); });
+///     if (!parsed) co_return parsed.failure();
+///     use(*parsed);
+#pragma once
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <boost/leaf.hpp>
+
+#include "kernel/error.h"
+
+namespace heatherdeck {
+
+template <class T>
+using result = boost::leaf::result<T>;
+
+/// Creates the error of a failed `result`.
+/// @return a LEAF error id that converts to any `result<T>`.
+inline boost::leaf::error_id fail(error e) { return boost::leaf::new_error(std::move(e)); }
+
+inline boost::leaf::error_id fail(error_kind kind, std::string text, std::string remedy = {}, std::string where = {}) {
+  return fail(error{kind, std::move(text), std::move(remedy), std::move(where)});
+}
+
+/// A value or an error. Default-constructed it is an internal error, as channels need a default value.
+template <class T>
+class [[nodiscard]] outcome {
+ public:
+  using value_type = T;
+
+  outcome() : state_(error{error_kind::internal, "no value was set", "report this as a defect", {}}) {}
+  outcome(T value) : state_(std::move(value)) {}          // NOLINT(google-explicit-constructor)
+  outcome(error failure) : state_(std::move(failure)) {}  // NOLINT(google-explicit-constructor)
+
+  bool has_value() const { return state_.index() == 0; }
+  explicit operator bool() const { return has_value(); }
+
+  /// The value; only valid when has_value().
+  T& value() { return std::get<0>(state_); }
+  const T& value() const { return std::get<0>(state_); }
+  T& operator*() { return value(); }
+  const T& operator*() const { return value(); }
+  T* operator->() { return &value(); }
+  const T* operator->() const { return &value(); }
+
+  /// The error; only valid when !has_value().
+  const error& failure() const { return std::get<1>(state_); }
+
+ private:
+  std::variant<T, error> state_;
+};
+
+/// Success without a value, or an error.
+template <>
+class [[nodiscard]] outcome<void> {
+ public:
+  using value_type = void;
+
+  outcome() = default;
+  outcome(error failure) : failure_(std::move(failure)), ok_(false) {}  // NOLINT(google-explicit-constructor)
+
+  bool has_value() const { return ok_; }
+  explicit operator bool() const { return ok_; }
+  const error& failure() const { return failure_; }
+
+ private:
+  error failure_;
+  bool ok_ = true;
+};
+
+/// Runs a synchronous function and turns its `result` into an `outcome`.
+/// @param function a callable that takes nothing and returns result<T>.
+/// @return the value, or the error object that the function raised.
+template <class Function>
+auto capture(Function&& function) {
+  using result_type = decltype(function());
+  using value_type = typename result_type::value_type;
+  if constexpr (std::is_void_v<value_type>) {
+    return boost::leaf::try_handle_all(
+        [&]() -> result<outcome<void>> {
+          BOOST_LEAF_CHECK(function());
+          return outcome<void>();
+        },
+        [](const error& e) { return outcome<void>(e); },
+        [] {
+          return outcome<void>(error{error_kind::internal, "an error without a type", "report this as a defect", {}});
+        });
+  } else {
+    using out = outcome<value_type>;
+    return boost::leaf::try_handle_all(
+        [&]() -> result<out> {
+          auto&& raised = function();
+          if (!raised) return raised.error();
+          return out(std::move(*raised));
+        },
+        [](const error& e) { return out(e); },
+        [] {
+          return out(error{error_kind::internal, "an error without a type", "report this as a defect", {}});
+        });
+  }
+}
+
+/// @return the outcome as a `result`, for use inside a synchronous function.
+template <class T>
+result<T> to_result(outcome<T> value) {
+  if (!value) return fail(value.failure());
+  if constexpr (std::is_void_v<T>) {
+    return {};
+  } else {
+    return std::move(*value);
+  }
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/testing/kernel_test.cc
@@ -0,0 +1,157 @@
+// Guards the kernel: start and stop order, look-up by name, bounded mailboxes, answers and time-outs.
+#include "kernel/kernel.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct question {
+  int value = 0;
+  reply<int> answer;
+};
+
+class recorder : public service {
+ public:
+  recorder(std::string name, std::vector<std::string_view> needs, std::vector<std::string>* log)
+      : name_(std::move(name)), needs_(std::move(needs)), log_(log) {}
+  std::string_view name() const override { return name_; }
+  std::vector<std::string_view> dependencies() const override { return needs_; }
+  result<void> start(kernel&) override {
+    log_->push_back("start " + name_);
+    return {};
+  }
+  void stop() override { log_->push_back("stop " + name_); }
+  boost::json::value dump() const override { return boost::json::string(name_); }
+
+ private:
+  std::string name_;
+  std::vector<std::string_view> needs_;
+  std::vector<std::string>* log_;
+};
+
+// A service that starts before what it depends on finds nothing under that name.
+TEST(kernel, starts_in_dependency_order_and_stops_in_reverse) {
+  std::vector<std::string> log;
+  kernel k;
+  ASSERT_TRUE(k.add(std::make_unique<recorder>("proxy", std::vector<std::string_view>{"mesh"}, &log)));
+  ASSERT_TRUE(k.add(std::make_unique<recorder>("mesh", std::vector<std::string_view>{}, &log)));
+  ASSERT_TRUE(k.start());
+  boost::asio::co_spawn(k.io(), k.stop(), boost::asio::detached);
+  k.io().run();
+  EXPECT_EQ(log, (std::vector<std::string>{"start mesh", "start proxy", "stop proxy", "stop mesh"}));
+}
+
+// A missing partner must be an error with a remedy, not a null pointer later on.
+TEST(kernel, missing_dependency_is_an_error_that_names_the_setting) {
+  std::vector<std::string> log;
+  kernel k;
+  ASSERT_TRUE(k.add(std::make_unique<recorder>("proxy", std::vector<std::string_view>{"mesh"}, &log)));
+  const outcome<void> started = capture([&] { return k.start(); });
+  ASSERT_FALSE(started);
+  EXPECT_EQ(started.failure().kind, error_kind::missing_service);
+  EXPECT_NE(started.failure().remedy.find("settings"), std::string::npos);
+  EXPECT_TRUE(log.empty());
+}
+
+TEST(kernel, dependency_cycle_is_refused) {
+  std::vector<std::string> log;
+  kernel k;
+  ASSERT_TRUE(k.add(std::make_unique<recorder>("a", std::vector<std::string_view>{"b"}, &log)));
+  ASSERT_TRUE(k.add(std::make_unique<recorder>("b", std::vector<std::string_view>{"a"}, &log)));
+  EXPECT_FALSE(capture([&] { return k.start(); }));
+}
+
+// An unbounded mailbox lets one slow task exhaust the process.
+TEST(mailbox, refuses_messages_beyond_its_capacity) {
+  kernel k;
+  mailbox<int> inbox(k.executor(), 2);
+  EXPECT_TRUE(inbox.address().post(1));
+  EXPECT_TRUE(inbox.address().post(2));
+  EXPECT_FALSE(inbox.address().post(3));
+  EXPECT_EQ(inbox.refused(), 1U);
+  EXPECT_EQ(inbox.depth(), 2U);
+}
+
+template <class Body>
+void run(kernel& k, Body body) {
+  boost::asio::co_spawn(k.io(), std::move(body), [](std::exception_ptr failure) {
+    if (failure) std::rethrow_exception(failure);
+  });
+  k.io().run();
+}
+
+TEST(ask, returns_the_answer) {
+  kernel k;
+  mailbox<question> inbox(k.executor(), 4);
+  boost::asio::co_spawn(
+      k.io(),
+      [&]() -> awaitable<void> {
+        auto asked = co_await inbox.receive();
+        asked->answer(asked->value * 2);
+      },
+      boost::asio::detached);
+  int got = 0;
+  run(k, [&]() -> awaitable<void> {
+    auto answer = co_await ask<int>(k.timers(), k.executor(), inbox.address(), 5s, [](reply<int> r) {
+      return question{21, std::move(r)};
+    });
+    got = answer ? *answer : -1;
+  });
+  EXPECT_EQ(got, 42);
+}
+
+// A task that never answers must not hold the asker for ever.
+TEST(ask, fails_with_timeout_or_closed) {
+  kernel k;
+  mailbox<question> inbox(k.executor(), 4);
+  error_kind unanswered{};
+  error_kind dropped{};
+  run(k, [&]() -> awaitable<void> {
+    auto make = [](reply<int> r) { return question{1, std::move(r)}; };
+    auto first = co_await ask<int>(k.timers(), k.executor(), inbox.address(), 10ms, make);
+    unanswered = first.failure().kind;
+    boost::asio::co_spawn(
+        k.io(),
+        [&]() -> awaitable<void> {
+          (void)co_await inbox.receive();
+          (void)co_await inbox.receive();
+        },
+        boost::asio::detached);
+    auto second = co_await ask<int>(k.timers(), k.executor(), inbox.address(), 5s, make);
+    dropped = second.failure().kind;
+  });
+  EXPECT_EQ(unanswered, error_kind::timeout);
+  EXPECT_EQ(dropped, error_kind::closed);
+}
+
+// A subscription that outlives its handle would call into destroyed state.
+TEST(timer_service, cancelled_subscription_does_not_run) {
+  kernel k;
+  int runs = 0;
+  subscription kept = k.timers().after(5ms, [&] { ++runs; });
+  {
+    const subscription dropped = k.timers().after(1ms, [&] { runs += 100; });
+  }
+  k.io().run();
+  EXPECT_EQ(runs, 1);
+  EXPECT_EQ(k.timers().size(), 0U);
+}
+
+TEST(timer_service, periodic_subscription_repeats_until_cancelled) {
+  kernel k;
+  int runs = 0;
+  subscription tick;
+  tick = k.timers().every(1ms, [&] {
+    if (++runs == 3) tick.cancel();
+  });
+  k.io().run();
+  EXPECT_EQ(runs, 3);
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- /dev/null
+++ b/wire/mesh_messages.h
@@ -0,0 +1,35 @@
+/// @file
+/// Messages of the mesh service, which owns all connections between processes.
+///
+/// Incoming streams go to the `address<incoming_stream>` that a service has published under its name:
+/// call -> proxy, subscribe -> publisher, raft -> consensus, query -> operators.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "wire/h2_stream.h"
+
+namespace heatherdeck {
+
+/// Opens a stream to another process; connects first when there is no connection to that address.
+/// Errors: `unreachable` (nothing was sent), `unauthorised`, `timeout`, `not_processed`.
+struct open_stream {
+  std::string mesh_address;  ///< "ip:port"
+  stream_kind kind = stream_kind::call;
+  header_list headers;  ///< request headers after `hd-stream`; `:method` and `:path` default to POST and /
+  bool end_stream = false;
+  reply<std::shared_ptr<h2_stream>> answer;
+};
+
+/// Sends GOAWAY on all incoming connections: streams already open finish, new ones are refused as not processed.
+struct refuse_new_streams {};
+
+/// Closes idle connections to a process that has left.
+struct forget_peer {
+  std::string mesh_address;
+};
+
+using mesh_message = std::variant<open_stream, refuse_new_streams, forget_peer>;
+
+}  // namespace heatherdeck
