Headers of the codec, the HTTP listener and the control services' messages

Each subsystem is built behind a header that states who calls it, what it returns and who owns the state; parts that share only headers do not block each other.

--- /dev/null
+++ b/testing/kernel.cmake
@@ -0,0 +1,1 @@
+hd_test(kernel_test hd_kernel)
--- /dev/null
+++ b/wire/codec.h
@@ -0,0 +1,38 @@
+/// @file
+/// The one place where typed messages become bytes (Protocol Buffers) and bytes become typed messages.
+///
+///     std::string bytes = encode(raft_message{...});
+///     result<raft_message> message = decode<raft_message>(bytes);
+///
+/// `decode` refuses malformed, oversized or incomplete input as `bad_message`; it never throws and never returns a
+/// partly filled value. Unknown fields are ignored, so that processes of neighbouring releases understand each other.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "kernel/result.h"
+#include "model/directory_messages.h"
+#include "model/distribution_messages.h"
+#include "model/ledger_messages.h"
+#include "model/raft_messages.h"
+
+namespace heatherdeck {
+
+std::string encode(const raft_message& message);
+std::string encode(const log_entry& entry);
+std::string encode(const std::vector<voter>& voters);
+std::string encode(const node_message& message);
+std::string encode(const control_message& message);
+std::string encode(const ledger_command& command);
+std::string encode(const command_answer& answer);
+std::string encode(const document_state& state);
+std::string encode(const document_delta& delta);
+std::string encode(const std::vector<member_record>& records);
+std::string encode(const evidence_report& report);
+
+/// Defined for every type that `encode` takes.
+template <class Message>
+result<Message> decode(std::string_view bytes);
+
+}  // namespace heatherdeck
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -31,7 +31,7 @@
 inline constexpr std::size_t stream_buffer_bytes = 64 * 1024;
 
 /// What a stream is for; carried in the request header `hd-stream`, decides which service gets an incoming stream.
-enum class stream_kind { call, subscribe, raft, query };
+enum class stream_kind { call, subscribe, raft, evidence };
 
 template <>
 struct enum_table<stream_kind> {
@@ -39,7 +39,7 @@
       {stream_kind::call, "call"},
       {stream_kind::subscribe, "subscribe"},
       {stream_kind::raft, "raft"},
-      {stream_kind::query, "query"},
+      {stream_kind::evidence, "evidence"},
   });
 };
 
--- a/wire/mesh_messages.h
+++ b/wire/mesh_messages.h
@@ -2,7 +2,7 @@
 /// Messages of the mesh service, which owns all connections between processes.
 ///
 /// Incoming streams go to the `address<incoming_stream>` that a service has published under its name:
-/// call -> proxy, subscribe -> publisher, raft -> consensus, query -> operators.
+/// call -> proxy, subscribe -> publisher, raft -> consensus, evidence -> rollout.
 #pragma once
 
 #include <string>
