--- /dev/null
+++ b/wire/http_client.cc
@@ -0,0 +1,104 @@
+// One task, one socket, one request. The time-out closes the socket, which ends whatever operation is waiting; the
+// state of the exchange then tells which error is true. Invariant: `unreachable` is returned only before the first byte
+// of the request was handed to the socket. Cost: one connection per call, which suits command-line tools and rare
+// calls.
+#include "wire/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "wire/endpoint.h"
+
+namespace heatherdeck {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr unsigned http_1_1 = 11;
+
+std::string percent_encoded(std::string_view text) {
+  static constexpr char digits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_' || c == '~') {
+      encoded += c;
+    } else {
+      encoded += '%';
+      encoded += digits[byte >> 4];
+      encoded += digits[byte & 15];
+    }
+  }
+  return encoded;
+}
+
+std::string target_of(const http_request& request) {
+  std::string target = request.path;
+  char separator = '?';
+  for (const auto& [name, value] : request.query) {
+    target += separator + percent_encoded(name) + "=" + percent_encoded(value);
+    separator = '&';
+  }
+  return target;
+}
+
+http::request<http::string_body> to_beast(const http_request& request, const std::string& address) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(target_of(request));
+  message.version(http_1_1);
+  message.set(http::field::host, address);
+  for (const auto& [name, value] : request.headers) message.set(name, value);
+  message.keep_alive(false);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+awaitable<outcome<http_response>> http_call(timer_service& timers, executor_type executor, std::string address,
+                                            http_request request, duration timeout) {
+  const outcome<endpoint_parts> parts = capture([&] { return parse_endpoint(address); });
+  if (!parts) co_return parts.failure();
+  auto socket = std::make_shared<tcp::socket>(executor);
+  bool late = false;
+  const subscription limit = timers.after(timeout, [socket, &late] {
+    late = true;
+    boost::system::error_code ignored;
+    socket->close(ignored);
+  });
+  const tcp::endpoint peer(parts->ip, parts->port);
+  auto [connect_error] = co_await socket->async_connect(peer, use_tuple);
+  if (connect_error) {
+    co_return error{error_kind::unreachable, "cannot connect to " + address + ": " + connect_error.message(),
+                    "check that the process runs and listens there", address};
+  }
+  const error unknown{error_kind::unknown_outcome, "no whole answer from " + address,
+                      "the request may have taken effect; ask for its state before sending it again", address};
+  http::request<http::string_body> message = to_beast(request, address);
+  auto [write_error, written] = co_await http::async_write(*socket, message, use_tuple);
+  if (write_error) co_return unknown;
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  auto [read_error, read_size] = co_await http::async_read(*socket, buffer, parser, use_tuple);
+  if (read_error) {
+    if (late) {
+      co_return error{error_kind::timeout, "no answer from " + address + " within the time allowed", unknown.remedy,
+                      address};
+    }
+    co_return unknown;
+  }
+  http_response answer;
+  answer.status = parser.get().result_int();
+  const auto type = parser.get()[http::field::content_type];
+  answer.content_type = std::string(type.data(), type.size());
+  answer.body = std::move(parser.get().body());
+  co_return answer;
+}
+
+}  // namespace heatherdeck
