Settings, daemon and admin listener

Settings are read through one table of keys that parsing, range checks and docs/settings.md share; a test compares the page with the table. The admin listener serves dump, metrics, liveness, readiness and drain.

--- /dev/null
+++ b/daemon/admin_service.h
@@ -0,0 +1,50 @@
+/// @file
+/// The admin listener of every process: state dump, metrics, liveness, readiness and drain.
+///
+///     GET  /dump      state of every service, as JSON
+///     GET  /metrics   Prometheus text format
+///     GET  /live      200 while the process runs
+///     GET  /ready     200 when every service is ready, else 503 with the names of those that are not
+///     POST /drain     begins a graceful stop; answers 202
+///     PUT  /log-level?level=debug|info|warning|error
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "kernel/kernel.h"
+#include "model/settings.h"
+#include "wire/http_listener.h"
+
+namespace heatherdeck {
+
+class admin_service : public service {
+ public:
+  /// @param s uses admin_listen.
+  static result<std::unique_ptr<service>> make(const settings& s);
+
+  std::string_view name() const override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  explicit admin_service(std::string listen) : listen_(std::move(listen)) {}
+
+  struct route;
+  static const route routes[];
+
+  awaitable<http_response> serve(http_request request);
+  http_response show_dump(const http_request& request);
+  http_response show_metrics(const http_request& request);
+  http_response show_live(const http_request& request);
+  http_response show_ready(const http_request& request);
+  http_response begin_drain(const http_request& request);
+  http_response change_log_level(const http_request& request);
+
+  std::string listen_;
+  kernel* kernel_ = nullptr;
+  std::unique_ptr<http_listener> listener_;
+};
+
+}  // namespace heatherdeck
--- a/kernel/kernel.cc
+++ b/kernel/kernel.cc
@@ -135,6 +135,14 @@
   boost::asio::co_spawn(io_, stop(), boost::asio::detached);
 }
 
+std::vector<std::string_view> kernel::not_ready() const {
+  std::vector<std::string_view> names;
+  for (const service* s : started_) {
+    if (!s->ready()) names.push_back(s->name());
+  }
+  return names;
+}
+
 boost::json::value kernel::dump() const {
   boost::json::object services;
   for (const service* s : started_) services[s->name()] = s->dump();
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -70,6 +70,9 @@
   /// @return an object with one member for each service.
   boost::json::value dump() const;
 
+  /// @return the names of the started services that are not ready.
+  std::vector<std::string_view> not_ready() const;
+
   timer_service& timers() { return timers_; }
   executor_type executor() { return io_.get_executor(); }
   boost::asio::io_context& io() { return io_; }
--- a/kernel/service.h
+++ b/kernel/service.h
@@ -53,6 +53,9 @@
   /// Closes everything; must not wait.
   virtual void stop() = 0;
 
+  /// @return false while the service cannot do its work yet, e.g. before the first document.
+  virtual bool ready() const { return true; }
+
   /// @return the service's state for the dump; secrets are left out.
   virtual boost::json::value dump() const = 0;
 };
--- /dev/null
+++ b/model/settings.cc
@@ -0,0 +1,347 @@
+// Every scalar key is a row of a table that holds its name, unit, range, meaning and the member it sets; parsing,
+// documentation and range checks all read that table, so they cannot disagree. Lists of objects have a reader of their
+// own. Invariant: settings are returned only when every rule holds. Cost: one pass over the parsed tree.
+#include "model/settings.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <fmt/format.h>
+
+#include "model/yaml_reader.h"
+
+namespace heatherdeck {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t max_settings_bytes = 1024 * 1024;
+constexpr std::size_t max_name_length = 64;
+constexpr std::uint64_t max_seed = 1ULL << 62;
+
+/// How the text of a key is checked.
+enum class text_rule { name, address, path };
+
+struct text_row {
+  std::string_view path;
+  std::string settings::*member;
+  text_rule rule;
+  std::string_view meaning;
+};
+
+struct milliseconds_row {
+  std::string_view path;
+  milliseconds settings::*member;
+  std::uint64_t least;
+  std::uint64_t most;
+  std::string_view meaning;
+};
+
+struct number_row {
+  std::string_view path;
+  std::uint64_t settings::*member;
+  std::uint64_t least;
+  std::uint64_t most;
+  std::string_view meaning;
+};
+
+constexpr text_row text_rows[] = {
+    {"id", &settings::id, text_rule::name, "name of this process, unique in the mesh"},
+    {"region", &settings::region, text_rule::name, "region of this host"},
+    {"availability_zone", &settings::availability_zone, text_rule::name, "availability zone of this host"},
+    {"mesh_listen", &settings::mesh_listen, text_rule::address, "TCP and UDP address for other processes of the mesh"},
+    {"admin_listen", &settings::admin_listen, text_rule::address,
+     "HTTP address for dump, metrics, liveness and readiness; bind it to loopback unless the network is trusted"},
+    {"operator_listen", &settings::operator_listen, text_rule::address, "role control: HTTP address for operators"},
+    {"caller_listen", &settings::caller_listen, text_rule::address, "role node: HTTP/1.1 address for callers"},
+    {"upstream_listen", &settings::upstream_listen, text_rule::address,
+     "role node: HTTP address on which the upstream of this host announces itself"},
+    {"data_folder", &settings::data_folder, text_rule::path, "role control: folder of the durable state"},
+    {"mesh_key_file", &settings::mesh_key_file, text_rule::path,
+     "file with the secret that all processes of the mesh share; relative to the settings file"},
+};
+
+constexpr milliseconds_row milliseconds_rows[] = {
+    {"drain_limit_ms", &settings::drain_limit, 0, 3'600'000, "longest time for requests in flight at a planned stop"},
+    {"heartbeat_ms", &settings::heartbeat, 10, 10'000, "period of the leader's heartbeats"},
+    {"election_timeout_ms", &settings::election_timeout, 50, 60'000,
+     "shortest time without a leader before an election; the longest is twice that"},
+    {"keepalive_ms", &settings::keepalive, 100, 60'000, "period of keep-alive messages on a quiet subscription"},
+};
+
+constexpr number_row number_rows[] = {
+    {"epoch", &settings::epoch, 1, 1'000'000, "raised by one when the document is restored after all disks were lost"},
+    {"seed", &settings::seed, 0, max_seed, "seed of all random choices; 0 takes one from the system"},
+};
+
+enum class role_name { control, node };
+
+}  // namespace
+
+template <>
+struct enum_table<role_name> {
+  static constexpr auto entries = std::to_array<enum_entry<role_name>>({
+      {role_name::control, "control"},
+      {role_name::node, "node"},
+  });
+};
+
+namespace {
+
+bool is_name(std::string_view text) {
+  return !text.empty() && text.size() <= max_name_length && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
+bool is_address(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0 || colon + 1 == text.size()) return false;
+  const std::string_view port = text.substr(colon + 1);
+  const bool digits = std::all_of(port.begin(), port.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+  return digits && port.size() <= 5 && std::stoul(std::string(port)) <= 65'535;
+}
+
+result<std::string> checked_text(const yaml_node& value, text_rule rule) {
+  BOOST_LEAF_AUTO(text, value.as_text());
+  switch (rule) {
+    case text_rule::name:
+      if (!is_name(text)) {
+        return value.fault("'" + text + "' is not a name", "use up to 64 letters, digits, '-', '_' and '.'");
+      }
+      break;
+    case text_rule::address:
+      if (!is_address(text)) return value.fault("'" + text + "' is not an address", "write it as ip:port");
+      break;
+    case text_rule::path:
+      break;
+  }
+  return text;
+}
+
+result<std::string> needed_text(const yaml_node& map, std::string_view key, text_rule rule) {
+  BOOST_LEAF_AUTO(value, map.need(key));
+  return checked_text(*value, rule);
+}
+
+result<control_host> read_control_host(const yaml_node& item) {
+  BOOST_LEAF_CHECK(item.expect_keys({"id", "availability_zone", "region", "mesh_address", "operator_address"}));
+  control_host host;
+  BOOST_LEAF_ASSIGN(host.id, needed_text(item, "id", text_rule::name));
+  BOOST_LEAF_ASSIGN(host.availability_zone, needed_text(item, "availability_zone", text_rule::name));
+  BOOST_LEAF_ASSIGN(host.region, needed_text(item, "region", text_rule::name));
+  BOOST_LEAF_ASSIGN(host.mesh_address, needed_text(item, "mesh_address", text_rule::address));
+  BOOST_LEAF_ASSIGN(host.operator_address, needed_text(item, "operator_address", text_rule::address));
+  return host;
+}
+
+result<operator_key> read_operator(const yaml_node& item) {
+  BOOST_LEAF_CHECK(item.expect_keys({"name", "public_key", "sections"}));
+  operator_key key;
+  BOOST_LEAF_ASSIGN(key.name, needed_text(item, "name", text_rule::name));
+  BOOST_LEAF_ASSIGN(key.public_key, needed_text(item, "public_key", text_rule::path));
+  BOOST_LEAF_AUTO(sections, item.need("sections"));
+  BOOST_LEAF_ASSIGN(key.sections, sections->as_texts());
+  return key;
+}
+
+template <class Item>
+result<void> read_list(const yaml_node& root, std::string_view key, result<Item> (*read)(const yaml_node&),
+                       std::vector<Item>& items) {
+  const yaml_node* list = root.find(key);
+  if (list == nullptr) return {};
+  BOOST_LEAF_CHECK(list->expect(yaml_kind::list));
+  for (const yaml_node& item : list->items()) {
+    BOOST_LEAF_AUTO(read_item, read(item));
+    items.push_back(std::move(read_item));
+  }
+  return {};
+}
+
+result<std::string> read_seed_address(const yaml_node& item) { return checked_text(item, text_rule::address); }
+
+result<void> read_roles(const yaml_node& root, settings& s) {
+  BOOST_LEAF_AUTO(roles, root.need("roles"));
+  BOOST_LEAF_CHECK(roles->expect(yaml_kind::list));
+  for (const yaml_node& item : roles->items()) {
+    BOOST_LEAF_AUTO(role, item.as_enum<role_name>());
+    (role == role_name::control ? s.control : s.node) = true;
+  }
+  if (!s.control && !s.node) return roles->fault("the process has no role", "list 'control', 'node' or both");
+  return {};
+}
+
+result<void> read_rows(const yaml_node& root, settings& s) {
+  for (const text_row& row : text_rows) {
+    if (const yaml_node* value = root.find(row.path)) {
+      BOOST_LEAF_ASSIGN(s.*row.member, checked_text(*value, row.rule));
+    }
+  }
+  for (const milliseconds_row& row : milliseconds_rows) {
+    if (const yaml_node* value = root.find(row.path)) {
+      BOOST_LEAF_AUTO(number, value->as_number(row.least, row.most));
+      s.*row.member = milliseconds(number);
+    }
+  }
+  for (const number_row& row : number_rows) {
+    if (const yaml_node* value = root.find(row.path)) {
+      BOOST_LEAF_ASSIGN(s.*row.member, value->as_number(row.least, row.most));
+    }
+  }
+  return {};
+}
+
+struct needed_row {
+  std::string_view path;
+  std::string settings::*member;
+  bool settings::*role;  ///< null: needed by every role
+};
+
+constexpr needed_row needed_rows[] = {
+    {"id", &settings::id, nullptr},
+    {"region", &settings::region, nullptr},
+    {"availability_zone", &settings::availability_zone, nullptr},
+    {"mesh_listen", &settings::mesh_listen, nullptr},
+    {"admin_listen", &settings::admin_listen, nullptr},
+    {"mesh_key_file", &settings::mesh_key_file, nullptr},
+    {"data_folder", &settings::data_folder, &settings::control},
+    {"operator_listen", &settings::operator_listen, &settings::control},
+    {"caller_listen", &settings::caller_listen, &settings::node},
+    {"upstream_listen", &settings::upstream_listen, &settings::node},
+};
+
+result<void> check_needed(const yaml_node& root, const settings& s) {
+  for (const needed_row& row : needed_rows) {
+    const bool applies = row.role == nullptr || s.*row.role;
+    if (applies && (s.*row.member).empty()) {
+      return root.fault("the key '" + std::string(row.path) + "' is missing", "add it; see docs/settings.md");
+    }
+  }
+  return {};
+}
+
+result<void> check_control_hosts(const yaml_node& root, const settings& s) {
+  if (s.control_hosts.empty()) {
+    return root.fault("the key 'control_hosts' is missing or empty", "list the control hosts of the mesh");
+  }
+  std::vector<std::string> ids;
+  for (const control_host& host : s.control_hosts) ids.push_back(host.id);
+  std::sort(ids.begin(), ids.end());
+  const auto twice = std::adjacent_find(ids.begin(), ids.end());
+  if (twice != ids.end()) return root.fault("two control hosts have the id '" + *twice + "'", "give each its own id");
+  if (s.control && !std::binary_search(ids.begin(), ids.end(), s.id)) {
+    return root.fault("this process has the role 'control' but its id '" + s.id + "' is not in control_hosts",
+                      "add it to control_hosts or change its id");
+  }
+  if (s.election_timeout < 3 * s.heartbeat) {
+    return root.fault("election_timeout_ms is less than three times heartbeat_ms", "raise election_timeout_ms");
+  }
+  return {};
+}
+
+std::vector<std::string_view> top_level_keys() {
+  std::vector<std::string_view> keys{"roles", "log_level", "convergence_weight", "control_hosts", "operators", "seeds"};
+  for (const text_row& row : text_rows) keys.push_back(row.path);
+  for (const milliseconds_row& row : milliseconds_rows) keys.push_back(row.path);
+  for (const number_row& row : number_rows) keys.push_back(row.path);
+  return keys;
+}
+
+std::string_view range_of(text_rule rule) {
+  switch (rule) {
+    case text_rule::name:
+      return "up to 64 letters, digits, '-', '_', '.'";
+    case text_rule::address:
+      return "ip:port";
+    case text_rule::path:
+      return "path";
+  }
+  return "";
+}
+
+std::string need_of(std::string_view path) {
+  for (const needed_row& row : needed_rows) {
+    if (row.path == path) return "required";
+  }
+  return "none";
+}
+
+}  // namespace
+
+const std::vector<settings_key>& settings_keys() {
+  static const std::vector<settings_key> keys = [] {
+    std::vector<settings_key> rows;
+    const settings defaults;
+    for (const text_row& row : text_rows) {
+      rows.push_back({std::string(row.path), "text", std::string(range_of(row.rule)), need_of(row.path),
+                      std::string(row.meaning)});
+    }
+    rows.push_back({"roles", "list", all_names<role_name>(), "required", "what this process does"});
+    for (const milliseconds_row& row : milliseconds_rows) {
+      rows.push_back({std::string(row.path), "ms", fmt::format("{} to {}", row.least, row.most),
+                      std::to_string((defaults.*row.member).count()), std::string(row.meaning)});
+    }
+    for (const number_row& row : number_rows) {
+      rows.push_back({std::string(row.path), "number", fmt::format("{} to {}", row.least, row.most),
+                      std::to_string(defaults.*row.member), std::string(row.meaning)});
+    }
+    const std::vector<settings_key> rest{
+        {"log_level", "name", all_names<log_level>(), std::string(to_name(defaults.lowest_level)),
+         "lowest level that is logged"},
+        {"convergence_weight", "fraction", "0 to 1", fmt::format("{}", defaults.convergence_weight),
+         "1 favours convergence time and bad versions rolled back, 0 favours control bytes and good versions in time"},
+        {"control_hosts[].id", "text", std::string(range_of(text_rule::name)), "required", "id of a control host"},
+        {"control_hosts[].availability_zone", "text", std::string(range_of(text_rule::name)), "required", "its zone"},
+        {"control_hosts[].region", "text", std::string(range_of(text_rule::name)), "required", "its region"},
+        {"control_hosts[].mesh_address", "text", "ip:port", "required", "its mesh_listen, as others reach it"},
+        {"control_hosts[].operator_address", "text", "ip:port", "required", "its operator_listen"},
+        {"operators[].name", "text", std::string(range_of(text_rule::name)), "required", "name of an operator"},
+        {"operators[].public_key", "base64", "32 bytes", "required", "Ed25519 key, as 'heatherdeck keygen' prints it"},
+        {"operators[].sections", "list", "section names; a trailing '*' matches any rest", "required",
+         "sections that the operator owns"},
+        {"seeds", "list", "ip:port", "empty",
+         "mesh addresses that membership contacts first, besides the control hosts"},
+    };
+    rows.insert(rows.end(), rest.begin(), rest.end());
+    return rows;
+  }();
+  return keys;
+}
+
+std::string settings_reference() {
+  std::string page =
+      "# Settings\n\n"
+      "`heatherdeckd --settings=FILE` reads one YAML file. All keys are checked before any port opens; unknown keys "
+      "are\n"
+      "errors. `heatherdeck check FILE` checks a file without starting anything. This page is printed by\n"
+      "`heatherdeckd --settings_reference`, and a test compares the two.\n\n"
+      "| Key | Unit | Range | Default | Meaning |\n|---|---|---|---|---|\n";
+  for (const settings_key& key : settings_keys()) {
+    page += fmt::format("| `{}` | {} | {} | {} | {} |\n", key.path, key.unit, key.range, key.fallback, key.meaning);
+  }
+  return page;
+}
+
+result<settings> parse_settings(std::string_view text, std::string_view name) {
+  BOOST_LEAF_AUTO(
+      root,
+      read_yaml(text, {.name = std::string(name), .kind = error_kind::bad_settings, .max_bytes = max_settings_bytes}));
+  BOOST_LEAF_CHECK(root.expect_keys(top_level_keys()));
+  settings s;
+  BOOST_LEAF_CHECK(read_roles(root, s));
+  BOOST_LEAF_CHECK(read_rows(root, s));
+  if (const yaml_node* level = root.find("log_level")) {
+    BOOST_LEAF_ASSIGN(s.lowest_level, level->as_enum<log_level>());
+  }
+  if (const yaml_node* weight = root.find("convergence_weight")) {
+    BOOST_LEAF_ASSIGN(s.convergence_weight, weight->as_decimal(0.0, 1.0));
+  }
+  BOOST_LEAF_CHECK(read_list(root, "control_hosts", read_control_host, s.control_hosts));
+  BOOST_LEAF_CHECK(read_list(root, "operators", read_operator, s.operators));
+  BOOST_LEAF_CHECK(read_list(root, "seeds", read_seed_address, s.seeds));
+  BOOST_LEAF_CHECK(check_needed(root, s));
+  BOOST_LEAF_CHECK(check_control_hosts(root, s));
+  return s;
+}
+
+}  // namespace heatherdeck
--- a/model/settings.h
+++ b/model/settings.h
@@ -46,6 +46,7 @@
   std::string caller_listen;
   std::string upstream_listen;
   std::string data_folder;
+  std::string mesh_key_file;
   std::string mesh_key;  ///< secret; never dumped or logged
   std::uint64_t epoch = 1;
   std::uint64_t seed = 0;  ///< 0: taken from the system's random source
@@ -62,23 +63,26 @@
 
 /// One row of the table of keys.
 struct settings_key {
-  std::string_view path;  ///< dotted path, "[]" for list items
-  std::string_view unit;
-  std::string_view range;
-  std::string_view fallback;
-  std::string_view meaning;
+  std::string path;  ///< dotted path, "[]" for list items
+  std::string unit;
+  std::string range;
+  std::string fallback;
+  std::string meaning;
 };
 
 /// @return every key that a settings file may contain.
 const std::vector<settings_key>& settings_keys();
 
+/// @return the reference of all keys as a Markdown page; docs/settings.md is this text.
+std::string settings_reference();
+
 /// Parses and checks settings.
 /// @param text YAML.
 /// @param name name of the file, for error messages.
 /// @return the settings, or `bad_settings` with file, line and remedy.
 result<settings> parse_settings(std::string_view text, std::string_view name);
 
-/// Reads a settings file and checks it.
+/// Reads a settings file and the key file that it names, and checks both.
 result<settings> load_settings(const std::string& path);
 
 }  // namespace heatherdeck
--- /dev/null
+++ b/testing/model.cmake
@@ -0,0 +1,2 @@
+hd_test(settings_test hd_model)
+target_compile_definitions(settings_test PRIVATE HD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- /dev/null
+++ b/testing/settings_test.cc
@@ -0,0 +1,82 @@
+// Guards the settings reader: a wrong file must be refused whole, with place and remedy, before any port opens.
+#include "model/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace heatherdeck {
+namespace {
+
+constexpr const char* node_yaml = R"(id: dar-1-n1
+region: dar
+availability_zone: dar-1
+roles: [node]
+mesh_listen: 127.0.0.1:7001
+admin_listen: 127.0.0.1:7002
+caller_listen: 127.0.0.1:7003
+upstream_listen: 127.0.0.1:7004
+mesh_key_file: mesh.key
+control_hosts:
+  - {id: c1, availability_zone: dar-1, region: dar, mesh_address: "127.0.0.1:7101", operator_address: "127.0.0.1:7102"}
+)";
+
+outcome<settings> parse(const std::string& text) {
+  return capture([&] { return parse_settings(text, "node.yaml"); });
+}
+
+TEST(settings, whole_file_is_read) {
+  const auto s = parse(node_yaml);
+  ASSERT_TRUE(s) << s.failure().message();
+  EXPECT_TRUE(s->node);
+  EXPECT_FALSE(s->control);
+  EXPECT_EQ(s->control_hosts.at(0).operator_address, "127.0.0.1:7102");
+  EXPECT_EQ(s->drain_limit, std::chrono::seconds(30));
+}
+
+struct refusal_case {
+  const char* added;
+  const char* text;
+  const char* where;
+};
+
+// Each case is one mistake that would otherwise start a process with settings that nobody meant.
+TEST(settings, mistakes_are_refused_with_their_line) {
+  const refusal_case cases[] = {
+      {"listn: 1\n", "listn", "node.yaml:12"},
+      {"heartbeat_ms: 5\n", "5", "node.yaml:12"},
+      {"heartbeat_ms: 500\n", "election_timeout_ms", "node.yaml"},
+      {"log_level: loud\n", "loud", "node.yaml:12"},
+      {"data_folder: {a: 1}\n", "", "node.yaml:12"},
+      {"seeds: [nowhere]\n", "nowhere", "node.yaml:12"},
+      {"id: again\n", "id", "node.yaml:12"},
+  };
+  for (const refusal_case& c : cases) {
+    const auto s = parse(std::string(node_yaml) + c.added);
+    ASSERT_FALSE(s) << c.added;
+    EXPECT_EQ(s.failure().kind, error_kind::bad_settings) << c.added;
+    EXPECT_NE(s.failure().text.find(c.text), std::string::npos) << s.failure().message();
+    EXPECT_EQ(s.failure().where.rfind(c.where, 0), 0U) << s.failure().message();
+    EXPECT_FALSE(s.failure().remedy.empty()) << c.added;
+  }
+}
+
+TEST(settings, role_needs_its_listeners) {
+  std::string text = node_yaml;
+  text.replace(text.find("roles: [node]"), 13, "roles: [control]");
+  const auto s = parse(text);
+  ASSERT_FALSE(s);
+  EXPECT_NE(s.failure().text.find("data_folder"), std::string::npos) << s.failure().message();
+}
+
+// A key that is added without its row on the page, or changed there alone, would mislead operators.
+TEST(settings, reference_page_matches_the_table) {
+  std::ifstream file(std::string(HD_SOURCE_DIR) + "/docs/settings.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  EXPECT_EQ(page.str(), settings_reference()) << "run: heatherdeckd --settings_reference > docs/settings.md";
+}
+
+}  // namespace
+}  // namespace heatherdeck
