model: YAML reader with limits, places and remedies

Cause: settings and documents need one parser that refuses oversized, deep, aliased and ambiguous text. Change: yaml_reader builds an immutable tree from yaml-cpp's events; limits are checked while parsing.

--- /dev/null
+++ b/model/yaml_reader.cc
@@ -0,0 +1,343 @@
+// Builds the tree from yaml-cpp's parser events.
+//
+// Idea: events, not YAML::Node, because limits, aliases and duplicate keys must be refused while the text is parsed and
+// before memory is spent on it. Invariant: a tree that is returned has depth <= max_depth, no duplicate key and no
+// alias. Cost: one pass over the text, one node per value; look-up of a key is linear in the keys of its map, and the
+// duplicate check uses a set per open map.
+#include "model/yaml_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <istream>
+#include <set>
+#include <streambuf>
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+namespace heatherdeck {
+namespace {
+
+// Read-only stream over a text that is not copied.
+class view_buffer : public std::streambuf {
+ public:
+  explicit view_buffer(std::string_view text) {
+    char* begin = const_cast<char*>(text.data());  // NOLINT(cppcoreguidelines-pro-type-const-cast): only read
+    setg(begin, begin, begin + text.size());
+  }
+};
+
+// Raised inside the parser's callbacks; yaml-cpp has no other way to stop early.
+struct refused_text {
+  std::size_t line;
+  std::size_t column;
+  std::string text;
+  std::string remedy;
+};
+
+std::string place(const yaml_source& source, std::size_t line, std::size_t column) {
+  return source.name + ":" + std::to_string(line + source.line_offset) + ":" +
+         std::to_string(column + source.column_offset);
+}
+
+// Length of the UTF-8 sequence at `at`, or 0 when it is malformed or a control character other than tab and line ends.
+std::size_t utf8_length(std::string_view text, std::size_t at) {
+  const auto byte = [&](std::size_t i) { return i < text.size() ? static_cast<unsigned char>(text[i]) : 0U; };
+  const unsigned first = byte(at);
+  if (first < 0x80) return first >= 0x20 || first == '\t' || first == '\n' || first == '\r' ? 1 : 0;
+  const std::size_t length = first >= 0xF0 && first <= 0xF4 ? 4 : first >= 0xE0 ? 3 : first >= 0xC2 ? 2 : 0;
+  if (length == 0 || first > 0xF4) return 0;
+  for (std::size_t i = 1; i < length; ++i) {
+    if ((byte(at + i) & 0xC0U) != 0x80U) return 0;
+  }
+  return length;
+}
+
+result<void> check_characters(std::string_view text, const yaml_source& source) {
+  std::size_t line = 1;
+  std::size_t line_start = 0;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t length = utf8_length(text, at);
+    if (length == 0) {
+      return fail(source.kind, "the text has a byte that is not UTF-8 text", "save the file as UTF-8",
+                  place(source, line, at - line_start + 1));
+    }
+    if (text[at] == '\n') {
+      ++line;
+      line_start = at + 1;
+    }
+    at += length;
+  }
+  return {};
+}
+
+}  // namespace
+
+// Receives yaml-cpp's events and holds the stack of open maps and lists.
+class yaml_builder : public YAML::EventHandler {
+ public:
+  explicit yaml_builder(std::shared_ptr<const yaml_source> source) : source_(std::move(source)) {}
+
+  yaml_node take_root() { return std::move(root_); }
+  bool has_content() const { return has_content_; }
+
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override {
+    refuse_anchor(mark, anchor);
+    add(make(mark, yaml_kind::null));
+  }
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override {
+    refuse(mark, "aliases are not allowed", "write the value out in full");
+  }
+  void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                const std::string& value) override {
+    refuse_anchor(mark, anchor);
+    refuse_tag(mark, tag);
+    yaml_node node = make(mark, yaml_kind::scalar);
+    node.text_ = value;
+    add(std::move(node));
+  }
+  void OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                       YAML::EmitterStyle::value) override {
+    open(mark, tag, anchor, yaml_kind::list);
+  }
+  void OnSequenceEnd() override { close(); }
+  void OnMapStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                  YAML::EmitterStyle::value) override {
+    open(mark, tag, anchor, yaml_kind::map);
+  }
+  void OnMapEnd() override { close(); }
+
+ private:
+  struct level {
+    yaml_node node;
+    std::set<std::string> keys;
+    bool key_pending = false;  // the entry's key is known, its value is not
+  };
+
+  [[noreturn]] static void refuse(const YAML::Mark& mark, std::string text, std::string remedy) {
+    throw refused_text{static_cast<std::size_t>(mark.line) + 1, static_cast<std::size_t>(mark.column) + 1,
+                       std::move(text), std::move(remedy)};
+  }
+  static void refuse_anchor(const YAML::Mark& mark, YAML::anchor_t anchor) {
+    if (anchor != 0) refuse(mark, "anchors are not allowed", "remove the '&name' and write the value out in full");
+  }
+  static void refuse_tag(const YAML::Mark& mark, const std::string& tag) {
+    if (!tag.empty() && tag != "?" && tag != "!") refuse(mark, "tag '" + tag + "' is not allowed", "remove the tag");
+  }
+
+  yaml_node make(const YAML::Mark& mark, yaml_kind kind) {
+    has_content_ = true;
+    yaml_node node;
+    node.kind_ = kind;
+    node.line_ = static_cast<std::size_t>(mark.line) + 1;
+    node.column_ = static_cast<std::size_t>(mark.column) + 1;
+    node.source_ = source_;
+    return node;
+  }
+
+  void open(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, yaml_kind kind) {
+    refuse_anchor(mark, anchor);
+    refuse_tag(mark, tag);
+    if (open_.size() >= source_->max_depth) {
+      refuse(mark, "nesting is deeper than " + std::to_string(source_->max_depth) + " levels", "flatten the text");
+    }
+    if (expects_key()) refuse(mark, "a key must be a single value", "write 'key: value'");
+    open_.push_back({make(mark, kind), {}, false});
+  }
+
+  void close() {
+    yaml_node done = std::move(open_.back().node);
+    open_.pop_back();
+    add(std::move(done));
+  }
+
+  bool expects_key() const {
+    return !open_.empty() && open_.back().node.kind_ == yaml_kind::map && !open_.back().key_pending;
+  }
+
+  void add(yaml_node node) {
+    if (open_.empty()) {
+      root_ = std::move(node);
+      return;
+    }
+    level& top = open_.back();
+    if (top.node.kind_ == yaml_kind::list) {
+      top.node.items_.push_back(std::move(node));
+    } else if (top.key_pending) {
+      top.node.entries_.back().value = std::move(node);
+      top.key_pending = false;
+    } else {
+      add_key(top, node);
+    }
+  }
+
+  static void add_key(level& top, const yaml_node& node) {
+    const std::string key = node.kind_ == yaml_kind::scalar ? node.text_ : "";
+    if (key.empty()) {
+      throw refused_text{node.line_, node.column_, "a key is empty", "write 'key: value'"};
+    }
+    if (!top.keys.insert(key).second) {
+      throw refused_text{node.line_, node.column_, "key '" + key + "' appears twice", "remove one of the two"};
+    }
+    top.node.entries_.push_back({key, node.line_, node.column_, {}});
+    top.key_pending = true;
+  }
+
+  std::shared_ptr<const yaml_source> source_;
+  std::vector<level> open_;
+  yaml_node root_;
+  bool has_content_ = false;
+};
+
+result<yaml_node> read_yaml(std::string_view text, yaml_source source) {
+  if (text.size() > source.max_bytes) {
+    return fail(
+        source.kind,
+        "the text has " + std::to_string(text.size()) + " bytes; the limit is " + std::to_string(source.max_bytes),
+        "split it into smaller parts", place(source, 1, 1));
+  }
+  BOOST_LEAF_CHECK(check_characters(text, source));
+  const auto shared = std::make_shared<const yaml_source>(std::move(source));
+  try {
+    view_buffer buffer(text);
+    std::istream stream(&buffer);
+    YAML::Parser parser(stream);
+    yaml_builder builder(shared);
+    parser.HandleNextDocument(builder);
+    yaml_builder rest(shared);
+    if (parser.HandleNextDocument(rest) && rest.has_content()) {
+      return fail(shared->kind, "the text holds more than one YAML document", "remove the '---' line",
+                  place(*shared, rest.take_root().line(), 1));
+    }
+    yaml_node root = builder.take_root();
+    if (!builder.has_content()) {
+      // An empty text still needs its source for the errors of whoever reads it.
+      BOOST_LEAF_AUTO(nothing, read_yaml("~", *shared));
+      return nothing;
+    }
+    return root;
+  } catch (const refused_text& e) {
+    return fail(shared->kind, e.text, e.remedy, place(*shared, e.line, e.column));
+  } catch (const YAML::Exception& e) {
+    const bool placed = !e.mark.is_null();
+    const auto line = placed ? static_cast<std::size_t>(e.mark.line) + 1 : 1;
+    const auto column = placed ? static_cast<std::size_t>(e.mark.column) + 1 : 1;
+    return fail(shared->kind, "the text is not valid YAML: " + e.msg,
+                "check indentation, brackets and quotes at this place", place(*shared, line, column));
+  }
+}
+
+const yaml_node* yaml_node::find(std::string_view key) const {
+  for (const entry& e : entries_) {
+    if (e.key == key) return &e.value;
+  }
+  return nullptr;
+}
+
+result<const yaml_node*> yaml_node::need(std::string_view key) const {
+  BOOST_LEAF_CHECK(expect(yaml_kind::map));
+  if (const yaml_node* found = find(key)) return found;
+  return fault("key '" + std::string(key) + "' is missing", "add '" + std::string(key) + ": ...'");
+}
+
+result<void> yaml_node::expect(yaml_kind wanted) const {
+  if (kind_ == wanted) return {};
+  return fault(std::string(to_name(kind_)) + " stands where " + std::string(to_name(wanted)) + " is expected",
+               "write " + std::string(to_name(wanted)));
+}
+
+result<void> yaml_node::expect_keys(std::initializer_list<std::string_view> known) const {
+  return expect_keys(std::vector<std::string_view>(known));
+}
+
+result<void> yaml_node::expect_keys(const std::vector<std::string_view>& known) const {
+  BOOST_LEAF_CHECK(expect(yaml_kind::map));
+  for (const entry& e : entries_) {
+    if (std::find(known.begin(), known.end(), e.key) != known.end()) continue;
+    std::string names;
+    for (const std::string_view name : known) names += (names.empty() ? "" : ", ") + std::string(name);
+    return fail(source_->kind, "key '" + e.key + "' is not known", "use one of: " + names,
+                place(*source_, e.line, e.column));
+  }
+  return {};
+}
+
+result<std::string> yaml_node::as_text() const {
+  BOOST_LEAF_CHECK(expect(yaml_kind::scalar));
+  if (text_.empty()) return fault("the value is empty", "write a value");
+  return text_;
+}
+
+result<std::uint64_t> yaml_node::as_number(std::uint64_t least, std::uint64_t most) const {
+  BOOST_LEAF_AUTO(digits, as_text());
+  std::uint64_t value = 0;
+  const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  if (ec != std::errc() || end != digits.data() + digits.size() || value < least || value > most) {
+    return fault("'" + digits + "' is no whole number from " + std::to_string(least) + " to " + std::to_string(most),
+                 "write a whole number in this range");
+  }
+  return value;
+}
+
+result<double> yaml_node::as_decimal(double least, double most) const {
+  BOOST_LEAF_AUTO(digits, as_text());
+  double value = 0;
+  const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  if (ec != std::errc() || end != digits.data() + digits.size() || !std::isfinite(value) || value < least ||
+      value > most) {
+    const auto plain = [](double number) {
+      std::string out(32, '\0');
+      out.resize(std::to_chars(out.data(), out.data() + out.size(), number).ptr - out.data());
+      return out;
+    };
+    return fault("'" + digits + "' is no number from " + plain(least) + " to " + plain(most),
+                 "write a number in this range");
+  }
+  return value;
+}
+
+result<bool> yaml_node::as_flag() const {
+  BOOST_LEAF_AUTO(word, as_text());
+  if (word == "true") return true;
+  if (word == "false") return false;
+  return fault("'" + word + "' is neither true nor false", "write true or false");
+}
+
+result<std::vector<std::string>> yaml_node::as_texts() const {
+  BOOST_LEAF_CHECK(expect(yaml_kind::list));
+  std::vector<std::string> texts;
+  for (const yaml_node& item : items_) {
+    BOOST_LEAF_AUTO(text, item.as_text());
+    texts.push_back(std::move(text));
+  }
+  return texts;
+}
+
+boost::leaf::error_id yaml_node::fault(std::string text, std::string remedy) const {
+  return fail(source_ ? source_->kind : error_kind::internal, std::move(text), std::move(remedy), where());
+}
+
+std::string yaml_node::where() const { return source_ ? place(*source_, line_, column_) : std::string(); }
+
+bool yaml_node::same_content(const yaml_node& other) const {
+  if (kind_ != other.kind_ || text_ != other.text_ || items_.size() != other.items_.size() ||
+      entries_.size() != other.entries_.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < items_.size(); ++i) {
+    if (!items_[i].same_content(other.items_[i])) return false;
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i].key != other.entries_[i].key || !entries_[i].value.same_content(other.entries_[i].value)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace heatherdeck
