--- a/kernel/result.h
+++ b/kernel/result.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
 
@@ -78,13 +79,23 @@
   bool ok_ = true;
 };
 
+namespace detail {
+/// The value type of a result; LEAF keeps its own alias private.
+template <class Result>
+struct result_value;
+template <class T>
+struct result_value<boost::leaf::result<T>> {
+  using type = T;
+};
+}  // namespace detail
+
 /// Runs a synchronous function and turns its `result` into an `outcome`.
 /// @param function a callable that takes nothing and returns result<T>.
 /// @return the value, or the error object that the function raised.
 template <class Function>
 auto capture(Function&& function) {
-  using result_type = decltype(function());
-  using value_type = typename result_type::value_type;
+  using result_type = std::remove_cvref_t<decltype(function())>;
+  using value_type = typename detail::result_value<result_type>::type;
   if constexpr (std::is_void_v<value_type>) {
     return boost::leaf::try_handle_all(
         [&]() -> result<outcome<void>> {
--- /dev/null
+++ b/testing/ledger.cmake
@@ -0,0 +1,1 @@
+hd_test(yaml_reader_test hd_model)
