--- a/kernel/result.h
+++ b/kernel/result.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
 
@@ -79,10 +80,11 @@
 };
 
 namespace detail {
+/// The value type of a result; LEAF keeps its own alias private.
 template <class Result>
 struct result_value;
 template <class T>
-struct result_value<result<T>> {
+struct result_value<boost::leaf::result<T>> {
   using type = T;
 };
 }  // namespace detail
@@ -92,7 +94,7 @@
 /// @return the value, or the error object that the function raised.
 template <class Function>
 auto capture(Function&& function) {
-  using result_type = decltype(function());
+  using result_type = std::remove_cvref_t<decltype(function())>;
   using value_type = typename detail::result_value<result_type>::type;
   if constexpr (std::is_void_v<value_type>) {
     return boost::leaf::try_handle_all(
