--- /dev/null
+++ b/wire/codec.cc
@@ -0,0 +1,70 @@
+// The parts of the codec that all message families share: parsing with a size limit and compressed texts.
+// Invariant: nothing larger than max_message_bytes is parsed, and decompression never writes more than the size that
+// the sender states, which is checked against the limits of model/document.h first. Cost: one copy of each text.
+#include "wire/codec.h"
+
+#include <zstd.h>
+
+#include "wire/codec_parts.h"
+
+namespace heatherdeck::codec {
+
+namespace {
+// Below this size zstd's frame header eats the gain.
+constexpr std::size_t compression_threshold = 256;
+constexpr int compression_level = 3;
+}  // namespace
+
+bool decode_check::take_text(std::size_t bytes) {
+  if (bytes > max_section_bytes || bytes > text_left_) return false;
+  text_left_ -= bytes;
+  return true;
+}
+
+void write_text(const std::string& from, pb::Text& to) {
+  if (from.size() > compression_threshold) {
+    std::string packed(ZSTD_compressBound(from.size()), '\0');
+    const std::size_t size = ZSTD_compress(packed.data(), packed.size(), from.data(), from.size(), compression_level);
+    // Eight bytes cover the field that states the plain size.
+    if (ZSTD_isError(size) == 0 && size + 8 < from.size()) {
+      packed.resize(size);
+      to.set_zstd(std::move(packed));
+      to.set_size(static_cast<std::uint32_t>(from.size()));
+      return;
+    }
+  }
+  to.set_plain(from);
+}
+
+void read_text(const pb::Text& from, std::string& to, decode_check& check) {
+  const bool packed = from.form_case() == pb::Text::kZstd;
+  const std::size_t size = packed ? from.size() : from.plain().size();
+  if (!check.take_text(size)) return check.refuse("a section's text is longer than the limit");
+  if (!packed) {
+    to = from.plain();
+    return;
+  }
+  to.resize(size);
+  const std::size_t got = ZSTD_decompress(to.data(), to.size(), from.zstd().data(), from.zstd().size());
+  if (ZSTD_isError(got) != 0 || got != size) check.refuse("a section's compressed text is damaged");
+}
+
+std::string serialise(const google::protobuf::MessageLite& message) {
+  std::string bytes;
+  message.SerializeToString(&bytes);
+  return bytes;
+}
+
+bool parse(std::string_view bytes, google::protobuf::MessageLite& to, decode_check& check) {
+  if (bytes.size() > max_message_bytes) {
+    check.refuse("a message of " + std::to_string(bytes.size()) + " bytes is longer than the limit");
+    return false;
+  }
+  if (!to.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    check.refuse("the bytes are not a whole message of this type");
+    return false;
+  }
+  return true;
+}
+
+}  // namespace heatherdeck::codec
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -19,6 +19,9 @@
 
 namespace heatherdeck {
 
+/// Longer input is refused before it is parsed; equal to the longest frame of a control stream.
+inline constexpr std::size_t max_message_bytes = 8 * 1024 * 1024;
+
 std::string encode(const raft_message& message);
 std::string encode(const log_entry& entry);
 std::string encode(const std::vector<voter>& voters);
@@ -35,4 +38,27 @@
 template <class Message>
 result<Message> decode(std::string_view bytes);
 
+template <>
+result<raft_message> decode<raft_message>(std::string_view bytes);
+template <>
+result<log_entry> decode<log_entry>(std::string_view bytes);
+template <>
+result<std::vector<voter>> decode<std::vector<voter>>(std::string_view bytes);
+template <>
+result<node_message> decode<node_message>(std::string_view bytes);
+template <>
+result<control_message> decode<control_message>(std::string_view bytes);
+template <>
+result<ledger_command> decode<ledger_command>(std::string_view bytes);
+template <>
+result<command_answer> decode<command_answer>(std::string_view bytes);
+template <>
+result<document_state> decode<document_state>(std::string_view bytes);
+template <>
+result<document_delta> decode<document_delta>(std::string_view bytes);
+template <>
+result<std::vector<member_record>> decode<std::vector<member_record>>(std::string_view bytes);
+template <>
+result<evidence_report> decode<evidence_report>(std::string_view bytes);
+
 }  // namespace heatherdeck
--- /dev/null
+++ b/wire/codec_directory.cc
@@ -0,0 +1,86 @@
+// Codec of member records.
+// Invariant: the states and roles of a decoded record are values of their tables.
+#include "wire/codec.h"
+#include "wire/codec_parts.h"
+
+namespace heatherdeck::codec {
+namespace {
+
+void write(const endpoint_record& from, pb::EndpointRecord& to) {
+  to.set_service(from.service);
+  to.set_upstream_version(from.upstream_version);
+  to.set_target(from.target);
+  to.set_address(from.address);
+  to.set_state(enum_number(from.state));
+  to.set_slots(from.slots);
+  to.set_connections(from.connections);
+}
+
+void read(const pb::EndpointRecord& from, endpoint_record& to, decode_check& check) {
+  to.service = from.service();
+  to.upstream_version = from.upstream_version();
+  to.target = from.target();
+  to.address = from.address();
+  to.state = read_enum<upstream_state>(from.state(), check);
+  to.slots = from.slots();
+  to.connections = from.connections();
+}
+
+}  // namespace
+
+void write(const member_record& from, pb::MemberRecord& to) {
+  to.set_node_id(from.node_id);
+  to.set_availability_zone(from.availability_zone);
+  to.set_region(from.region);
+  to.set_mesh_address(from.mesh_address);
+  to.set_role(enum_number(from.role));
+  to.set_incarnation(from.incarnation);
+  to.set_sequence(from.sequence);
+  to.set_state(enum_number(from.state));
+  to.set_draining(from.draining);
+  for (const endpoint_record& item : from.endpoints) write(item, *to.add_endpoints());
+}
+
+void read(const pb::MemberRecord& from, member_record& to, decode_check& check) {
+  to.node_id = from.node_id();
+  to.availability_zone = from.availability_zone();
+  to.region = from.region();
+  to.mesh_address = from.mesh_address();
+  to.role = read_enum<process_role>(from.role(), check);
+  to.incarnation = from.incarnation();
+  to.sequence = from.sequence();
+  to.state = read_enum<member_state>(from.state(), check);
+  to.draining = from.draining();
+  for (const auto& item : from.endpoints()) {
+    endpoint_record endpoint;
+    read(item, endpoint, check);
+    to.endpoints.push_back(std::move(endpoint));
+  }
+  if (to.node_id.empty()) check.refuse("a member has no id");
+}
+
+void write(const std::vector<member_record>& from, pb::MemberList& to) {
+  for (const member_record& item : from) write(item, *to.add_members());
+}
+
+void read(const pb::MemberList& from, std::vector<member_record>& to, decode_check& check) {
+  for (const auto& item : from.members()) {
+    member_record record;
+    read(item, record, check);
+    if (check.failed()) return;
+    to.push_back(std::move(record));
+  }
+}
+
+}  // namespace heatherdeck::codec
+
+namespace heatherdeck {
+
+std::string encode(const std::vector<member_record>& records) { return codec::encode_as<pb::MemberList>(records); }
+
+template <>
+result<std::vector<member_record>> decode<std::vector<member_record>>(std::string_view bytes) {
+  return codec::decode_as<std::vector<member_record>, pb::MemberList>(bytes, "member records");
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/wire/codec_distribution.cc
@@ -0,0 +1,164 @@
+// Codec of the subscription stream and of evidence.
+// Invariant: a decoded message is exactly one of the known kinds; a histogram never has more than its buckets.
+#include "wire/codec.h"
+#include "wire/codec_parts.h"
+
+namespace heatherdeck::codec {
+
+void write(const evidence_report& from, pb::EvidenceReport& to) {
+  for (const evidence_row& row : from.rows) {
+    auto& added = *to.add_rows();
+    added.set_service(row.service);
+    added.set_upstream_version(row.upstream_version);
+    added.set_route(row.route);
+    added.set_calls(row.calls);
+    added.set_failures(row.failures);
+    std::size_t used = row.latency.size();
+    while (used > 0 && row.latency[used - 1] == 0) --used;
+    for (std::size_t i = 0; i < used; ++i) added.add_latency(row.latency[i]);
+  }
+  for (const auto& [service, upstream_version] : from.cut_locally) {
+    auto& added = *to.add_cut_locally();
+    added.set_service(service);
+    added.set_upstream_version(upstream_version);
+  }
+}
+
+void read(const pb::EvidenceReport& from, evidence_report& to, decode_check& check) {
+  for (const auto& item : from.rows()) {
+    evidence_row row{item.service(), item.upstream_version(), item.route(), item.calls(), item.failures(), {}};
+    if (item.latency_size() > static_cast<int>(latency_buckets))
+      return check.refuse("a histogram has too many buckets");
+    std::copy(item.latency().begin(), item.latency().end(), row.latency.begin());
+    to.rows.push_back(std::move(row));
+  }
+  for (const auto& item : from.cut_locally()) to.cut_locally.emplace_back(item.service(), item.upstream_version());
+}
+
+namespace {
+
+void write_body(const subscribe_request& from, pb::NodeMessage& to) {
+  auto& body = *to.mutable_subscribe();
+  body.set_node_id(from.node_id);
+  body.set_availability_zone(from.availability_zone);
+  write_version(from.have, body, &pb::SubscribeRequest::mutable_have);
+  write(from.have_digest, *body.mutable_have_digest());
+  body.set_want_confirmed(from.want_confirmed);
+}
+
+void write_body(const applied_report& from, pb::NodeMessage& to) { *to.mutable_applied() = make_version(from.applied); }
+
+void write_body(const refused_report& from, pb::NodeMessage& to) {
+  write_version(from.refused, *to.mutable_refused(), &pb::RefusedReport::mutable_refused);
+  write(from.reason, *to.mutable_refused()->mutable_reason());
+}
+
+void write_body(const evidence_report& from, pb::NodeMessage& to) { write(from, *to.mutable_evidence()); }
+
+void write_body(const keepalive& from, pb::ControlMessage& to) {
+  write_version(from.current, *to.mutable_keepalive(), &pb::Keepalive::mutable_current);
+  to.mutable_keepalive()->set_confirmed(from.confirmed);
+}
+
+void write_body(const snapshot_offer& from, pb::ControlMessage& to) {
+  auto& body = *to.mutable_snapshot();
+  write(from.state, *body.mutable_state());
+  write(from.result, *body.mutable_result());
+  body.set_confirmed(from.confirmed);
+}
+
+void write_body(const delta_offer& from, pb::ControlMessage& to) {
+  write(from.delta, *to.mutable_delta()->mutable_delta());
+  to.mutable_delta()->set_confirmed(from.confirmed);
+}
+
+void write_body(const busy_notice& from, pb::ControlMessage& to) {
+  to.mutable_busy()->set_retry_after_ms(static_cast<std::uint32_t>(from.retry_after.count()));
+}
+
+}  // namespace
+
+void read(const pb::NodeMessage& from, node_message& to, decode_check& check) {
+  switch (from.body_case()) {
+    case pb::NodeMessage::kSubscribe: {
+      const auto& body = from.subscribe();
+      to = subscribe_request{body.node_id(), body.availability_zone(), read_version(body.have()),
+                             read_digest(body.have_digest()), body.want_confirmed()};
+      return;
+    }
+    case pb::NodeMessage::kApplied:
+      to = applied_report{read_version(from.applied())};
+      return;
+    case pb::NodeMessage::kRefused: {
+      refused_report report{read_version(from.refused().refused()), {}};
+      read(from.refused().reason(), report.reason, check);
+      to = std::move(report);
+      return;
+    }
+    case pb::NodeMessage::kEvidence: {
+      evidence_report report;
+      read(from.evidence(), report, check);
+      to = std::move(report);
+      return;
+    }
+    case pb::NodeMessage::BODY_NOT_SET:
+      check.refuse("the message has no body that this release knows");
+  }
+}
+
+void read(const pb::ControlMessage& from, control_message& to, decode_check& check) {
+  switch (from.body_case()) {
+    case pb::ControlMessage::kKeepalive:
+      to = keepalive{read_version(from.keepalive().current()), from.keepalive().confirmed()};
+      return;
+    case pb::ControlMessage::kSnapshot: {
+      if (!from.snapshot().has_result()) return check.refuse("the snapshot has no digest");
+      snapshot_offer offer{{}, read_digest(from.snapshot().result()), from.snapshot().confirmed()};
+      read(from.snapshot().state(), offer.state, check);
+      to = std::move(offer);
+      return;
+    }
+    case pb::ControlMessage::kDelta: {
+      delta_offer offer{{}, from.delta().confirmed()};
+      read(from.delta().delta(), offer.delta, check);
+      to = std::move(offer);
+      return;
+    }
+    case pb::ControlMessage::kBusy:
+      to = busy_notice{std::chrono::milliseconds(from.busy().retry_after_ms())};
+      return;
+    case pb::ControlMessage::BODY_NOT_SET:
+      check.refuse("the message has no body that this release knows");
+  }
+}
+
+void write(const node_message& from, pb::NodeMessage& to) {
+  std::visit([&to](const auto& body) { write_body(body, to); }, from);
+}
+
+void write(const control_message& from, pb::ControlMessage& to) {
+  std::visit([&to](const auto& body) { write_body(body, to); }, from);
+}
+
+}  // namespace heatherdeck::codec
+
+namespace heatherdeck {
+
+std::string encode(const node_message& message) { return codec::encode_as<pb::NodeMessage>(message); }
+std::string encode(const control_message& message) { return codec::encode_as<pb::ControlMessage>(message); }
+std::string encode(const evidence_report& report) { return codec::encode_as<pb::EvidenceReport>(report); }
+
+template <>
+result<node_message> decode<node_message>(std::string_view bytes) {
+  return codec::decode_as<node_message, pb::NodeMessage>(bytes, "node message");
+}
+template <>
+result<control_message> decode<control_message>(std::string_view bytes) {
+  return codec::decode_as<control_message, pb::ControlMessage>(bytes, "control message");
+}
+template <>
+result<evidence_report> decode<evidence_report>(std::string_view bytes) {
+  return codec::decode_as<evidence_report, pb::EvidenceReport>(bytes, "evidence report");
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/wire/codec_parts.h
@@ -0,0 +1,159 @@
+/// @file
+/// Conversions between model structs and protobuf messages; used only by the codec's own source files.
+///
+/// `write` fills a protobuf message. `read` fills a struct and notes the first fault in `decode_check`; the caller
+/// drops the struct when there is a fault, so a partly filled value never leaves the codec.
+///
+///     decode_check check;
+///     section value;
+///     read(message, value, check);
+///     if (check.failed()) return check.refusal("section");
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "kernel/enum_names.h"
+#include "kernel/result.h"
+#include "model/directory_messages.h"
+#include "model/distribution_messages.h"
+#include "model/ledger_messages.h"
+#include "model/raft_messages.h"
+#include "wire/messages.pb.h"
+
+namespace heatherdeck::codec {
+
+/// The first fault of one decoding, and the budget of decompressed text that one message may use.
+class decode_check {
+ public:
+  /// Notes a fault; later ones are ignored.
+  void refuse(std::string text) {
+    if (fault_.empty()) fault_ = std::move(text);
+  }
+  bool failed() const { return !fault_.empty(); }
+  const std::string& fault() const { return fault_; }
+
+  /// Takes part of the message's budget of text (max_document_bytes).
+  /// @return false when the budget is used up.
+  bool take_text(std::size_t bytes);
+
+ private:
+  std::string fault_;
+  std::size_t text_left_ = max_document_bytes;
+};
+
+/// @return the enumeration's value, or its first value with a noted fault.
+template <class Enum>
+Enum read_enum(std::uint32_t number, decode_check& check) {
+  for (const auto& entry : enum_table<Enum>::entries) {
+    if (static_cast<std::uint32_t>(entry.value) == number) return entry.value;
+  }
+  check.refuse("the value " + std::to_string(number) + " is not one of: " + all_names<Enum>());
+  return enum_table<Enum>::entries.front().value;
+}
+
+template <class Enum>
+std::uint32_t enum_number(Enum value) {
+  return static_cast<std::uint32_t>(value);
+}
+
+void write_text(const std::string& from, pb::Text& to);
+void read_text(const pb::Text& from, std::string& to, decode_check& check);
+
+inline pb::Version make_version(const version& from) {
+  pb::Version to;
+  to.set_epoch(from.epoch);
+  to.set_index(from.index);
+  return to;
+}
+inline version read_version(const pb::Version& from) { return {from.epoch(), from.index()}; }
+
+/// The version "none" is encoded by leaving the field out.
+template <class Message>
+void write_version(const version& from, Message& to, pb::Version* (Message::*field)()) {
+  if (!from.none()) *(to.*field)() = make_version(from);
+}
+
+void write(const digest& from, pb::Digest& to);
+void write(const error& from, pb::Error& to);
+void write(const section& from, pb::Section& to);
+void write(const rollout_state& from, pb::RolloutState& to);
+void write(const withdrawn_version& from, pb::WithdrawnVersion& to);
+void write(const document_state& from, pb::DocumentState& to);
+void write(const document_delta& from, pb::DocumentDelta& to);
+void write(const log_entry& from, pb::LogEntry& to);
+void write(const evidence_report& from, pb::EvidenceReport& to);
+void write(const member_record& from, pb::MemberRecord& to);
+void write(const std::vector<member_record>& from, pb::MemberList& to);
+void write(const raft_message& from, pb::RaftMessage& to);
+void write(const std::vector<voter>& from, pb::VoterList& to);
+void write(const ledger_command& from, pb::LedgerCommand& to);
+void write(const command_answer& from, pb::CommandAnswer& to);
+void write(const node_message& from, pb::NodeMessage& to);
+void write(const control_message& from, pb::ControlMessage& to);
+
+digest read_digest(const pb::Digest& from);
+void read(const pb::Error& from, error& to, decode_check& check);
+void read(const pb::Section& from, section& to, decode_check& check);
+void read(const pb::RolloutState& from, rollout_state& to, decode_check& check);
+void read(const pb::WithdrawnVersion& from, withdrawn_version& to, decode_check& check);
+void read(const pb::DocumentState& from, document_state& to, decode_check& check);
+void read(const pb::DocumentDelta& from, document_delta& to, decode_check& check);
+void read(const pb::LogEntry& from, log_entry& to, decode_check& check);
+void read(const pb::EvidenceReport& from, evidence_report& to, decode_check& check);
+void read(const pb::MemberRecord& from, member_record& to, decode_check& check);
+void read(const pb::MemberList& from, std::vector<member_record>& to, decode_check& check);
+void read(const pb::RaftMessage& from, raft_message& to, decode_check& check);
+void read(const pb::VoterList& from, std::vector<voter>& to, decode_check& check);
+void read(const pb::LedgerCommand& from, ledger_command& to, decode_check& check);
+void read(const pb::CommandAnswer& from, command_answer& to, decode_check& check);
+void read(const pb::NodeMessage& from, node_message& to, decode_check& check);
+void read(const pb::ControlMessage& from, control_message& to, decode_check& check);
+
+/// Converts a repeated field; the element type is deduced from the struct's vector.
+template <class Repeated, class Vector>
+void read_all(const Repeated& from, Vector& to, decode_check& check) {
+  to.resize(static_cast<std::size_t>(from.size()));
+  for (int i = 0; i < from.size() && !check.failed(); ++i) read(from[i], to[static_cast<std::size_t>(i)], check);
+}
+
+template <class Vector, class Message, class Element>
+void write_all(const Vector& from, Message& to, Element* (Message::*add)()) {
+  for (const auto& item : from) write(item, *(to.*add)());
+}
+
+/// @return the serialised message.
+std::string serialise(const google::protobuf::MessageLite& message);
+
+/// Parses bytes; notes a fault when they are too many or malformed.
+/// @return true when the message may be read.
+bool parse(std::string_view bytes, google::protobuf::MessageLite& to, decode_check& check);
+
+/// @return the value, or `bad_message` when a fault was noted.
+template <class T>
+result<T> finish(T&& value, const decode_check& check, std::string_view what) {
+  if (check.failed()) {
+    return fail(error_kind::bad_message, check.fault(), "check that both processes run neighbouring releases",
+                std::string(what));
+  }
+  return std::forward<T>(value);
+}
+
+/// The usual decoding of a struct that has its own protobuf message.
+template <class Struct, class Message>
+result<Struct> decode_as(std::string_view bytes, std::string_view what) {
+  decode_check check;
+  Message message;
+  Struct value;
+  if (parse(bytes, message, check)) read(message, value, check);
+  return finish(std::move(value), check, what);
+}
+
+template <class Message, class Struct>
+std::string encode_as(const Struct& value) {
+  Message message;
+  write(value, message);
+  return serialise(message);
+}
+
+}  // namespace heatherdeck::codec
