Publisher and subscriber: decisions and services

A node must never go back to an older version, also after a restart without a disk. The subscriber accepts only rising versions, whole documents with a matching digest, and as its first document only one at or above a version that a quorum confirmed after the process started. The publisher keeps one unanswered offer per node, so a slow node gets one combined delta, and batches confirmations, so that a storm costs a quorum round per round trip.

--- /dev/null
+++ b/control/publisher_core.cc
@@ -0,0 +1,169 @@
+// One record per subscription with the version that the node acts on and the offer that it has not answered. A delta
+// from a base version is made once per document version and shared by all nodes on that base. Invariants: an offer's
+// version is greater than the node's; at most one offer per node is unanswered. Cost of a change: one delta per
+// distinct base, and one map step per subscription.
+#include "control/publisher_core.h"
+
+#include <algorithm>
+
+#include "model/document_digest.h"
+
+namespace heatherdeck {
+
+std::vector<publisher_core::offer> publisher_core::set_document(document_state_ptr next, time_point now) {
+  std::vector<offer> offers;
+  if (!next || (state_ && next->current <= state_->current)) return offers;
+  if (state_) history_.record(*state_, *next);
+  state_ = std::move(next);
+  digest_ = digest_of(*state_);
+  deltas_.clear();
+  snapshots_[0] = snapshots_[1] = nullptr;
+  for (auto& [id, s] : subscriptions_) {
+    if (s.first || s.outstanding || s.applied >= state_->current) continue;
+    offers.push_back(make_offer(id, s, false, false, now));
+  }
+  return offers;
+}
+
+std::optional<busy_notice> publisher_core::open(std::uint64_t id, const subscribe_request& request, time_point now) {
+  if (waiting_ >= limits_.handshakes) {
+    std::uniform_int_distribution<std::int64_t> spread(limits_.retry_spread.count() / 10, limits_.retry_spread.count());
+    return busy_notice{milliseconds(spread(random_))};
+  }
+  subscription s;
+  s.node_id = request.node_id;
+  s.availability_zone = request.availability_zone;
+  s.applied = request.have;
+  s.applied_digest = request.have_digest;
+  s.applied_since = now;
+  s.last_sent = now;
+  subscriptions_.insert_or_assign(id, std::move(s));
+  ++waiting_;
+  return std::nullopt;
+}
+
+void publisher_core::end_first(subscription& s) {
+  if (!s.first) return;
+  s.first = false;
+  --waiting_;
+}
+
+std::optional<publisher_core::offer> publisher_core::first_offer(std::uint64_t id, bool confirmed, time_point now) {
+  const auto found = subscriptions_.find(id);
+  if (found == subscriptions_.end()) return std::nullopt;
+  subscription& s = found->second;
+  end_first(s);
+  if (!state_ || s.applied >= state_->current) {
+    s.last_sent = now;
+    return offer{id, std::make_shared<const control_message>(keepalive{current(), confirmed})};
+  }
+  return make_offer(id, s, confirmed, false, now);
+}
+
+std::optional<publisher_core::offer> publisher_core::on_applied(std::uint64_t id, const applied_report& report,
+                                                                time_point now) {
+  const auto found = subscriptions_.find(id);
+  if (found == subscriptions_.end()) return std::nullopt;
+  subscription& s = found->second;
+  s.outstanding.reset();
+  s.refused.reset();
+  if (report.applied > s.applied) {
+    s.applied = report.applied;
+    s.applied_since = now;
+  }
+  if (!state_ || s.applied >= state_->current) return std::nullopt;
+  return make_offer(id, s, false, false, now);
+}
+
+std::optional<publisher_core::offer> publisher_core::on_refused(std::uint64_t id, const refused_report& report,
+                                                                time_point now) {
+  const auto found = subscriptions_.find(id);
+  if (found == subscriptions_.end()) return std::nullopt;
+  subscription& s = found->second;
+  const bool retry_whole = report.reason.kind == error_kind::corrupt && !s.refused;
+  s.outstanding.reset();
+  s.refused = report.reason;
+  if (!state_ || s.applied >= state_->current) return std::nullopt;
+  if (retry_whole) return make_offer(id, s, false, true, now);
+  if (report.refused < state_->current) return make_offer(id, s, false, false, now);
+  return std::nullopt;
+}
+
+std::vector<publisher_core::offer> publisher_core::keep_alive(bool quorum, time_point now) {
+  const bool changed = quorum != quorum_;
+  quorum_ = quorum;
+  std::vector<offer> offers;
+  std::shared_ptr<const control_message> message;
+  for (auto& [id, s] : subscriptions_) {
+    if (s.first || (!changed && now - s.last_sent < limits_.keepalive)) continue;
+    if (!message) message = std::make_shared<const control_message>(keepalive{current(), quorum});
+    s.last_sent = now;
+    offers.push_back({id, message});
+  }
+  return offers;
+}
+
+void publisher_core::close(std::uint64_t id) {
+  const auto found = subscriptions_.find(id);
+  if (found == subscriptions_.end()) return;
+  end_first(found->second);
+  subscriptions_.erase(found);
+}
+
+bool publisher_core::all_applied(const version& wanted) const {
+  return current() >= wanted && std::all_of(subscriptions_.begin(), subscriptions_.end(),
+                                            [&](const auto& entry) { return entry.second.applied >= wanted; });
+}
+
+std::vector<subscriber_status> publisher_core::statuses(time_point now) const {
+  std::vector<subscriber_status> rows;
+  rows.reserve(subscriptions_.size());
+  for (const auto& [id, s] : subscriptions_) {
+    rows.push_back({s.node_id, s.availability_zone, s.applied,
+                    std::chrono::duration_cast<milliseconds>(now - s.applied_since), s.refused});
+  }
+  return rows;
+}
+
+publisher_core::offer publisher_core::make_offer(std::uint64_t id, subscription& s, bool confirmed, bool whole,
+                                                 time_point now) {
+  s.outstanding = state_->current;
+  s.last_sent = now;
+  return {id, message_for(s, confirmed, whole)};
+}
+
+std::shared_ptr<const control_message> publisher_core::message_for(const subscription& s, bool confirmed, bool whole) {
+  if (whole || s.applied.none()) return snapshot(confirmed);
+  auto& cached = deltas_[{s.applied, confirmed}];
+  if (!cached) {
+    auto step = history_.delta_since(s.applied, *state_);
+    if (step && delta_bytes(*step) < snapshot_bytes()) {
+      cached = std::make_shared<const control_message>(delta_offer{std::move(*step), confirmed});
+    } else {
+      cached = snapshot(confirmed);
+    }
+  }
+  return cached;
+}
+
+std::shared_ptr<const control_message> publisher_core::snapshot(bool confirmed) {
+  auto& cached = snapshots_[confirmed ? 1 : 0];
+  if (!cached) cached = std::make_shared<const control_message>(snapshot_offer{*state_, digest_, confirmed});
+  return cached;
+}
+
+// The text dominates the size of both forms, so comparing text bytes needs no encoding.
+std::size_t publisher_core::snapshot_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [name, s] : state_->sections) bytes += name.size() + s.text.size();
+  return bytes;
+}
+
+std::size_t publisher_core::delta_bytes(const document_delta& delta) {
+  std::size_t bytes = 0;
+  for (const section& s : delta.changed) bytes += s.name.size() + s.text.size();
+  for (const std::string& name : delta.removed) bytes += name.size();
+  return bytes;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/control/publisher_service.cc
@@ -0,0 +1,262 @@
+// The main task receives messages and does no I/O itself, so a slow node never delays the others. Confirmations are
+// batched: all nodes that ask while one is under way share the next one, so a reconnect storm costs a quorum round per
+// round-trip time, not per node. Invariant: `confirmed` is set only on a state that the ledger returned for a question
+// that was asked after the node subscribed.
+#include "control/publisher_service.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "control/subscription_task.h"
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "wire/codec.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t inbox_capacity = 4096;
+constexpr std::size_t stream_capacity = 1024;
+constexpr auto tick_period = 500ms;
+constexpr auto confirm_timeout = 2s;
+constexpr auto status_timeout = 400ms;
+constexpr auto longest_wait = 60s;
+
+}  // namespace
+
+result<std::unique_ptr<service>> publisher_service::make(const settings& s) {
+  return std::unique_ptr<service>(new publisher_service(s));
+}
+
+publisher_service::publisher_service(const settings& s)
+    : settings_(s), core_({.keepalive = s.keepalive}, s.seed != 0 ? s.seed : std::random_device{}()) {}
+
+std::string_view publisher_service::name() const { return to_name(service_name::publisher); }
+
+std::vector<std::string_view> publisher_service::dependencies() const {
+  return {to_name(service_name::ledger), to_name(service_name::mesh)};
+}
+
+void publisher_service::publish(kernel& k) {
+  kernel_ = &k;
+  inbox_ = std::make_unique<mailbox<publisher_message>>(k.executor(), inbox_capacity);
+  streams_ = std::make_unique<mailbox<incoming_stream>>(k.executor(), stream_capacity);
+  k.publish(name(), inbox_->address());
+  k.publish(name(), streams_->address());
+}
+
+result<void> publisher_service::start(kernel& k) {
+  BOOST_LEAF_ASSIGN(ledger_, k.find<ledger_message>(to_name(service_name::ledger)));
+  BOOST_LEAF_ASSIGN(consensus_, k.find<consensus_message>(to_name(service_name::consensus)));
+  if (k.has(to_name(service_name::rollout))) {
+    BOOST_LEAF_ASSIGN(rollout_, k.find<rollout_message>(to_name(service_name::rollout)));
+  }
+  tick_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(publisher_tick{}); });
+  boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+  boost::asio::co_spawn(k.executor(), accept_streams(), boost::asio::detached);
+  return {};
+}
+
+void publisher_service::stop() {
+  tick_.cancel();
+  inbox_->close();
+  streams_->close();
+  outgoing_.clear();
+}
+
+awaitable<void> publisher_service::run() {
+  for (;;) {
+    outcome<publisher_message> message = co_await inbox_->receive();
+    if (!message) co_return;
+    std::visit([this](auto&& m) { handle(std::move(m)); }, std::move(*message));
+  }
+}
+
+awaitable<void> publisher_service::accept_streams() {
+  for (;;) {
+    outcome<incoming_stream> incoming = co_await streams_->receive();
+    if (!incoming) co_return;
+    spawn_subscription_task(*kernel_, next_id_++, std::move(*incoming), inbox_->address());
+  }
+}
+
+void publisher_service::handle(publisher_tick&&) {
+  boost::asio::co_spawn(kernel_->executor(), ask_quorum(), boost::asio::detached);
+  send(core_.keep_alive(quorum_, timer_service::now()));
+  if (!confirm_next_.empty()) begin_confirmation();
+  answer_waits();
+}
+
+void publisher_service::handle(document_changed&& m) {
+  send(core_.set_document(std::move(m.state), timer_service::now()));
+  answer_waits();
+}
+
+void publisher_service::handle(get_subscribers&& m) { m.answer(core_.statuses(timer_service::now())); }
+
+void publisher_service::handle(wait_applied&& m) {
+  waits_.push_back({std::move(m), timer_service::now()});
+  answer_waits();
+}
+
+void publisher_service::handle(subscription_opened&& m) {
+  outgoing_[m.id] = m.outgoing;
+  if (const auto busy = core_.open(m.id, m.request, timer_service::now())) {
+    ++refused_busy_;
+    send({m.id, std::make_shared<const control_message>(*busy)});
+    drop(m.id);
+    return;
+  }
+  peers_[m.id] = m.request;
+  if (m.request.want_confirmed) {
+    confirm_next_.push_back(m.id);
+    begin_confirmation();
+  } else if (const auto offer = core_.first_offer(m.id, quorum_, timer_service::now())) {
+    send(*offer);
+  }
+}
+
+void publisher_service::handle(subscription_message&& m) {
+  std::visit([&](const auto& message) { on_node(m.id, message); }, m.message);
+}
+
+void publisher_service::handle(subscription_closed&& m) {
+  core_.close(m.id);
+  drop(m.id);
+  answer_waits();
+}
+
+void publisher_service::handle(confirmation_finished&& m) {
+  confirming_ = false;
+  const std::vector<std::uint64_t> waiting = std::exchange(confirm_now_, {});
+  const time_point now = timer_service::now();
+  if (m.state) {
+    send(core_.set_document(*m.state, now));
+  } else {
+    log_event(log_level::debug, "confirmation_failed", {{"reason", m.state.failure().message()}});
+  }
+  // Without a confirmation the node is told so and looks for another control host.
+  for (const std::uint64_t id : waiting) {
+    if (const auto offer = core_.first_offer(id, m.state.has_value(), now)) send(*offer);
+  }
+  if (!confirm_next_.empty()) begin_confirmation();
+}
+
+void publisher_service::handle(quorum_reported&& m) {
+  quorum_ = m.present;
+  send(core_.keep_alive(quorum_, timer_service::now()));
+}
+
+void publisher_service::on_node(std::uint64_t id, const subscribe_request&) {
+  log_error("second_subscribe_refused",
+            {error_kind::bad_message, "a node subscribed twice on one stream", "report this as a defect", {}});
+  core_.close(id);
+  drop(id);
+}
+
+void publisher_service::on_node(std::uint64_t id, const applied_report& report) {
+  if (const auto offer = core_.on_applied(id, report, timer_service::now())) send(*offer);
+  answer_waits();
+}
+
+void publisher_service::on_node(std::uint64_t id, const refused_report& report) {
+  log_error("offer_refused", report.reason, {{"node", peers_[id].node_id}, {"version", report.refused.text()}});
+  if (const auto offer = core_.on_refused(id, report, timer_service::now())) send(*offer);
+}
+
+void publisher_service::on_node(std::uint64_t id, const evidence_report& report) {
+  if (!rollout_) return;
+  const subscribe_request& peer = peers_[id];
+  rollout_.post(evidence_received{peer.node_id, peer.availability_zone, report});
+}
+
+void publisher_service::send(const publisher_core::offer& offer) {
+  const auto found = outgoing_.find(offer.to);
+  if (found == outgoing_.end()) return;
+  if (encoded_of_ != offer.message) {
+    encoded_of_ = offer.message;
+    encoded_ = std::make_shared<const std::string>(encode(*offer.message));
+  }
+  if (!found->second.post(encoded_)) {
+    log_error("subscriber_too_slow",
+              {error_kind::overloaded, "a node does not read its subscription", "check the node's load", {}},
+              {{"node", peers_[offer.to].node_id}});
+    core_.close(offer.to);
+    drop(offer.to);
+  }
+}
+
+void publisher_service::send(const std::vector<publisher_core::offer>& offers) {
+  for (const publisher_core::offer& offer : offers) send(offer);
+}
+
+// An empty frame tells the subscription's task to end the stream after what has been posted before.
+void publisher_service::drop(std::uint64_t id) {
+  if (const auto found = outgoing_.find(id); found != outgoing_.end()) {
+    found->second.post(nullptr);
+    outgoing_.erase(found);
+  }
+  peers_.erase(id);
+}
+
+void publisher_service::begin_confirmation() {
+  if (confirming_) return;
+  confirming_ = true;
+  confirm_now_ = std::exchange(confirm_next_, {});
+  boost::asio::co_spawn(kernel_->executor(), ask_confirmation(), boost::asio::detached);
+}
+
+awaitable<void> publisher_service::ask_confirmation() {
+  const address<publisher_message> inbox = inbox_->address();
+  auto question = [](reply<document_state_ptr> answer) { return get_document{true, std::move(answer)}; };
+  outcome<document_state_ptr> state =
+      co_await ask<document_state_ptr>(kernel_->timers(), kernel_->executor(), ledger_, confirm_timeout, question);
+  confirmation_finished finished{std::move(state)};
+  (void)co_await inbox.send(std::move(finished));
+}
+
+awaitable<void> publisher_service::ask_quorum() {
+  const address<publisher_message> inbox = inbox_->address();
+  auto question = [](reply<consensus_status> answer) { return get_consensus_status{std::move(answer)}; };
+  outcome<consensus_status> status =
+      co_await ask<consensus_status>(kernel_->timers(), kernel_->executor(), consensus_, status_timeout, question);
+  inbox.post(quorum_reported{status && status->quorum});
+}
+
+void publisher_service::answer_waits() {
+  const time_point now = timer_service::now();
+  std::erase_if(waits_, [&](const pending_wait& wait) {
+    if (core_.all_applied(wait.question.wanted)) {
+      wait.question.answer(core_.statuses(now));
+      return true;
+    }
+    return now - wait.asked > longest_wait;
+  });
+}
+
+boost::json::value publisher_service::dump() const {
+  boost::json::array rows;
+  for (const subscriber_status& row : core_.statuses(timer_service::now())) {
+    boost::json::object item{{"node", row.node_id},
+                             {"availability_zone", row.availability_zone},
+                             {"version", row.applied.text()},
+                             {"since_ms", row.since.count()}};
+    if (row.refused) item["refused"] = to_json(*row.refused);
+    rows.push_back(std::move(item));
+  }
+  return boost::json::object{
+      {"version", core_.current().text()},
+      {"quorum", quorum_},
+      {"waiting_for_first_offer", core_.waiting()},
+      {"refused_busy", refused_busy_},
+      {"mailbox", boost::json::object{{"depth", inbox_->depth()}, {"refused", inbox_->refused()}}},
+      {"subscribers", std::move(rows)}};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/control/publisher_service.h
@@ -0,0 +1,91 @@
+/// @file
+/// The service "publisher" of a control host: subscriptions of nodes.
+///
+/// Finds: "ledger" (confirmed states; it posts document_changed here), "consensus" (whether there is a quorum),
+/// "rollout" (evidence is passed on). Publishes address<publisher_message> and address<incoming_stream>
+/// (stream_kind::subscribe).
+///
+/// One task owns the core and all decisions. Each subscription has a task that owns its stream: it decodes what the
+/// node sends and posts it here, and writes the frames that it is posted.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/publisher_core.h"
+#include "kernel/kernel.h"
+#include "model/rollout_messages.h"
+#include "model/settings.h"
+#include "wire/h2_stream.h"
+
+namespace heatherdeck {
+
+class publisher_service : public service {
+ public:
+  static result<std::unique_ptr<service>> make(const settings& s);
+
+  std::string_view name() const override;
+  std::vector<std::string_view> dependencies() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  struct pending_wait {
+    wait_applied question;
+    time_point asked;
+  };
+
+  explicit publisher_service(const settings& s);
+
+  awaitable<void> run();
+  awaitable<void> accept_streams();
+  awaitable<void> ask_confirmation();
+  awaitable<void> ask_quorum();
+
+  void handle(publisher_tick&& m);
+  void handle(document_changed&& m);
+  void handle(get_subscribers&& m);
+  void handle(wait_applied&& m);
+  void handle(subscription_opened&& m);
+  void handle(subscription_message&& m);
+  void handle(subscription_closed&& m);
+  void handle(confirmation_finished&& m);
+  void handle(quorum_reported&& m);
+  void on_node(std::uint64_t id, const subscribe_request& request);
+  void on_node(std::uint64_t id, const applied_report& report);
+  void on_node(std::uint64_t id, const refused_report& report);
+  void on_node(std::uint64_t id, const evidence_report& report);
+
+  void send(const publisher_core::offer& offer);
+  void send(const std::vector<publisher_core::offer>& offers);
+  void drop(std::uint64_t id);
+  void begin_confirmation();
+  void answer_waits();
+
+  const settings settings_;
+  kernel* kernel_ = nullptr;
+  publisher_core core_;
+  std::unique_ptr<mailbox<publisher_message>> inbox_;
+  std::unique_ptr<mailbox<incoming_stream>> streams_;
+  address<ledger_message> ledger_;
+  address<consensus_message> consensus_;
+  address<rollout_message> rollout_;
+  subscription tick_;
+  std::map<std::uint64_t, address<shared_frame>> outgoing_;
+  std::map<std::uint64_t, subscribe_request> peers_;  ///< who each subscription is, for evidence
+  std::vector<std::uint64_t> confirm_next_;           ///< wait for a confirmation that has not begun
+  std::vector<std::uint64_t> confirm_now_;            ///< wait for the confirmation under way
+  std::vector<pending_wait> waits_;
+  std::shared_ptr<const control_message> encoded_of_;  ///< message whose bytes are in encoded_
+  shared_frame encoded_;
+  std::uint64_t next_id_ = 1;
+  std::uint64_t refused_busy_ = 0;
+  bool confirming_ = false;
+  bool quorum_ = false;
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/subscriber_core.cc
@@ -0,0 +1,155 @@
+// The held state changes only in accept(), after the digest has matched and the document has compiled; everything else
+// leaves it alone. Invariants: the held version only rises; the first document is at or above a version that a quorum
+// has confirmed since the process started. Sources are tried in order of distance and, among equals, of a hash of both
+// names, so that the nodes of a failed host spread over the others. Cost: one digest and one compilation per change.
+#include "node/subscriber_core.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "model/document_compiler.h"
+#include "model/document_delta.h"
+#include "model/document_digest.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr milliseconds shortest_backoff{100};
+constexpr milliseconds longest_backoff{5'000};
+constexpr std::uint32_t most_doublings = 6;
+constexpr int silent_periods = 2;
+// Time after which a node tries a nearer control host again; the jitter spreads the return after a zone has recovered.
+constexpr milliseconds return_interval{60'000};
+
+std::uint32_t distance_of(const control_host& host, const settings& s) {
+  if (host.availability_zone == s.availability_zone) return 0;
+  return host.region == s.region ? 1 : 2;
+}
+
+}  // namespace
+
+subscriber_core subscriber_core::make(const settings& s) {
+  subscriber_core core(s.id, s.availability_zone, s.keepalive, s.seed != 0 ? s.seed : std::random_device{}());
+  for (const control_host& host : s.control_hosts) {
+    core.sources_.push_back({host.id, host.mesh_address, distance_of(host, s)});
+  }
+  std::sort(core.sources_.begin(), core.sources_.end(), [&](const source& a, const source& b) {
+    return std::tuple(a.distance, hash_of(s.id + "/" + a.host_id)) <
+           std::tuple(b.distance, hash_of(s.id + "/" + b.host_id));
+  });
+  return core;
+}
+
+milliseconds subscriber_core::jitter(milliseconds most) {
+  return milliseconds(std::uniform_int_distribution<std::int64_t>(0, most.count())(random_));
+}
+
+subscriber_core::attempt subscriber_core::next_source() {
+  const source& s = sources_[next_ % sources_.size()];
+  at_nearest_ = next_ % sources_.size() == 0;
+  ++next_;
+  const milliseconds backoff =
+      std::min(longest_backoff, shortest_backoff * (1U << std::min(failures_, most_doublings)));
+  const milliseconds delay = failures_ == 0 && !has_document() ? milliseconds(0) : jitter(backoff);
+  ++failures_;
+  useful_ = false;
+  return {s.host_id, s.mesh_address, delay};
+}
+
+void subscriber_core::on_connected(time_point now) {
+  source_ = sources_[(next_ + sources_.size() - 1) % sources_.size()].host_id;
+  last_heard_ = now;
+  return_at_ = now + return_interval + jitter(return_interval);
+}
+
+subscribe_request subscriber_core::request() const {
+  return {node_id_, zone_, state_.current, digest_, !has_document()};
+}
+
+subscriber_core::reaction subscriber_core::on_message(const control_message& message, time_point now) {
+  last_heard_ = now;
+  return std::visit([this](const auto& m) { return on_offer(m); }, message);
+}
+
+void subscriber_core::on_disconnected() {
+  if (!source_.empty()) ++counts_.sources_left;
+  source_.clear();
+  // After a useful source the search starts again with the nearest host.
+  if (useful_) next_ = at_nearest_ ? 1 : 0;
+}
+
+std::string subscriber_core::check_source(time_point now) {
+  if (source_.empty()) return {};
+  if (now - last_heard_ > silent_periods * keepalive_) return "the control host is silent";
+  if (!at_nearest_ && now >= return_at_) {
+    next_ = 0;
+    return "a nearer control host is tried again";
+  }
+  return {};
+}
+
+void subscriber_core::confirm(const version& confirmed) {
+  useful_ = true;
+  failures_ = 0;
+  if (!floor_ || confirmed > *floor_) floor_ = confirmed;
+}
+
+bool subscriber_core::wanted(const version& offered) {
+  if (has_document() ? offered <= state_.current : offered.none()) {
+    ++counts_.ignored_old;
+    return false;
+  }
+  if (!has_document() && (!floor_ || offered < *floor_)) {
+    ++counts_.ignored_unconfirmed;
+    return false;
+  }
+  return true;
+}
+
+subscriber_core::reaction subscriber_core::on_offer(const keepalive& message) {
+  if (!message.confirmed) return {.leave_reason = "the control host has no quorum"};
+  // A keep-alive of a node that holds a document only tells that the host has a quorum, not that the version is
+  // current.
+  confirm(has_document() ? state_.current : message.current);
+  return {};
+}
+
+subscriber_core::reaction subscriber_core::on_offer(const snapshot_offer& offer) {
+  if (offer.confirmed) confirm(offer.state.current);
+  if (!wanted(offer.state.current)) return {};
+  return accept(offer.state, offer.result);
+}
+
+subscriber_core::reaction subscriber_core::on_offer(const delta_offer& offer) {
+  if (offer.confirmed) confirm(offer.delta.to);
+  if (!wanted(offer.delta.to)) return {};
+  outcome<document_state> next = capture([&] { return apply_delta(state_, offer.delta); });
+  if (!next) return refuse(offer.delta.to, next.failure());
+  return accept(std::move(*next), offer.delta.result);
+}
+
+subscriber_core::reaction subscriber_core::on_offer(const busy_notice& notice) {
+  return {.leave_reason = "the control host is busy", .retry_after = notice.retry_after};
+}
+
+subscriber_core::reaction subscriber_core::accept(document_state next, const digest& claimed) {
+  const digest actual = digest_of(next);
+  if (!(actual == claimed)) {
+    return refuse(next.current,
+                  {error_kind::corrupt, "the document's digest does not match", "a snapshot is sent", {}});
+  }
+  outcome<compiled_document_ptr> compiled = capture([&] { return compile_document(next); });
+  if (!compiled) return refuse(next.current, compiled.failure());
+  state_ = std::move(next);
+  digest_ = actual;
+  compiled_ = *compiled;
+  ++counts_.applied;
+  return {.document = compiled_, .answer = applied_report{state_.current}};
+}
+
+subscriber_core::reaction subscriber_core::refuse(const version& offered, error reason) {
+  ++counts_.refused;
+  return {.answer = refused_report{offered, std::move(reason)}};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/subscriber_service.cc
@@ -0,0 +1,189 @@
+// One task decides and writes; a second one, of the same service, reads the stream and posts what it gets. Every
+// attempt has a generation number, and what belongs to an earlier generation is ignored, so a late frame of a source
+// that was left changes nothing. Invariant: traffic is given documents in rising version order. Cost when idle: one
+// keep-alive per period.
+#include "node/subscriber_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "wire/codec.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t inbox_capacity = 256;
+constexpr auto tick_period = 500ms;
+constexpr auto open_timeout = 2s;
+constexpr std::uint32_t h2_cancel = 8;
+
+}  // namespace
+
+result<std::unique_ptr<service>> subscriber_service::make(const settings& s) {
+  return std::unique_ptr<service>(new subscriber_service(s));
+}
+
+std::string_view subscriber_service::name() const { return to_name(service_name::subscriber); }
+
+std::vector<std::string_view> subscriber_service::dependencies() const {
+  return {to_name(service_name::mesh), to_name(service_name::traffic)};
+}
+
+void subscriber_service::publish(kernel& k) {
+  kernel_ = &k;
+  inbox_ = std::make_unique<mailbox<subscriber_message>>(k.executor(), inbox_capacity);
+  k.publish(name(), inbox_->address());
+}
+
+result<void> subscriber_service::start(kernel& k) {
+  BOOST_LEAF_ASSIGN(mesh_, k.find<mesh_message>(to_name(service_name::mesh)));
+  BOOST_LEAF_ASSIGN(traffic_, k.find<traffic_message>(to_name(service_name::traffic)));
+  tick_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
+  boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+  schedule_attempt(std::nullopt);
+  return {};
+}
+
+void subscriber_service::stop() {
+  tick_.cancel();
+  retry_.cancel();
+  inbox_->close();
+  if (stream_) stream_->reset(h2_cancel);
+}
+
+awaitable<void> subscriber_service::run() {
+  for (;;) {
+    outcome<subscriber_message> message = co_await inbox_->receive();
+    if (!message) co_return;
+    awaitable<void> handled = std::visit([this](auto&& m) { return handle(std::move(m)); }, std::move(*message));
+    co_await std::move(handled);
+  }
+}
+
+void subscriber_service::schedule_attempt(std::optional<milliseconds> retry_after) {
+  const std::uint64_t generation = ++generation_;
+  subscriber_core::attempt next = core_.next_source();
+  const milliseconds delay = retry_after.value_or(next.delay);
+  retry_ = kernel_->timers().after(delay, [inbox = inbox_->address(), generation, address = next.mesh_address] {
+    inbox.post(source_due{generation, address});
+  });
+}
+
+awaitable<void> subscriber_service::handle(source_due m) {
+  if (m.generation == generation_) {
+    boost::asio::co_spawn(kernel_->executor(), connect({{}, m.mesh_address, {}}, m.generation), boost::asio::detached);
+  }
+  co_return;
+}
+
+awaitable<void> subscriber_service::connect(subscriber_core::attempt next, std::uint64_t generation) {
+  const address<subscriber_message> inbox = inbox_->address();
+  auto question = [&next](reply<std::shared_ptr<h2_stream>> answer) {
+    return open_stream{next.mesh_address, stream_kind::subscribe, {}, false, std::move(answer)};
+  };
+  outcome<std::shared_ptr<h2_stream>> stream =
+      co_await ask<std::shared_ptr<h2_stream>>(kernel_->timers(), kernel_->executor(), mesh_, open_timeout, question);
+  if (!stream) {
+    source_closed closed{generation, stream.failure()};
+    (void)co_await inbox.send(std::move(closed));
+    co_return;
+  }
+  std::shared_ptr<h2_stream> reading = *stream;
+  source_opened opened{generation, reading};
+  (void)co_await inbox.send(std::move(opened));
+  for (;;) {
+    outcome<std::string> frame = co_await reading->read_frame();
+    if (!frame) {
+      source_closed closed{generation, frame.failure()};
+      (void)co_await inbox.send(std::move(closed));
+      co_return;
+    }
+    source_frame received{generation, std::move(*frame)};
+    (void)co_await inbox.send(std::move(received));
+  }
+}
+
+awaitable<void> subscriber_service::handle(source_opened m) {
+  if (m.generation != generation_) {
+    m.stream->reset(h2_cancel);
+    co_return;
+  }
+  stream_ = m.stream;
+  core_.on_connected(timer_service::now());
+  log_event(log_level::debug, "subscribed", {{"source", core_.source()}, {"version", core_.held().text()}});
+  node_message request = core_.request();
+  co_await write(std::move(request));
+}
+
+awaitable<void> subscriber_service::handle(source_closed m) {
+  if (m.generation != generation_) co_return;
+  log_event(log_level::debug, "source_closed", {{"reason", m.reason.message()}});
+  leave("the stream has ended", std::nullopt);
+}
+
+awaitable<void> subscriber_service::handle(source_frame m) {
+  if (m.generation != generation_) co_return;
+  const outcome<control_message> message = capture([&] { return decode<control_message>(m.bytes); });
+  if (!message) {
+    log_error("bad_frame", message.failure(), {{"source", core_.source()}});
+    leave("a message could not be read", std::nullopt);
+    co_return;
+  }
+  subscriber_core::reaction r = core_.on_message(*message, timer_service::now());
+  if (r.document) {
+    use_document next{r.document};
+    (void)co_await traffic_.send(std::move(next));
+    log_event(log_level::info, "document_applied", {{"version", core_.held().text()}, {"source", core_.source()}});
+  }
+  if (r.answer) {
+    if (const auto* refused = std::get_if<refused_report>(&*r.answer)) log_error("offer_refused", refused->reason);
+    co_await write(std::move(*r.answer));
+  }
+  if (!r.leave_reason.empty()) leave(r.leave_reason, r.retry_after);
+}
+
+awaitable<void> subscriber_service::handle(subscriber_tick) {
+  const std::string reason = core_.check_source(timer_service::now());
+  if (!reason.empty()) leave(reason, std::nullopt);
+  co_return;
+}
+
+awaitable<void> subscriber_service::handle(send_evidence m) {
+  node_message message = std::move(m.report);
+  co_await write(std::move(message));
+}
+
+awaitable<void> subscriber_service::write(node_message message) {
+  if (!stream_) co_return;
+  const std::shared_ptr<h2_stream> stream = stream_;
+  std::string bytes = encode(message);
+  const outcome<void> written = co_await stream->write_frame(std::move(bytes));
+  if (!written) log_event(log_level::debug, "source_write_failed", {{"reason", written.failure().message()}});
+}
+
+void subscriber_service::leave(const std::string& reason, std::optional<milliseconds> retry_after) {
+  log_event(log_level::debug, "source_left", {{"source", core_.source()}, {"reason", reason}});
+  core_.on_disconnected();
+  if (stream_) stream_->reset(h2_cancel);
+  stream_.reset();
+  schedule_attempt(retry_after);
+}
+
+boost::json::value subscriber_service::dump() const {
+  const subscriber_core::counters& c = core_.counts();
+  return boost::json::object{{"version", core_.held().text()},
+                             {"has_document", core_.has_document()},
+                             {"source", core_.source()},
+                             {"applied", c.applied},
+                             {"refused", c.refused},
+                             {"ignored_old", c.ignored_old},
+                             {"ignored_unconfirmed", c.ignored_unconfirmed},
+                             {"sources_left", c.sources_left}};
+}
+
+}  // namespace heatherdeck
