model: document parser, compiler and their tests

Cause: the document has to be cut into sections, validated as a whole and folded with rollouts before it is in force.

--- /dev/null
+++ b/model/document_compiler.cc
@@ -0,0 +1,348 @@
+// Links parsed sections: names are resolved, shares are folded with rollouts and withdrawals.
+//
+// Invariants: a document that compiles has no reference to a missing service or version, and the shares of each service
+// add up to whole_traffic (or the service has none at all). Compilation depends on the state only, so every process
+// gets the same result. Cost: parsing of the changed sections, then linear in the number of routes and services.
+#include "model/document_compiler.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace heatherdeck {
+namespace {
+
+std::string named(std::string_view what, const std::string& name) { return std::string(what) + " '" + name + "'"; }
+
+boost::leaf::error_id refuse(std::string text, std::string remedy, std::string where) {
+  return fail(error_kind::bad_document, std::move(text), std::move(remedy), std::move(where));
+}
+
+// Scales weights to shares that add up to whole_traffic; the largest remainders are rounded up, earlier ones first.
+std::vector<basis_points> scale(const std::vector<std::uint64_t>& weights, basis_points whole) {
+  const std::uint64_t sum = std::accumulate(weights.begin(), weights.end(), std::uint64_t{0});
+  std::vector<basis_points> shares(weights.size(), 0);
+  if (sum == 0) return shares;
+  std::vector<std::pair<std::uint64_t, std::size_t>> remainders;
+  basis_points given = 0;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    shares[i] = static_cast<basis_points>(weights[i] * whole / sum);
+    given += shares[i];
+    remainders.emplace_back(weights[i] * whole % sum, i);
+  }
+  std::stable_sort(remainders.begin(), remainders.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (std::size_t i = 0; given < whole; ++i, ++given) ++shares[remainders[i].second];
+  return shares;
+}
+
+class linker {
+ public:
+  explicit linker(const document_state& state) : state_(state), out_(std::make_shared<compiled_document>()) {
+    out_->current = state.current;
+    out_->rollout_progress = state.rollouts;
+  }
+
+  result<void> add(const std::string& section_name, const parsed_section& parsed) {
+    return std::visit([&](const auto& values) { return collect(section_name, values); }, parsed);
+  }
+
+  result<compiled_document_ptr> finish() {
+    BOOST_LEAF_CHECK(link_routes());
+    BOOST_LEAF_CHECK(link_shares());
+    BOOST_LEAF_CHECK(link_limits());
+    BOOST_LEAF_CHECK(link_rollouts());
+    for (auto& [name, spec] : out_->services) spec.shares = effective_shares(spec);
+    return compiled_document_ptr(out_);
+  }
+
+ private:
+  template <class Parsed>
+  struct located {
+    std::string section_name;
+    const Parsed* parsed;
+  };
+  template <class Parsed>
+  using by_service = std::map<std::string, located<Parsed>>;
+
+  // Keeps one value per service and refuses a second one from any section.
+  template <class Parsed>
+  result<void> keep(by_service<Parsed>& kept, const std::string& section_name, const std::string& service,
+                    const Parsed& parsed, std::string_view what) {
+    const auto [at, added] = kept.emplace(service, located<Parsed>{section_name, &parsed});
+    if (added) return {};
+    return refuse(std::string(what) + " " + named("service", service) + " stand in two sections",
+                  "remove them from section '" + at->second.section_name + "' or '" + section_name + "'", parsed.where);
+  }
+
+  result<void> collect(const std::string& section_name, const services_section& values) {
+    for (const parsed_service& value : values) {
+      BOOST_LEAF_CHECK(keep(services_, section_name, value.spec.name, value, "settings of"));
+      out_->services.emplace(value.spec.name, value.spec);
+    }
+    return {};
+  }
+  result<void> collect(const std::string&, const routes_section& values) {
+    for (const parsed_route& value : values) routes_.push_back(&value);
+    return {};
+  }
+  result<void> collect(const std::string& section_name, const shares_section& values) {
+    for (const parsed_shares& value : values) {
+      BOOST_LEAF_CHECK(keep(shares_, section_name, value.service, value, "shares of"));
+    }
+    return {};
+  }
+  result<void> collect(const std::string& section_name, const rollouts_section& values) {
+    for (const parsed_rollout& value : values) {
+      BOOST_LEAF_CHECK(keep(rollouts_, section_name, value.spec.service, value, "rollouts of"));
+    }
+    return {};
+  }
+  result<void> collect(const std::string& section_name, const limits_section& values) {
+    for (const parsed_limits& value : values) {
+      BOOST_LEAF_CHECK(keep(limits_, section_name, value.service, value, "limits of"));
+    }
+    return {};
+  }
+
+  result<service_spec*> service(const std::string& name, const std::string& where) {
+    const auto found = out_->services.find(name);
+    if (found != out_->services.end()) return &found->second;
+    return refuse(named("service", name) + " does not exist", "add it to a services section or correct the name",
+                  where);
+  }
+
+  static result<void> need_version(const service_spec& spec, const std::string& wanted, const std::string& where) {
+    if (std::find(spec.versions.begin(), spec.versions.end(), wanted) != spec.versions.end()) return {};
+    std::string known;
+    for (const std::string& one : spec.versions) known += (known.empty() ? "" : ", ") + one;
+    return refuse(named("service", spec.name) + " has no version '" + wanted + "'",
+                  "use one of: " + known + "; or add it to the service's versions", where);
+  }
+
+  result<void> link_routes() {
+    std::map<std::pair<std::string, std::string>, const parsed_route*> names;
+    for (const parsed_route* route : routes_) {
+      BOOST_LEAF_CHECK(service(route->rule.service, route->service_where));
+      const auto [at, added] = names.emplace(std::pair(route->rule.service, route->rule.name), route);
+      if (!added) {
+        return refuse(named("service", route->rule.service) + " has two routes named '" + route->rule.name + "'",
+                      "rename this one or the one at " + at->second->where, route->where);
+      }
+      out_->routes.push_back(route->rule);
+    }
+    return {};
+  }
+
+  result<void> link_shares() {
+    for (const auto& [name, entry] : shares_) {
+      BOOST_LEAF_AUTO(spec, service(name, entry.parsed->where));
+      for (const parsed_share& share : entry.parsed->shares) {
+        BOOST_LEAF_CHECK(need_version(*spec, share.upstream_version, share.where));
+        spec->shares.push_back({share.upstream_version, share.share});
+      }
+    }
+    for (auto& [name, spec] : out_->services) {
+      if (!spec.shares.empty()) continue;
+      if (spec.versions.size() > 1) {
+        return refuse(named("service", name) + " has several versions and no shares",
+                      "add '" + name + ": { " + spec.versions.front() + ": 100 }' to a shares section",
+                      services_.at(name).parsed->where);
+      }
+      spec.shares.push_back({spec.versions.front(), whole_traffic});
+    }
+    return {};
+  }
+
+  result<void> link_limits() {
+    for (const auto& [name, entry] : limits_) {
+      BOOST_LEAF_AUTO(spec, service(name, entry.parsed->where));
+      spec->in_flight_limit = entry.parsed->in_flight;
+      if (entry.parsed->retry_ratio) spec->retry_ratio = *entry.parsed->retry_ratio;
+    }
+    return {};
+  }
+
+  result<void> link_rollouts() {
+    for (const auto& [name, entry] : rollouts_) {
+      const parsed_rollout& parsed = *entry.parsed;
+      BOOST_LEAF_AUTO(spec, service(name, parsed.where));
+      BOOST_LEAF_CHECK(need_version(*spec, parsed.spec.from, parsed.from_where));
+      BOOST_LEAF_CHECK(need_version(*spec, parsed.spec.to, parsed.to_where));
+      BOOST_LEAF_CHECK(check_start(*spec, parsed));
+      out_->rollouts.emplace(name, parsed.spec);
+    }
+    return {};
+  }
+
+  // While a rollout raises the share of `to`, the shares section must name the old version and not the new one.
+  result<void> check_start(const service_spec& spec, const parsed_rollout& parsed) {
+    const rollout_state* progress = progress_of(parsed.spec);
+    if (progress != nullptr && progress->status != rollout_status::running) return {};
+    if (written_share(spec, parsed.spec.from) == 0) {
+      return refuse("the rollout starts from version '" + parsed.spec.from + "', which has no share of traffic",
+                    "name the version that serves " + named("service", spec.name) + " now", parsed.from_where);
+    }
+    if (written_share(spec, parsed.spec.to) != 0) {
+      return refuse("version '" + parsed.spec.to + "' has a fixed share and a rollout",
+                    "remove it from the shares of " + named("service", spec.name) + "; the rollout sets its share",
+                    parsed.to_where);
+    }
+    return {};
+  }
+
+  static basis_points written_share(const service_spec& spec, const std::string& name) {
+    for (const version_share& share : spec.shares) {
+      if (share.upstream_version == name) return share.share;
+    }
+    return 0;
+  }
+
+  const rollout_state* progress_of(const rollout_spec& spec) const {
+    const auto found = state_.rollouts.find(spec.service);
+    const bool same = found != state_.rollouts.end() && found->second.from == spec.from && found->second.to == spec.to;
+    return same ? &found->second : nullptr;
+  }
+
+  bool is_withdrawn(const std::string& service_name, const std::string& name) const {
+    return state_.withdrawn.contains({service_name, name});
+  }
+
+  // Part of each version by its position in spec.versions, before withdrawals.
+  std::vector<std::uint64_t> rollout_weights(const service_spec& spec) const {
+    std::vector<std::uint64_t> weights;
+    for (const std::string& name : spec.versions) weights.push_back(written_share(spec, name));
+    const auto rollout = out_->rollouts.find(spec.name);
+    if (rollout == out_->rollouts.end()) return weights;
+    const rollout_state* progress = progress_of(rollout->second);
+    if (progress == nullptr || progress->status == rollout_status::rolled_back) return weights;
+    const auto position = [&](const std::string& name) {
+      return std::find(spec.versions.begin(), spec.versions.end(), name) - spec.versions.begin();
+    };
+    const auto to = position(rollout->second.to);
+    weights[to] = 0;
+    if (std::accumulate(weights.begin(), weights.end(), std::uint64_t{0}) == 0) {
+      weights[position(rollout->second.from)] = 1;
+    }
+    const std::vector<basis_points> rest = scale(weights, whole_traffic - progress->share);
+    weights.assign(rest.begin(), rest.end());
+    weights[to] = progress->share;
+    return weights;
+  }
+
+  std::vector<version_share> effective_shares(const service_spec& spec) const {
+    std::vector<std::uint64_t> weights = rollout_weights(spec);
+    std::vector<std::uint64_t> fallback(weights.size(), 0);
+    const auto rollout = out_->rollouts.find(spec.name);
+    bool has_from = false;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+      if (is_withdrawn(spec.name, spec.versions[i])) {
+        weights[i] = 0;
+        continue;
+      }
+      fallback[i] = 1;
+      has_from = has_from || (rollout != out_->rollouts.end() && rollout->second.from == spec.versions[i]);
+    }
+    if (has_from) {
+      for (std::size_t i = 0; i < weights.size(); ++i) fallback[i] = rollout->second.from == spec.versions[i] ? 1 : 0;
+    }
+    const bool remaining = std::any_of(weights.begin(), weights.end(), [](std::uint64_t w) { return w != 0; });
+    const std::vector<basis_points> shares = scale(remaining ? weights : fallback, whole_traffic);
+    std::vector<version_share> out;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+      if (shares[i] != 0) out.push_back({spec.versions[i], shares[i]});
+    }
+    return out;
+  }
+
+  const document_state& state_;
+  std::shared_ptr<compiled_document> out_;
+  by_service<parsed_service> services_;
+  by_service<parsed_shares> shares_;
+  by_service<parsed_rollout> rollouts_;
+  by_service<parsed_limits> limits_;
+  std::vector<const parsed_route*> routes_;
+};
+
+result<void> check_size(const document_state& state) {
+  if (state.sections.size() > max_sections) {
+    return refuse("the document has " + std::to_string(state.sections.size()) + " sections; the limit is " +
+                      std::to_string(max_sections),
+                  "join small sections", "document");
+  }
+  std::size_t bytes = 0;
+  for (const auto& [name, s] : state.sections) bytes += name.size() + s.text.size();
+  if (bytes > max_document_bytes) {
+    return refuse(
+        "the document has " + std::to_string(bytes) + " bytes; the limit is " + std::to_string(max_document_bytes),
+        "remove what is no longer used", "document");
+  }
+  return {};
+}
+
+result<void> refuse_offer(const document_state& state, const std::string& service, const std::string& name,
+                          const std::string& where) {
+  const auto found = state.withdrawn.find({service, name});
+  if (found == state.withdrawn.end()) return {};
+  return fail(error_kind::withdrawn,
+              "version '" + name + "' of " + named("service", service) + " was withdrawn in version " +
+                  found->second.at.text() + ": " + found->second.reason,
+              "offer a version with a new name", where);
+}
+
+}  // namespace
+
+result<std::shared_ptr<const parsed_section>> document_compiler::parsed(const section& s,
+                                                                        const section_places& places) {
+  const auto placed = places.find(s.name);
+  const yaml_source source = placed != places.end() ? placed->second : section_source(s.name);
+  const std::string place = source.name + ":" + std::to_string(source.line_offset);
+  cached_section& cached = cache_[s.name];
+  if (cached.parsed && cached.text == s.text && cached.place == place) return cached.parsed;
+  cached.parsed = nullptr;
+  BOOST_LEAF_AUTO(fresh, parse_section(s.name, s.text, source));
+  cached = {s.text, place, std::make_shared<const parsed_section>(std::move(fresh))};
+  return cached.parsed;
+}
+
+result<compiled_document_ptr> document_compiler::compile(const document_state& state, const section_places& places) {
+  BOOST_LEAF_CHECK(check_size(state));
+  std::erase_if(cache_, [&](const auto& item) { return !state.sections.contains(item.first); });
+  linker links(state);
+  std::vector<std::shared_ptr<const parsed_section>> in_use;
+  for (const auto& [name, s] : state.sections) {
+    BOOST_LEAF_AUTO(one, parsed(s, places));
+    in_use.push_back(one);
+    BOOST_LEAF_CHECK(links.add(name, *one));
+  }
+  return links.finish();
+}
+
+result<void> document_compiler::check_offers(const document_state& state, const std::vector<std::string>& edited) {
+  for (const std::string& name : edited) {
+    const auto found = state.sections.find(name);
+    if (found == state.sections.end()) continue;
+    BOOST_LEAF_AUTO(one, parsed(found->second, {}));
+    if (const auto* shares = std::get_if<shares_section>(one.get())) {
+      for (const parsed_shares& of_service : *shares) {
+        for (const parsed_share& share : of_service.shares) {
+          if (share.share == 0) continue;
+          BOOST_LEAF_CHECK(refuse_offer(state, of_service.service, share.upstream_version, share.where));
+        }
+      }
+    }
+    if (const auto* rollouts = std::get_if<rollouts_section>(one.get())) {
+      for (const parsed_rollout& rollout : *rollouts) {
+        BOOST_LEAF_CHECK(refuse_offer(state, rollout.spec.service, rollout.spec.to, rollout.to_where));
+      }
+    }
+  }
+  return {};
+}
+
+result<compiled_document_ptr> compile_document(const document_state& state) {
+  document_compiler compiler;
+  return compiler.compile(state);
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/model/section_parser.cc
@@ -0,0 +1,295 @@
+// A table of readers, one for each kind of section.
+//
+// Invariant: a section that is returned has only known keys, values within their limits and no name twice. Cost: one
+// pass over the section's tree.
+#include "model/section_parser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "model/document_parser.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr std::size_t max_identifier_bytes = 64;
+constexpr std::size_t max_versions = 32;
+constexpr std::size_t max_match_headers = 16;
+constexpr std::size_t max_match_bytes = 1024;
+
+bool is_token_character(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+std::string lower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+  return text;
+}
+
+result<std::string> check_identifier(std::string name, const yaml_node& at, std::string_view what) {
+  if (!name.empty() && name.size() <= max_identifier_bytes &&
+      std::all_of(name.begin(), name.end(), is_token_character)) {
+    return name;
+  }
+  return at.fault(std::string(what) + " '" + name.substr(0, max_identifier_bytes) + "' is not well formed",
+                  "use 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'");
+}
+
+result<std::string> identifier(const yaml_node& node, std::string_view what) {
+  BOOST_LEAF_AUTO(name, node.as_text());
+  return check_identifier(std::move(name), node, what);
+}
+
+result<std::string> need_identifier(const yaml_node& map, std::string_view key, std::string_view what) {
+  BOOST_LEAF_AUTO(node, map.need(key));
+  return identifier(*node, what);
+}
+
+template <class Number>
+result<Number> number_or(const yaml_node& map, std::string_view key, Number fallback, Number least, Number most) {
+  const yaml_node* node = map.find(key);
+  if (node == nullptr) return fallback;
+  BOOST_LEAF_AUTO(value, node->as_number(least, most));
+  return static_cast<Number>(value);
+}
+
+result<basis_points> percent(const yaml_node& node, double least) {
+  BOOST_LEAF_AUTO(value, node.as_decimal(least, 100));
+  const double scaled = value * 100;
+  const double rounded = std::round(scaled);
+  if (std::abs(scaled - rounded) > 1e-6) {
+    return node.fault("'" + node.text() + "' is finer than 0.01 percent", "write at most two decimals");
+  }
+  return static_cast<basis_points>(rounded);
+}
+
+// Runs `read` for each entry of a map whose keys are service names.
+template <class Value, class Read>
+result<parsed_section> read_by_service(const yaml_node& root, Read read) {
+  BOOST_LEAF_CHECK(root.expect(yaml_kind::map));
+  std::vector<Value> values;
+  for (const yaml_node::entry& e : root.entries()) {
+    BOOST_LEAF_AUTO(service, check_identifier(e.key, e.value, "service name"));
+    BOOST_LEAF_AUTO(value, read(service, e.value));
+    values.push_back(std::move(value));
+  }
+  return parsed_section(std::move(values));
+}
+
+result<std::vector<std::string>> read_versions(const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect(yaml_kind::list));
+  if (node.items().empty() || node.items().size() > max_versions) {
+    return node.fault("a service has 1 to " + std::to_string(max_versions) + " versions", "list its versions");
+  }
+  std::vector<std::string> versions;
+  for (const yaml_node& item : node.items()) {
+    BOOST_LEAF_AUTO(name, identifier(item, "version"));
+    if (std::find(versions.begin(), versions.end(), name) != versions.end()) {
+      return item.fault("version '" + name + "' appears twice", "remove one of the two");
+    }
+    versions.push_back(std::move(name));
+  }
+  return versions;
+}
+
+result<parsed_service> read_service(const std::string& name, const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_keys({"versions", "slots", "connections"}));
+  parsed_service out;
+  out.where = node.where();
+  out.spec.name = name;
+  BOOST_LEAF_AUTO(versions, node.need("versions"));
+  BOOST_LEAF_ASSIGN(out.spec.versions, read_versions(*versions));
+  BOOST_LEAF_ASSIGN(out.spec.slots, number_or<std::uint32_t>(node, "slots", out.spec.slots, 1, 100'000));
+  BOOST_LEAF_ASSIGN(out.spec.connections,
+                    number_or<std::uint32_t>(node, "connections", out.spec.connections, 1, 1'000'000));
+  return out;
+}
+
+result<parsed_section> read_services(const yaml_node& root) {
+  return read_by_service<parsed_service>(root, read_service);
+}
+
+result<std::string> match_text(const yaml_node& node) {
+  BOOST_LEAF_AUTO(text, node.as_text());
+  if (text.size() > max_match_bytes) {
+    return node.fault("the value has more than " + std::to_string(max_match_bytes) + " bytes", "shorten it");
+  }
+  return text;
+}
+
+result<void> read_match_headers(const yaml_node& node, route_rule& rule) {
+  BOOST_LEAF_CHECK(node.expect(yaml_kind::map));
+  if (node.entries().size() > max_match_headers) {
+    return node.fault("a route matches at most " + std::to_string(max_match_headers) + " headers", "remove some");
+  }
+  for (const yaml_node::entry& e : node.entries()) {
+    BOOST_LEAF_AUTO(name, check_identifier(e.key, e.value, "header name"));
+    BOOST_LEAF_AUTO(value, match_text(e.value));
+    if (!rule.headers.emplace(lower(name), value).second) {
+      return e.value.fault("header '" + lower(name) + "' appears twice", "remove one of the two");
+    }
+  }
+  return {};
+}
+
+result<void> read_path_prefix(const yaml_node& node, route_rule& rule) {
+  BOOST_LEAF_ASSIGN(rule.path_prefix, match_text(node));
+  if (rule.path_prefix.front() != '/' || rule.path_prefix.find_first_of("?# \t") != std::string::npos) {
+    return node.fault("'" + rule.path_prefix + "' is no path prefix",
+                      "begin with '/' and leave out '?', '#' and spaces");
+  }
+  return {};
+}
+
+result<void> read_method(const yaml_node& node, route_rule& rule) {
+  BOOST_LEAF_ASSIGN(rule.method, identifier(node, "method"));
+  if (!std::all_of(rule.method.begin(), rule.method.end(), [](char c) { return c >= 'A' && c <= 'Z'; })) {
+    return node.fault("'" + rule.method + "' is no method", "write it in upper case, e.g. GET");
+  }
+  return {};
+}
+
+result<void> read_match(const yaml_node& node, route_rule& rule) {
+  BOOST_LEAF_CHECK(node.expect_keys({"host", "path_prefix", "method", "headers"}));
+  if (const yaml_node* host = node.find("host")) {
+    BOOST_LEAF_AUTO(text, identifier(*host, "host"));
+    rule.host = lower(text);
+  }
+  if (const yaml_node* path = node.find("path_prefix")) BOOST_LEAF_CHECK(read_path_prefix(*path, rule));
+  if (const yaml_node* method = node.find("method")) BOOST_LEAF_CHECK(read_method(*method, rule));
+  if (const yaml_node* headers = node.find("headers")) BOOST_LEAF_CHECK(read_match_headers(*headers, rule));
+  return {};
+}
+
+result<parsed_route> read_route(const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent"}));
+  parsed_route out;
+  out.where = node.where();
+  BOOST_LEAF_ASSIGN(out.rule.name, need_identifier(node, "name", "route name"));
+  BOOST_LEAF_AUTO(service, node.need("service"));
+  out.service_where = service->where();
+  BOOST_LEAF_ASSIGN(out.rule.service, identifier(*service, "service name"));
+  if (const yaml_node* match = node.find("match")) BOOST_LEAF_CHECK(read_match(*match, out.rule));
+  BOOST_LEAF_AUTO(timeout, number_or<std::uint64_t>(node, "timeout_ms", 1000, 1, 600'000));
+  out.rule.timeout = std::chrono::milliseconds(timeout);
+  if (const yaml_node* flag = node.find("idempotent")) {
+    BOOST_LEAF_AUTO(value, flag->as_flag());
+    out.rule.idempotent = value;
+  }
+  return out;
+}
+
+result<parsed_section> read_routes(const yaml_node& root) {
+  BOOST_LEAF_CHECK(root.expect(yaml_kind::list));
+  routes_section routes;
+  for (const yaml_node& item : root.items()) {
+    BOOST_LEAF_AUTO(route, read_route(item));
+    routes.push_back(std::move(route));
+  }
+  return parsed_section(std::move(routes));
+}
+
+result<parsed_shares> read_shares_of(const std::string& service, const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect(yaml_kind::map));
+  parsed_shares out{service, {}, node.where()};
+  basis_points sum = 0;
+  for (const yaml_node::entry& e : node.entries()) {
+    BOOST_LEAF_AUTO(name, check_identifier(e.key, e.value, "version"));
+    BOOST_LEAF_AUTO(share, percent(e.value, 0));
+    out.shares.push_back({name, share, e.value.where()});
+    sum += share;
+  }
+  if (sum == whole_traffic) return out;
+  std::string shown = std::to_string(sum / 100);
+  if (sum % 100 != 0) shown += (sum % 100 < 10 ? ".0" : ".") + std::to_string(sum % 100);
+  return node.fault("the shares of service '" + service + "' add up to " + shown, "make them add up to 100");
+}
+
+result<parsed_section> read_shares(const yaml_node& root) {
+  return read_by_service<parsed_shares>(root, read_shares_of);
+}
+
+result<parsed_rollout> read_rollout(const std::string& service, const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_keys({"from", "to", "finish_within_s", "watch_s", "max_first_share"}));
+  parsed_rollout out;
+  out.where = node.where();
+  out.spec.service = service;
+  BOOST_LEAF_AUTO(from, node.need("from"));
+  BOOST_LEAF_AUTO(to, node.need("to"));
+  out.from_where = from->where();
+  out.to_where = to->where();
+  BOOST_LEAF_ASSIGN(out.spec.from, identifier(*from, "version"));
+  BOOST_LEAF_ASSIGN(out.spec.to, identifier(*to, "version"));
+  if (out.spec.from == out.spec.to) {
+    return to->fault("the rollout leads from '" + out.spec.from + "' to itself", "name the new version in 'to'");
+  }
+  constexpr std::uint64_t week_s = 604'800;
+  BOOST_LEAF_AUTO(finish, number_or<std::uint64_t>(node, "finish_within_s", 600, 1, week_s));
+  BOOST_LEAF_AUTO(watch, number_or<std::uint64_t>(node, "watch_s", 300, 0, week_s));
+  out.spec.finish_within = std::chrono::seconds(finish);
+  out.spec.watch = std::chrono::seconds(watch);
+  if (const yaml_node* first = node.find("max_first_share")) {
+    BOOST_LEAF_ASSIGN(out.spec.max_first_share, percent(*first, 0.01));
+  }
+  return out;
+}
+
+result<parsed_section> read_rollouts(const yaml_node& root) {
+  return read_by_service<parsed_rollout>(root, read_rollout);
+}
+
+result<parsed_limits> read_limits_of(const std::string& service, const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_keys({"in_flight", "retry_ratio"}));
+  parsed_limits out;
+  out.service = service;
+  out.where = node.where();
+  if (const yaml_node* limit = node.find("in_flight")) {
+    BOOST_LEAF_AUTO(value, limit->as_number(1, 1'000'000));
+    out.in_flight = static_cast<std::uint32_t>(value);
+  }
+  if (const yaml_node* ratio = node.find("retry_ratio")) {
+    BOOST_LEAF_AUTO(value, ratio->as_decimal(0, 1));
+    out.retry_ratio = value;
+  }
+  return out;
+}
+
+result<parsed_section> read_limits(const yaml_node& root) {
+  return read_by_service<parsed_limits>(root, read_limits_of);
+}
+
+struct section_reader {
+  section_kind kind;
+  result<parsed_section> (*read)(const yaml_node&);
+};
+
+constexpr auto section_readers = std::to_array<section_reader>({
+    {section_kind::services, read_services},
+    {section_kind::routes, read_routes},
+    {section_kind::shares, read_shares},
+    {section_kind::rollouts, read_rollouts},
+    {section_kind::limits, read_limits},
+});
+
+}  // namespace
+
+yaml_source section_source(std::string_view name) {
+  return {.name = "section " + std::string(name), .max_bytes = max_section_bytes};
+}
+
+result<parsed_section> parse_section(std::string_view name, std::string_view text, yaml_source source) {
+  BOOST_LEAF_AUTO(kind, kind_of_section(name));
+  BOOST_LEAF_AUTO(root, read_yaml(text, std::move(source)));
+  for (const section_reader& reader : section_readers) {
+    if (reader.kind == kind) return reader.read(root);
+  }
+  return root.fault("section '" + std::string(name) + "' has no reader", "report this as a defect");
+}
+
+result<parsed_section> parse_section(std::string_view name, std::string_view text) {
+  return parse_section(name, text, section_source(name));
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/model/section_parser.h
@@ -0,0 +1,80 @@
+/// @file
+/// One section's text as typed values, checked for everything that can be told without the other sections.
+///
+///     BOOST_LEAF_AUTO(parsed, parse_section("routes.certdesk", text));
+///     std::get<routes_section>(parsed)[0].rule.service;
+///
+/// Cross-references (a route's service, a share's version) are checked by model/document_compiler.h; each value keeps
+/// its place for these errors.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "kernel/result.h"
+#include "model/compiled_document.h"
+#include "model/document.h"
+#include "model/yaml_reader.h"
+
+namespace heatherdeck {
+
+struct parsed_service {
+  service_spec spec;
+  std::string where;
+};
+
+struct parsed_route {
+  route_rule rule;
+  std::string where;
+  std::string service_where;
+};
+
+struct parsed_share {
+  std::string upstream_version;
+  basis_points share = 0;
+  std::string where;
+};
+
+/// Shares of one service; they add up to all traffic.
+struct parsed_shares {
+  std::string service;
+  std::vector<parsed_share> shares;
+  std::string where;
+};
+
+struct parsed_rollout {
+  rollout_spec spec;
+  std::string where;
+  std::string from_where;
+  std::string to_where;
+};
+
+struct parsed_limits {
+  std::string service;
+  std::optional<std::uint32_t> in_flight;
+  std::optional<double> retry_ratio;
+  std::string where;
+};
+
+using services_section = std::vector<parsed_service>;
+using routes_section = std::vector<parsed_route>;
+using shares_section = std::vector<parsed_shares>;
+using rollouts_section = std::vector<parsed_rollout>;
+using limits_section = std::vector<parsed_limits>;
+
+/// The alternatives stand in the order of `section_kind`.
+using parsed_section = std::variant<services_section, routes_section, shares_section, rollouts_section, limits_section>;
+
+/// @return where the errors of a section are placed when its text does not come from a file.
+yaml_source section_source(std::string_view name);
+
+/// @param name the section's name; its kind selects the reader.
+/// @param source name and offsets for the places of errors.
+/// @return the values, or `bad_document` with place and remedy.
+result<parsed_section> parse_section(std::string_view name, std::string_view text, yaml_source source);
+result<parsed_section> parse_section(std::string_view name, std::string_view text);
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/testing/sample_document.h
@@ -0,0 +1,76 @@
+/// @file
+/// The document of the design page as sections, and random document states for property tests.
+///
+///     document_state state = sample_state();
+///     std::mt19937_64 random(7);
+///     document_state later = random_step(state, random);
+#pragma once
+
+#include <random>
+#include <string>
+
+#include "model/document.h"
+#include "model/document_parser.h"
+
+namespace heatherdeck {
+
+inline constexpr const char* sample_text = R"(sections:
+  services:
+    certdesk: { versions: [v1, v2, v3], slots: 20, connections: 130 }
+    recordhold: { versions: [v1] }
+  # between two sections
+  routes.certdesk:
+    # lookups keep ferries moving
+    - name: lookup
+      match: { host: certdesk.pwani, path_prefix: /certificates, method: GET, headers: { x-team: ferry } }
+      service: certdesk
+      timeout_ms: 800
+      idempotent: true
+  shares:
+    certdesk: { v1: 90, v3: 10 }
+  rollouts:
+    certdesk: { from: v1, to: v2, finish_within_s: 600, watch_s: 300, max_first_share: 1 }
+  limits:
+    certdesk: { in_flight: 140, retry_ratio: 0.1 }
+)";
+
+/// @return a state that holds these sections, all with revision 1.1.
+inline document_state state_of(const section_texts& sections) {
+  document_state state;
+  state.current = {1, 1};
+  for (const auto& [name, text] : sections) state.sections[name] = {name, text, {1, 1}};
+  return state;
+}
+
+inline document_state sample_state() {
+  return state_of(capture([] { return parse_document(sample_text, "sample.yaml"); })->sections);
+}
+
+/// @return a later state that differs in up to four sections, rollouts or withdrawn versions.
+inline document_state random_step(const document_state& base, std::mt19937_64& random) {
+  document_state next = base;
+  next.current.index += 1 + random() % 5;
+  for (std::uint64_t left = random() % 4 + 1; left != 0; --left) {
+    const std::string name = "routes.r" + std::to_string(random() % 8);
+    const std::string service = "s" + std::to_string(random() % 4);
+    switch (random() % 5) {
+      case 0:
+        next.sections.erase(name);
+        break;
+      case 1:
+        next.rollouts.erase(service);
+        break;
+      case 2:
+        next.rollouts[service] = {service, "v1", "v2", static_cast<basis_points>(random() % 10'000)};
+        break;
+      case 3:
+        next.withdrawn.try_emplace({service, "v2"}, withdrawn_version{service, "v2", "failed", next.current});
+        break;
+      default:
+        next.sections[name] = {name, std::string(random() % 300, 'x') + "\n", next.current};
+    }
+  }
+  return next;
+}
+
+}  // namespace heatherdeck
