control: the ledger as a pure state machine and its image

Cause: control hosts need one deterministic answer to every committed command. Change: ledger::apply with stored answers, conflicts, whole-document validation, rollouts and withdrawals; image as bytes.

--- /dev/null
+++ b/control/ledger.cc
@@ -0,0 +1,333 @@
+// Each command builds a candidate document, checks it whole and only then replaces the current one.
+//
+// Invariants: the result depends on the state, the index and the command alone (no clock, no random numbers, ordered
+// maps), so replicas agree; an accepted document compiles, and its version is higher than every one before; a refused
+// command changes nothing but the stored answers. Cost: a copy of the document for each command, parsing of the edited
+// sections, and linking of the whole document.
+#include "control/ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "model/document_digest.h"
+#include "model/operator_signature.h"
+
+namespace heatherdeck {
+namespace {
+
+command_answer refused(error why) { return {{}, {}, std::move(why)}; }
+
+// Shows base and current revision of every edit whose base is not current.
+struct conflict_finder {
+  std::vector<version> current;
+  std::string text;
+
+  void look_at(const section_edit& edit, const document_state& state) {
+    const auto found = state.sections.find(edit.name);
+    const version now = found == state.sections.end() ? version{} : found->second.revision;
+    current.push_back(now);
+    if (now == edit.base) return;
+    const auto shown = [](const version& v) { return v.none() ? std::string("none") : v.text(); };
+    text += (text.empty() ? "" : "; ") + std::string("section '") + edit.name + "': base revision " + shown(edit.base) +
+            ", current revision " + shown(now);
+  }
+};
+
+result<void> check_form(const submission& command) {
+  const auto bad = [](std::string text, std::string remedy, std::string where = {}) {
+    return fail(error_kind::bad_document, std::move(text), std::move(remedy), std::move(where));
+  };
+  if (command.edits.empty()) return bad("the submission changes no section", "edit a section first");
+  if (command.edits.size() > max_sections) {
+    return bad("the submission changes more than " + std::to_string(max_sections) + " sections", "split it");
+  }
+  std::set<std::string> names;
+  for (const section_edit& edit : command.edits) {
+    BOOST_LEAF_CHECK(kind_of_section(edit.name));
+    if (!names.insert(edit.name).second) {
+      return bad("section '" + edit.name + "' is changed twice", "send one text for each section",
+                 "section " + edit.name);
+    }
+  }
+  return {};
+}
+
+bool same_plan(const rollout_spec& a, const rollout_spec& b) {
+  return a.from == b.from && a.to == b.to && a.finish_within == b.finish_within && a.watch == b.watch &&
+         a.max_first_share == b.max_first_share;
+}
+
+basis_points share_of(const compiled_document& document, const std::string& service, const std::string& name) {
+  const auto found = document.services.find(service);
+  if (found == document.services.end()) return 0;
+  for (const version_share& share : found->second.shares) {
+    if (share.upstream_version == name) return share.share;
+  }
+  return 0;
+}
+
+bool is_finished(rollout_status status) { return status == rollout_status::watching || status == rollout_status::done; }
+
+bool is_over(rollout_status status) { return status == rollout_status::done || status == rollout_status::rolled_back; }
+
+result<void> check_step(const rollout_state& now, const set_rollout_step& step) {
+  const auto refuse = [&](std::string text, std::string remedy) {
+    return fail(error_kind::conflict, std::move(text), std::move(remedy), "rollout " + step.service);
+  };
+  if (is_over(now.status)) {
+    return refuse("the rollout to '" + now.to + "' is " + std::string(to_name(now.status)), "decide again");
+  }
+  if (now.status == rollout_status::watching && step.status == rollout_status::running) {
+    return refuse("the rollout to '" + now.to + "' already has all traffic", "go on watching or withdraw the version");
+  }
+  if (step.share > whole_traffic || (is_finished(step.status) && step.share != whole_traffic)) {
+    return refuse("a share of " + std::to_string(step.share) + " does not go with the status " +
+                      std::string(to_name(step.status)),
+                  "use 0 to 10,000, and 10,000 when the rollout is watching or done");
+  }
+  return {};
+}
+
+}  // namespace
+
+result<ledger> ledger::restore(std::uint64_t epoch, ledger_content content) {
+  const version& current = content.document.current;
+  if (current.epoch > epoch) {
+    return fail(error_kind::bad_settings,
+                "the stored document has epoch " + std::to_string(current.epoch) + ", the settings say " +
+                    std::to_string(epoch),
+                "set epoch to " + std::to_string(current.epoch) + " or more on every control host", "epoch");
+  }
+  ledger restored(epoch);
+  restored.content_ = std::move(content);
+  if (!restored.content_.document.current.none()) {
+    const auto compiled = capture([&] { return restored.compiler_.compile(restored.content_.document); });
+    if (!compiled) {
+      return fail(error_kind::corrupt, "the stored document does not compile: " + compiled.failure().message(),
+                  "remove this host's data folder and let it join again");
+    }
+    restored.compiled_ = *compiled;
+  }
+  return restored;
+}
+
+command_answer ledger::apply(std::uint64_t index, const ledger_command& command) {
+  if (index <= content_.applied) {
+    return refused({error_kind::internal,
+                    "entry " + std::to_string(index) + " has been applied already",
+                    "report this as a defect",
+                    {}});
+  }
+  content_.applied = index;
+  return std::visit([&](const auto& one) { return run(index, one); }, command);
+}
+
+command_answer ledger::run(std::uint64_t index, const submission& command) {
+  if (command.id.empty() || command.id.size() > max_id_bytes || command.operator_name.empty() ||
+      command.operator_name.size() > max_id_bytes) {
+    return refused({error_kind::usage,
+                    "the submission's id or operator is empty or too long",
+                    "use 1 to " + std::to_string(max_id_bytes) + " bytes",
+                    {}});
+  }
+  const auto kept = content_.answers.find(command.operator_name);
+  if (kept != content_.answers.end()) {
+    const auto same = std::find_if(kept->second.begin(), kept->second.end(),
+                                   [&](const kept_answer& k) { return k.id == command.id; });
+    if (same != kept->second.end()) {
+      if (same->content == hash_of(signed_bytes(command))) return same->answer;
+      return refused({error_kind::usage,
+                      "the id '" + command.id + "' was used for another submission",
+                      "send the change with a new id",
+                      {}});
+    }
+  }
+  conflict_finder conflict;
+  for (const section_edit& edit : command.edits) conflict.look_at(edit, content_.document);
+  command_answer answer;
+  if (!conflict.text.empty()) {
+    answer = {{},
+              conflict.current,
+              {error_kind::conflict, conflict.text, "fetch the document, make the change on it and submit again", {}}};
+  } else {
+    answer = finish(capture([&] { return edited(index, command); }));
+  }
+  keep_answer(command, answer);
+  return answer;
+}
+
+command_answer ledger::run(std::uint64_t index, const set_rollout_step& command) {
+  return finish(capture([&] { return stepped(index, command); }));
+}
+
+command_answer ledger::run(std::uint64_t index, const withdraw_version& command) {
+  const auto known = content_.document.withdrawn.find({command.service, command.upstream_version});
+  if (known != content_.document.withdrawn.end()) return {known->second.at, {}, {}};
+  return finish(capture([&] { return withdrawn(index, command); }));
+}
+
+result<ledger::candidate> ledger::begin(std::uint64_t index) const {
+  const version next{epoch_, index};
+  if (next <= content_.document.current) {
+    return fail(error_kind::bad_settings,
+                "version " + next.text() + " would not be newer than " + content_.document.current.text(),
+                "raise epoch in the settings of every control host", "epoch");
+  }
+  candidate made{content_.document, {}, nullptr};
+  made.state.current = next;
+  made.change.at = next;
+  return made;
+}
+
+result<ledger::candidate> ledger::edited(std::uint64_t index, const submission& command) {
+  BOOST_LEAF_CHECK(check_form(command));
+  BOOST_LEAF_AUTO(next, begin(index));
+  for (const section_edit& edit : command.edits) {
+    next.change.sections.push_back(edit.name);
+    if (!edit.text.empty()) {
+      next.state.sections[edit.name] = {edit.name, edit.text, next.state.current};
+    } else if (next.state.sections.erase(edit.name) == 0) {
+      return fail(error_kind::bad_document, "section '" + edit.name + "' is to be removed but does not exist",
+                  "leave it out of the submission", "section " + edit.name);
+    }
+  }
+  BOOST_LEAF_ASSIGN(next.compiled, compiler_.compile(next.state));
+  BOOST_LEAF_CHECK(compiler_.check_offers(next.state, next.change.sections));
+  BOOST_LEAF_CHECK(follow_rollouts(next, command));
+  return next;
+}
+
+// Starts, changes and ends rollouts as the sections say.
+result<void> ledger::follow_rollouts(candidate& next, const submission& command) const {
+  std::set<std::string> changed;
+  for (const auto& [service, progress] : content_.document.rollouts) {
+    const auto spec = next.compiled->rollouts.find(service);
+    const bool goes_on =
+        spec != next.compiled->rollouts.end() && spec->second.from == progress.from && spec->second.to == progress.to;
+    if (goes_on) continue;
+    BOOST_LEAF_CHECK(check_end(next, progress, command));
+    next.state.rollouts.erase(service);
+    changed.insert(service);
+  }
+  for (const auto& [service, spec] : next.compiled->rollouts) {
+    const auto [at, started] = next.state.rollouts.try_emplace(service);
+    if (started) {
+      at->second = {service, spec.from, spec.to, 0, rollout_status::running, {}, next.state.current};
+      changed.insert(service);
+      continue;
+    }
+    const auto before = compiled_->rollouts.find(service);
+    if (before == compiled_->rollouts.end() || !same_plan(before->second, spec)) changed.insert(service);
+  }
+  next.change.rollouts.assign(changed.begin(), changed.end());
+  return {};
+}
+
+// Ending a finished rollout while the shares still name the old version would move all traffic back at once.
+result<void> ledger::check_end(const candidate& next, const rollout_state& ended, const submission& command) const {
+  if (!is_finished(ended.status) || !next.compiled->services.contains(ended.service)) return {};
+  if (share_of(*next.compiled, ended.service, ended.to) != 0) return {};
+  for (const section_edit& edit : command.edits) {
+    if (*kind_of_section(edit.name) == section_kind::shares) return {};
+  }
+  return fail(error_kind::bad_document,
+              "ending the finished rollout would move the traffic of service '" + ended.service + "' from '" +
+                  ended.to + "' back to the versions in its shares",
+              "set the shares to '" + ended.service + ": { " + ended.to + ": 100 }' in the same submission or before",
+              "rollout " + ended.service);
+}
+
+result<ledger::candidate> ledger::stepped(std::uint64_t index, const set_rollout_step& command) {
+  BOOST_LEAF_AUTO(next, begin(index));
+  const auto found = next.state.rollouts.find(command.service);
+  if (found == next.state.rollouts.end() || found->second.to != command.to) {
+    return fail(error_kind::not_found,
+                "service '" + command.service + "' has no rollout to version '" + command.to + "'",
+                "decide again on the current document", "rollout " + command.service);
+  }
+  const auto changed = content_.rollout_changed.find(command.service);
+  if (changed != content_.rollout_changed.end() && command.seen < changed->second) {
+    return fail(error_kind::conflict,
+                "the rollout changed in version " + changed->second.text() + ", after version " + command.seen.text() +
+                    " on which the step was decided",
+                "decide again on the current document", "rollout " + command.service);
+  }
+  BOOST_LEAF_CHECK(check_step(found->second, command));
+  found->second.status = command.status;
+  found->second.share = command.status == rollout_status::rolled_back ? 0 : command.share;
+  next.change.rollouts.push_back(command.service);
+  BOOST_LEAF_ASSIGN(next.compiled, compiler_.compile(next.state));
+  return next;
+}
+
+result<ledger::candidate> ledger::withdrawn(std::uint64_t index, const withdraw_version& command) {
+  const std::string where = "service " + command.service;
+  const auto service =
+      compiled_ ? compiled_->services.find(command.service) : std::map<std::string, service_spec>::const_iterator{};
+  if (!compiled_ || service == compiled_->services.end()) {
+    return fail(error_kind::not_found, "service '" + command.service + "' does not exist", "check the name", where);
+  }
+  const std::vector<std::string>& versions = service->second.versions;
+  if (std::find(versions.begin(), versions.end(), command.upstream_version) == versions.end()) {
+    return fail(error_kind::not_found,
+                "service '" + command.service + "' has no version '" + command.upstream_version + "'", "check the name",
+                where);
+  }
+  BOOST_LEAF_AUTO(next, begin(index));
+  const withdrawn_key key{command.service, command.upstream_version};
+  const std::string reason = command.reason.substr(0, max_reason_bytes);
+  next.state.withdrawn[key] = {command.service, command.upstream_version, reason, next.state.current};
+  next.change.withdrawn.push_back(key);
+  const auto rollout = next.state.rollouts.find(command.service);
+  if (rollout != next.state.rollouts.end() && rollout->second.to == command.upstream_version) {
+    rollout->second.status = rollout_status::rolled_back;
+    rollout->second.share = 0;
+    rollout->second.reason = reason;
+    next.change.rollouts.push_back(command.service);
+  }
+  BOOST_LEAF_ASSIGN(next.compiled, compiler_.compile(next.state));
+  if (next.compiled->services.at(command.service).shares.empty()) {
+    return fail(
+        error_kind::unavailable,
+        "version '" + command.upstream_version + "' is the last usable one of service '" + command.service + "'",
+        "offer another version first", where);
+  }
+  return next;
+}
+
+command_answer ledger::finish(outcome<candidate> next) {
+  if (!next) return refused(next.failure());
+  const version accepted = next->state.current;
+  commit(std::move(*next));
+  return {accepted, {}, {}};
+}
+
+void ledger::commit(candidate next) {
+  for (const std::string& service : next.change.rollouts) {
+    if (next.state.rollouts.contains(service)) {
+      content_.rollout_changed[service] = next.state.current;
+    } else {
+      content_.rollout_changed.erase(service);
+    }
+  }
+  content_.history.record(content_.document.current, std::move(next.change));
+  content_.document = std::move(next.state);
+  compiled_ = std::move(next.compiled);
+}
+
+const command_answer* ledger::find(const std::string& operator_name, const std::string& id) const {
+  const auto kept = content_.answers.find(operator_name);
+  if (kept == content_.answers.end()) return nullptr;
+  const auto same =
+      std::find_if(kept->second.begin(), kept->second.end(), [&](const kept_answer& k) { return k.id == id; });
+  return same == kept->second.end() ? nullptr : &same->answer;
+}
+
+void ledger::keep_answer(const submission& command, const command_answer& answer) {
+  std::deque<kept_answer>& kept = content_.answers[command.operator_name];
+  kept.push_back({command.id, hash_of(signed_bytes(command)), answer});
+  if (kept.size() > kept_answers) kept.pop_front();
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/control/ledger_image.cc
@@ -0,0 +1,178 @@
+// A format name, then fields in a fixed order; documents and answers are encoded by wire/codec.h.
+//
+// Invariant: lengths and counts are checked against the bytes that are left before memory is reserved. Cost: linear; an
+// image is the document plus about 100 bytes for each stored answer and each recent change.
+#include "control/ledger_image.h"
+
+#include "wire/codec.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr std::string_view format_name = "heatherdeck image 1\n";
+
+class image_writer {
+ public:
+  explicit image_writer(std::string& out) : out_(out) {}
+
+  void put(std::uint64_t number) {
+    for (unsigned shift = 0; shift < 64; shift += 8) out_.push_back(static_cast<char>((number >> shift) & 0xFFU));
+  }
+  void put(std::string_view text) {
+    put(static_cast<std::uint64_t>(text.size()));
+    out_ += text;
+  }
+  void put(const version& v) {
+    put(v.epoch);
+    put(v.index);
+  }
+  void put(const std::vector<std::string>& texts) {
+    put(static_cast<std::uint64_t>(texts.size()));
+    for (const std::string& text : texts) put(std::string_view(text));
+  }
+  void put(const document_change& change) {
+    put(change.at);
+    put(change.sections);
+    put(change.rollouts);
+    put(static_cast<std::uint64_t>(change.withdrawn.size()));
+    for (const auto& [service, name] : change.withdrawn) {
+      put(std::string_view(service));
+      put(std::string_view(name));
+    }
+  }
+
+ private:
+  std::string& out_;
+};
+
+// After the first fault every value is empty and `ok` is false; the caller checks once at the end.
+class image_reader {
+ public:
+  explicit image_reader(std::string_view bytes) : left_(bytes) {}
+
+  bool ok() const { return ok_; }
+  bool at_end() const { return left_.empty(); }
+
+  std::uint64_t number() {
+    if (left_.size() < 8) return refuse();
+    std::uint64_t value = 0;
+    for (unsigned i = 0; i < 8; ++i) value |= std::uint64_t{static_cast<unsigned char>(left_[i])} << (8 * i);
+    left_.remove_prefix(8);
+    return value;
+  }
+  // Every counted item takes at least 8 bytes, so a count beyond that is damage.
+  std::uint64_t count() {
+    const std::uint64_t value = number();
+    return value > left_.size() / 8 ? refuse() : value;
+  }
+  std::string text() {
+    const std::uint64_t size = number();
+    if (size > left_.size()) {
+      refuse();
+      return {};
+    }
+    std::string value(left_.substr(0, size));
+    left_.remove_prefix(size);
+    return value;
+  }
+  version read_version() {
+    const std::uint64_t epoch = number();
+    return {epoch, number()};
+  }
+  std::vector<std::string> texts() {
+    std::vector<std::string> values;
+    for (std::uint64_t left = count(); left != 0 && ok_; --left) values.push_back(text());
+    return values;
+  }
+  document_change change() {
+    document_change value;
+    value.at = read_version();
+    value.sections = texts();
+    value.rollouts = texts();
+    for (std::uint64_t left = count(); left != 0 && ok_; --left) {
+      std::string service = text();
+      value.withdrawn.emplace_back(std::move(service), text());
+    }
+    return value;
+  }
+
+ private:
+  std::uint64_t refuse() {
+    ok_ = false;
+    left_ = {};
+    return 0;
+  }
+
+  std::string_view left_;
+  bool ok_ = true;
+};
+
+boost::leaf::error_id corrupt_image() {
+  return fail(error_kind::corrupt, "the image of the replicated state is damaged",
+              "remove this host's data folder and let it join again");
+}
+
+result<void> read_answers(image_reader& in, ledger_content& content) {
+  for (std::uint64_t operators = in.count(); operators != 0 && in.ok(); --operators) {
+    std::deque<kept_answer>& kept = content.answers[in.text()];
+    for (std::uint64_t left = in.count(); left != 0 && in.ok(); --left) {
+      kept_answer one;
+      one.id = in.text();
+      one.content = in.number();
+      BOOST_LEAF_ASSIGN(one.answer, decode<command_answer>(in.text()));
+      kept.push_back(std::move(one));
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string encode_image(const ledger_content& content) {
+  std::string bytes(format_name);
+  image_writer out(bytes);
+  out.put(content.applied);
+  out.put(std::string_view(encode(content.document)));
+  out.put(static_cast<std::uint64_t>(content.rollout_changed.size()));
+  for (const auto& [service, at] : content.rollout_changed) {
+    out.put(std::string_view(service));
+    out.put(at);
+  }
+  out.put(content.history.oldest());
+  out.put(static_cast<std::uint64_t>(content.history.changes().size()));
+  for (const document_change& change : content.history.changes()) out.put(change);
+  out.put(static_cast<std::uint64_t>(content.answers.size()));
+  for (const auto& [operator_name, kept] : content.answers) {
+    out.put(std::string_view(operator_name));
+    out.put(static_cast<std::uint64_t>(kept.size()));
+    for (const kept_answer& one : kept) {
+      out.put(std::string_view(one.id));
+      out.put(one.content);
+      out.put(std::string_view(encode(one.answer)));
+    }
+  }
+  return bytes;
+}
+
+result<ledger_content> decode_image(std::string_view bytes) {
+  if (!bytes.starts_with(format_name)) return corrupt_image();
+  image_reader in(bytes.substr(format_name.size()));
+  ledger_content content;
+  content.applied = in.number();
+  const std::string document = in.text();
+  if (!in.ok()) return corrupt_image();
+  BOOST_LEAF_ASSIGN(content.document, decode<document_state>(document));
+  for (std::uint64_t left = in.count(); left != 0 && in.ok(); --left) {
+    const std::string service = in.text();
+    content.rollout_changed[service] = in.read_version();
+  }
+  const version oldest = in.read_version();
+  std::deque<document_change> changes;
+  for (std::uint64_t left = in.count(); left != 0 && in.ok(); --left) changes.push_back(in.change());
+  content.history = document_history::restore(oldest, std::move(changes));
+  BOOST_LEAF_CHECK(read_answers(in, content));
+  if (!in.ok() || !in.at_end()) return corrupt_image();
+  return content;
+}
+
+}  // namespace heatherdeck
