--- /dev/null
+++ b/testing/ledger_test.cc
@@ -0,0 +1,324 @@
+// Guards the replicated state: one answer per submission id, no lost update, rollouts that follow the document, no
+// withdrawn version offered again, and equal states on all control hosts whatever was restored from an image.
+#include "control/ledger.h"
+
+#include <gtest/gtest.h>
+
+#include "control/ledger_image.h"
+#include "testing/sample_document.h"
+
+namespace heatherdeck {
+namespace {
+
+// A ledger with a running index, as one control host sees it.
+struct host {
+  ledger state{1};
+  std::uint64_t next = 1;
+
+  command_answer apply(const ledger_command& command) { return state.apply(next++, command); }
+
+  submission change(const std::string& id, std::vector<std::pair<std::string, std::string>> texts) const {
+    submission made{id, "amina", {}, {}};
+    for (auto& [name, text] : texts) {
+      const auto found = state.document().sections.find(name);
+      made.edits.push_back({name, text, found == state.document().sections.end() ? version{} : found->second.revision});
+    }
+    return made;
+  }
+  command_answer submit(const std::string& id, std::vector<std::pair<std::string, std::string>> texts) {
+    return apply(change(id, std::move(texts)));
+  }
+  const rollout_state* rollout() const {
+    const auto found = state.document().rollouts.find("certdesk");
+    return found == state.document().rollouts.end() ? nullptr : &found->second;
+  }
+  command_answer step(basis_points share, rollout_status status) {
+    return apply(set_rollout_step{"certdesk", "v2", share, status, state.document().current});
+  }
+  std::string shares() const {
+    const compiled_document_ptr compiled = *capture([&] { return compile_document(state.document()); });
+    std::string text;
+    for (const version_share& s : compiled->services.at("certdesk").shares) {
+      text += (text.empty() ? "" : " ") + s.upstream_version + "=" + std::to_string(s.share);
+    }
+    return text;
+  }
+};
+
+host started() {
+  host h;
+  const section_texts texts = capture([] { return parse_document(sample_text, "sample.yaml"); })->sections;
+  EXPECT_TRUE(h.submit("first", {texts.begin(), texts.end()}).ok());
+  return h;
+}
+
+// Two operators with the same base: exactly one is accepted and the other sees both revisions.
+TEST(ledger, second_of_two_racing_submissions_conflicts) {
+  host h = started();
+  const submission a = h.change("a", {{"limits", "certdesk: { in_flight: 1 }\n"}});
+  const submission b = h.change("b", {{"limits", "certdesk: { in_flight: 2 }\n"}});
+  EXPECT_TRUE(h.apply(a).ok());
+  const command_answer refused = h.apply(b);
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.refusal.kind, error_kind::conflict);
+  EXPECT_EQ(refused.refusal.text, "section 'limits': base revision 1.1, current revision 1.2");
+  EXPECT_EQ(refused.current, (std::vector<version>{{1, 2}}));
+}
+
+// A resend after a lost answer must not be applied twice, nor refused as a conflict with itself.
+TEST(ledger, resent_id_gets_the_first_answer_and_another_content_is_refused) {
+  host h = started();
+  const submission change = h.change("a", {{"limits", "certdesk: { in_flight: 1 }\n"}});
+  const command_answer first = h.apply(change);
+  h.submit("b", {{"limits", "certdesk: { in_flight: 2 }\n"}});
+  EXPECT_EQ(h.apply(change).accepted, first.accepted);
+  EXPECT_EQ(h.state.document().sections.at("limits").text, "certdesk: { in_flight: 2 }\n");
+  submission other = change;
+  other.edits[0].text = "certdesk: { in_flight: 9 }\n";
+  EXPECT_EQ(h.apply(other).refusal.kind, error_kind::usage);
+}
+
+// A document that refers to nothing must be refused whole: no section of it may stay.
+TEST(ledger, refused_submission_changes_nothing) {
+  host h = started();
+  const document_state before = h.state.document();
+  const command_answer refused =
+      h.submit("a", {{"limits", "certdesk: { in_flight: 3 }\n"}, {"routes.b", "- {name: x, service: gone}\n"}});
+  EXPECT_EQ(refused.refusal.kind, error_kind::bad_document);
+  EXPECT_EQ(refused.refusal.where, "section routes.b:1:22");
+  EXPECT_EQ(h.state.document(), before);
+  EXPECT_FALSE(h.submit("c", {{"routes.gone", ""}}).ok()) << "a section that does not exist cannot be removed";
+  EXPECT_FALSE(h.apply(submission{"d", "amina", {}, {}}).ok());
+}
+
+TEST(ledger, rollout_follows_the_document_and_its_steps) {
+  host h = started();
+  ASSERT_NE(h.rollout(), nullptr);
+  EXPECT_EQ(h.rollout()->status, rollout_status::running);
+  EXPECT_EQ(h.rollout()->started, (version{1, 1}));
+  EXPECT_EQ(h.shares(), "v1=9000 v3=1000");
+  const version before = h.state.document().current;
+  EXPECT_TRUE(h.step(100, rollout_status::running).ok());
+  const set_rollout_step late{"certdesk", "v2", 5000, rollout_status::running, before};
+  EXPECT_EQ(h.apply(late).refusal.kind, error_kind::conflict) << "a step decided before the last one is refused";
+  EXPECT_FALSE(h.step(5000, rollout_status::done).ok()) << "done means all traffic";
+  EXPECT_TRUE(h.step(whole_traffic, rollout_status::watching).ok());
+  EXPECT_FALSE(h.step(5000, rollout_status::running).ok());
+  EXPECT_TRUE(h.step(whole_traffic, rollout_status::done).ok());
+  EXPECT_EQ(h.shares(), "v2=10000");
+  EXPECT_FALSE(h.step(0, rollout_status::running).ok());
+  const command_answer silent = h.submit("end", {{"rollouts", "{}\n"}});
+  EXPECT_EQ(silent.refusal.kind, error_kind::bad_document) << "traffic would silently return to v1";
+  EXPECT_TRUE(h.submit("end 2", {{"rollouts", "{}\n"}, {"shares", "certdesk: { v2: 100 }\n"}}).ok());
+  EXPECT_EQ(h.rollout(), nullptr);
+  EXPECT_EQ(h.shares(), "v2=10000");
+}
+
+// Removing a running rollout stops it; a changed plan invalidates steps decided on the old one.
+TEST(ledger, operators_change_and_end_a_running_rollout) {
+  host h = started();
+  EXPECT_TRUE(h.step(100, rollout_status::running).ok());
+  const version seen = h.state.document().current;
+  EXPECT_TRUE(h.submit("plan", {{"rollouts", "certdesk: { from: v1, to: v2, finish_within_s: 60 }\n"}}).ok());
+  EXPECT_EQ(h.rollout()->share, 100U);
+  EXPECT_EQ(h.apply(set_rollout_step{"certdesk", "v2", 200, rollout_status::running, seen}).refusal.kind,
+            error_kind::conflict);
+  EXPECT_TRUE(h.submit("stop", {{"rollouts", "{}\n"}}).ok());
+  EXPECT_EQ(h.shares(), "v1=9000 v3=1000");
+}
+
+// A version that hurt callers must not come back by any later submission.
+TEST(ledger, withdrawn_version_is_never_offered_again) {
+  host h = started();
+  EXPECT_TRUE(h.step(2000, rollout_status::running).ok());
+  const command_answer withdrawn = h.apply(withdraw_version{"certdesk", "v2", "v2 failed 9 of 100 calls"});
+  EXPECT_TRUE(withdrawn.ok());
+  EXPECT_EQ(h.apply(withdraw_version{"certdesk", "v2", "again"}).accepted, withdrawn.accepted);
+  EXPECT_EQ(h.rollout()->status, rollout_status::rolled_back);
+  EXPECT_EQ(h.rollout()->reason, "v2 failed 9 of 100 calls");
+  EXPECT_EQ(h.shares(), "v1=9000 v3=1000");
+  EXPECT_TRUE(h.submit("limits", {{"limits", "{}\n"}}).ok()) << "other sections are still accepted";
+  const command_answer offered = h.submit("again", {{"rollouts", "certdesk: { from: v3, to: v2 }\n"}});
+  EXPECT_EQ(offered.refusal.kind, error_kind::withdrawn);
+  EXPECT_EQ(offered.refusal.where, "section rollouts:1:27");
+  EXPECT_EQ(h.submit("shares", {{"shares", "certdesk: { v1: 99, v2: 1 }\n"}}).refusal.kind, error_kind::withdrawn);
+  EXPECT_TRUE(h.apply(withdraw_version{"certdesk", "v3", "failed"}).ok());
+  EXPECT_EQ(h.apply(withdraw_version{"certdesk", "v1", "failed"}).refusal.kind, error_kind::unavailable);
+  EXPECT_EQ(h.shares(), "v1=10000");
+}
+
+// The store of answers must not grow without bound, and must outlive a restore.
+TEST(ledger, keeps_the_last_answers_of_each_operator_in_the_image) {
+  host h = started();
+  for (std::size_t i = 0; i < ledger::kept_answers + 10; ++i) {
+    h.apply(submission{"id-" + std::to_string(i), "juma", {}, {}});
+  }
+  const auto content = capture([&] { return decode_image(encode_image(h.state.content())); });
+  ASSERT_TRUE(content) << content.failure().message();
+  const auto copy = capture([&] { return ledger::restore(1, *content); });
+  ASSERT_TRUE(copy) << copy.failure().message();
+  EXPECT_EQ(copy->content().answers.at("juma").size(), ledger::kept_answers);
+  EXPECT_EQ(copy->find("juma", "id-9"), nullptr);
+  EXPECT_NE(copy->find("juma", "id-10"), nullptr);
+  EXPECT_NE(copy->find("amina", "first"), nullptr);
+  EXPECT_EQ(encode_image(copy->content()), encode_image(h.state.content()));
+}
+
+// A restored document must be newer than everything that nodes hold; an older epoch in the settings cannot be.
+TEST(ledger, epoch_of_the_settings_must_not_be_lower_than_the_image) {
+  host h;
+  h.state = ledger(2);
+  EXPECT_TRUE(h.submit("a", {{"services", "a: { versions: [v1] }\n"}}).ok());
+  EXPECT_EQ(h.state.document().current, (version{2, 1}));
+  EXPECT_EQ(capture([&] { return ledger::restore(1, h.state.content()); }).failure().kind, error_kind::bad_settings);
+}
+
+// Damaged snapshot files must be refused, never half read; seed 3.
+TEST(ledger, damaged_image_is_refused) {
+  host h = started();
+  h.step(100, rollout_status::running);
+  const std::string bytes = encode_image(h.state.content());
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    ASSERT_FALSE(capture([&] { return decode_image(std::string_view(bytes).substr(0, cut)); })) << cut;
+  }
+  std::mt19937_64 random(3);
+  for (int i = 0; i < 2000; ++i) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    (void)capture([&] { return decode_image(damaged); });
+  }
+}
+
+// --- schedules ------------------------------------------------------------------------------------------------------
+
+class schedule {
+ public:
+  explicit schedule(std::uint64_t seed) : random_(seed), replicas_(3, ledger(1)) {}
+
+  void run(int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      append(next_command());
+      if (pick(10) == 0) restart(pick(replicas_.size()));
+    }
+    for (ledger& replica : replicas_) catch_up(replica);
+    for (ledger& replica : replicas_) {
+      ASSERT_EQ(encode_image(replica.content()), encode_image(replicas_[0].content()));
+    }
+  }
+
+ private:
+  std::uint64_t pick(std::uint64_t bound) { return random_() % bound; }
+
+  // Commits a command; replica 0 applies at once, the others lag behind.
+  void append(ledger_command command) {
+    log_.push_back(std::move(command));
+    const ledger_command& entry = log_.back();
+    const document_state before = replicas_[0].document();
+    const command_answer answer = replicas_[0].apply(log_.size(), entry);
+    check(entry, before, answer);
+    for (std::size_t i = 1; i < replicas_.size(); ++i) {
+      if (pick(3) == 0) catch_up(replicas_[i]);
+    }
+  }
+
+  void catch_up(ledger& replica) {
+    while (replica.applied() < log_.size()) replica.apply(replica.applied() + 1, log_[replica.applied()]);
+  }
+
+  // The process restarts from its own image or from that of another host.
+  void restart(std::size_t at) {
+    const ledger& source = pick(2) == 0 ? replicas_[at] : replicas_[0];
+    const auto content = capture([&] { return decode_image(encode_image(source.content())); });
+    ASSERT_TRUE(content);
+    const auto restored = capture([&] { return ledger::restore(1, *content); });
+    ASSERT_TRUE(restored) << restored.failure().message();
+    replicas_[at] = *restored;
+    if (at == 0) catch_up(replicas_[0]);
+  }
+
+  ledger_command next_command() {
+    const document_state& now = replicas_[0].document();
+    switch (pick(8)) {
+      case 0:
+        if (!sent_.empty()) return sent_[pick(sent_.size())];  // resend, perhaps of an old change
+        break;
+      case 1:
+        return set_rollout_step{"a",
+                                "v" + std::to_string(pick(6)),
+                                static_cast<basis_points>(pick(10'001)),
+                                static_cast<rollout_status>(pick(3)),
+                                {1, now.current.index - pick(3)}};
+      case 2:
+        return withdraw_version{"a", "v" + std::to_string(pick(6)), "failed"};
+      default:
+        break;
+    }
+    return submit_change(pick(2) == 0 ? now : stale_);
+  }
+
+  ledger_command submit_change(const document_state& view) {
+    submission made{"id-" + std::to_string(sent_.size()), "op-" + std::to_string(pick(3)), {}, {}};
+    const auto edit = [&](const std::string& name, std::string text) {
+      const auto found = view.sections.find(name);
+      made.edits.push_back({name, std::move(text), found == view.sections.end() ? version{} : found->second.revision});
+    };
+    const std::string a = "v" + std::to_string(pick(6));
+    const std::string b = "v" + std::to_string(pick(6));
+    if (!view.sections.contains("services")) edit("services", "a: { versions: [v0, v1, v2, v3, v4, v5] }\n");
+    if (!view.sections.contains("shares") || pick(2) == 0) edit("shares", "a: { " + a + ": 100 }\n");
+    if (pick(2) == 0) edit("rollouts", pick(3) == 0 ? "{}\n" : "a: { from: " + a + ", to: " + b + " }\n");
+    if (pick(4) == 0) edit("limits", "a: { in_flight: " + std::to_string(1 + pick(9)) + " }\n");
+    if (pick(3) == 0) stale_ = replicas_[0].document();
+    sent_.push_back(made);
+    return made;
+  }
+
+  void check(const ledger_command& command, const document_state& before, const command_answer& answer) {
+    const document_state& after = replicas_[0].document();
+    ASSERT_GE(after.current, before.current);
+    for (const auto& [key, value] : before.withdrawn) ASSERT_EQ(after.withdrawn.at(key), value);
+    if (!answer.ok()) {
+      ASSERT_EQ(after, before);
+    }
+    if (!after.current.none()) check_shares(after);
+    const auto* change = std::get_if<submission>(&command);
+    if (change == nullptr) return;
+    const std::string key = change->operator_name + "/" + change->id;
+    const auto [first, fresh] = answers_.emplace(key, answer);
+    ASSERT_EQ(first->second.accepted, answer.accepted) << key;
+    ASSERT_EQ(first->second.refusal.message(), answer.refusal.message()) << key;
+    if (!fresh) {
+      ASSERT_EQ(after, before) << "a resend was applied again";
+    }
+  }
+
+  static void check_shares(const document_state& state) {
+    const auto compiled = capture([&] { return compile_document(state); });
+    ASSERT_TRUE(compiled) << compiled.failure().message();
+    const auto& shares = (*compiled)->services.at("a").shares;
+    basis_points sum = 0;
+    for (const version_share& share : shares) {
+      ASSERT_FALSE(state.withdrawn.contains({"a", share.upstream_version}));
+      sum += share.share;
+    }
+    ASSERT_EQ(sum, whole_traffic);
+  }
+
+  std::mt19937_64 random_;
+  std::vector<ledger> replicas_;
+  std::vector<ledger_command> log_;
+  std::vector<submission> sent_;
+  document_state stale_;
+  std::map<std::string, command_answer> answers_;
+};
+
+// Races, resends, restarts from images and lagging hosts; seeds 1 to 150.
+TEST(ledger_schedules, replicas_agree_and_every_id_has_one_answer) {
+  for (std::uint64_t seed = 1; seed <= 150 && !testing::Test::HasFailure(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    schedule(seed).run(150);
+  }
+}
+
+}  // namespace
+}  // namespace heatherdeck
