--- /dev/null
+++ b/testing/wire.cmake
@@ -0,0 +1,1 @@
+hd_test(codec_test hd_wire)
--- a/wire/codec_document.cc
+++ b/wire/codec_document.cc
@@ -85,24 +85,24 @@
 void read(const pb::DocumentState& from, document_state& to, decode_check& check) {
   to.current = read_version(from.current());
   if (from.sections_size() > static_cast<int>(max_sections)) return check.refuse("the document has too many sections");
-  const auto insert = [&check](auto& map, auto key, auto value) {
+  const auto insert = [&check](auto& map, auto key, auto& value) {
     if (!map.emplace(std::move(key), std::move(value)).second) check.refuse("a name appears twice in the document");
   };
   for (const auto& item : from.sections()) {
     section value;
     read(item, value, check);
     if (check.failed()) return;
-    insert(to.sections, value.name, std::move(value));
+    insert(to.sections, value.name, value);
   }
   for (const auto& item : from.rollouts()) {
     rollout_state value;
     read(item, value, check);
-    insert(to.rollouts, value.service, std::move(value));
+    insert(to.rollouts, value.service, value);
   }
   for (const auto& item : from.withdrawn()) {
     withdrawn_version value;
     read(item, value, check);
-    insert(to.withdrawn, withdrawn_key{value.service, value.upstream_version}, std::move(value));
+    insert(to.withdrawn, withdrawn_key{value.service, value.upstream_version}, value);
   }
 }
 
