Traffic decisions: routes, shares, locality, balancing and the traffic service

A node needs one place that decides for each request which upstream serves it. The pure traffic_core combines route table, balancer, slow start, outlier ejection, retry budget, concurrency limit, evidence and local cut; traffic_service feeds it from a mailbox.

--- /dev/null
+++ b/model/odds_test.cc
@@ -0,0 +1,87 @@
+// The normaliser of the noncentral hypergeometric law is a sum over the possible values of k_new. Its terms are built
+// by their ratio, starting from the observed value, so that nothing overflows: log Z(theta) relative to the observed
+// term. Invariant: evidence() is a weighted average of non-negative supermartingales that start at 1. Cost: one window
+// costs O(bets * events) and no memory beyond one number for each bet.
+#include "model/odds_test.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace heatherdeck {
+namespace {
+
+// Odds ratios that are bet on, as multiples of the tolerated one: from half as many failures again to a version that
+// fails always.
+constexpr std::array<double, 7> bet_ratios{1.6, 2.5, 4, 8, 20, 80, 1000};
+// Keeps products finite; far above any threshold.
+constexpr double highest_value = 1e15;
+
+struct support {
+  double low;
+  double high;
+};
+
+support support_of(const odds_window& w) {
+  const double events = static_cast<double>(w.new_events) + w.old_events;
+  return {std::max(0.0, events - w.old_calls), std::min<double>(events, w.new_calls)};
+}
+
+// Sum over k of C(n_new, k) C(n_old, K - k) theta^k, divided by its term at k = new_events.
+double relative_normaliser(const odds_window& w, double theta) {
+  const support range = support_of(w);
+  const double events = static_cast<double>(w.new_events) + w.old_events;
+  const double n_new = w.new_calls;
+  const double n_old = w.old_calls;
+  double sum = 1;
+  double term = 1;
+  for (double k = w.new_events; k < range.high; ++k) {
+    term *= theta * (n_new - k) * (events - k) / ((k + 1) * (n_old - events + k + 1));
+    sum += term;
+    if (term < sum * 1e-12) break;
+  }
+  term = 1;
+  for (double k = w.new_events; k > range.low; --k) {
+    term *= k * (n_old - events + k) / (theta * (n_new - k + 1) * (events - k + 1));
+    sum += term;
+    if (term < sum * 1e-12) break;
+  }
+  return sum;
+}
+
+}  // namespace
+
+double log_odds_factor(const odds_window& window, double theta, double tolerated) {
+  const support range = support_of(window);
+  if (range.low == range.high) return 0;
+  return std::log(relative_normaliser(window, tolerated)) - std::log(relative_normaliser(window, theta));
+}
+
+sequential_odds_test::sequential_odds_test(odds_test_options options)
+    : options_(options), bets_(bet_ratios.size(), 0) {}
+
+void sequential_odds_test::add(std::span<const odds_window> strata) {
+  const bool first = unplaced_ == 1;
+  const double part =
+      first ? options_.weight_at_start : (1 - options_.weight_at_start) / static_cast<double>(options_.windows);
+  const double placed = std::min(unplaced_, part);
+  unplaced_ -= placed;
+  const double ceiling = std::log(options_.largest_factor);
+  for (std::size_t i = 0; i < bets_.size(); ++i) {
+    double log_factor = 0;
+    for (const odds_window& w : strata) {
+      const double f = log_odds_factor(w, options_.tolerated_odds * bet_ratios[i], options_.tolerated_odds);
+      log_factor += std::min(f, ceiling);
+    }
+    const double value = (bets_[i] + placed / static_cast<double>(bets_.size())) * std::exp(log_factor);
+    bets_[i] = std::min(value, highest_value);
+  }
+}
+
+double sequential_odds_test::evidence() const {
+  double sum = unplaced_;
+  for (const double bet : bets_) sum += bet;
+  return sum;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/model/odds_test.h
@@ -0,0 +1,66 @@
+/// @file
+/// Sequential comparison of two rates that were measured at the same time, valid at every look.
+///
+/// One window holds n_new calls of the new version, of which k_new show the event (failed, or slow), and the same for
+/// the old one. Given the number of events K = k_new + k_old, k_new follows Fisher's noncentral hypergeometric law,
+/// which depends only on the ratio of the odds of the two versions and not on the rate itself. A rate that moves with
+/// time, load or zone therefore does not matter as long as it moves both versions.
+///
+///     sequential_odds_test test({.tolerated_odds = 1.2, .windows = 900});
+///     test.add({window_of_zone_1, window_of_zone_2});   // counts of the same second
+///     if (test.evidence() >= 200) ...                   // happens with probability <= 1/200, ever, for a good version
+///
+/// Theory (e-process). For a bet on the odds ratio `theta` the factor
+///     L = P(k_new | K, theta) / P(k_new | K, tolerated)
+/// has an expectation of at most 1 whenever the true odds ratio is at most `tolerated`. Products of such factors are a
+/// non-negative supermartingale, so by Ville's inequality the probability that it ever reaches 1/a is at most a,
+/// however often one looks. The same holds for averages: over bets `theta`, because the size of a fault is not known
+/// before; and over the window in which a fault begins, because it may begin late (S <- (S + w) * L sums over all
+/// starts). Each factor is cut at `largest_factor`: a smaller factor keeps the guarantee, and no single second in one
+/// zone, such as a pause of one upstream, can decide alone.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace heatherdeck {
+
+/// Counts of one stratum (availability zone) in one window.
+struct odds_window {
+  std::uint32_t new_calls = 0;
+  std::uint32_t new_events = 0;
+  std::uint32_t old_calls = 0;
+  std::uint32_t old_events = 0;
+};
+
+/// @return log of P(new_events | K, theta) / P(new_events | K, tolerated).
+/// Cost: O(min(K, new_calls, old_calls)).
+double log_odds_factor(const odds_window& window, double theta, double tolerated);
+
+struct odds_test_options {
+  double tolerated_odds = 1.0;    ///< an odds ratio up to this is no fault
+  double largest_factor = 6.0;    ///< of one stratum in one window
+  std::size_t windows = 900;      ///< over how many windows the start of a fault is spread
+  double weight_at_start = 0.25;  ///< part of the bets placed in the first window
+};
+
+/// The e-process of one series of windows.
+class sequential_odds_test {
+ public:
+  explicit sequential_odds_test(odds_test_options options = {});
+
+  /// Takes in the strata of one window; windows without calls of both versions change nothing.
+  void add(std::span<const odds_window> strata);
+
+  /// @return the evidence against "the new version is no worse"; starts at 1.
+  double evidence() const;
+
+ private:
+  odds_test_options options_;
+  std::vector<double> bets_;  ///< value of the bets placed, for each theta
+  double unplaced_ = 1;       ///< part of the bets that are still to be placed
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/testing/traffic.cmake
@@ -0,0 +1,1 @@
+hd_test(traffic_core_test hd_traffic)
--- /dev/null
+++ b/testing/traffic_core_test.cc
@@ -0,0 +1,232 @@
+// Guards the traffic decisions: shares, locality, requests from other nodes, drain, avoided targets, local cut and the
+// traffic service's mailbox.
+#include "traffic/traffic_core.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <gtest/gtest.h>
+
+#include "model/service_names.h"
+#include "traffic/traffic_service.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t seed = 11;
+const time_point start_time = time_point{} + 1h;
+
+endpoint_record endpoint(std::string target, std::string upstream_version,
+                         upstream_state state = upstream_state::ready) {
+  return {.service = "certdesk",
+          .upstream_version = std::move(upstream_version),
+          .target = std::move(target),
+          .address = "127.0.0.1:9000",
+          .state = state,
+          .slots = 20,
+          .connections = 130};
+}
+
+member_record member(std::string id, std::string zone, std::vector<endpoint_record> endpoints) {
+  return {.node_id = std::move(id),
+          .availability_zone = zone,
+          .region = zone.substr(0, zone.find('-')),
+          .mesh_address = "127.0.0.1:7000",
+          .endpoints = std::move(endpoints)};
+}
+
+std::shared_ptr<compiled_document> document(std::vector<version_share> shares) {
+  auto d = std::make_shared<compiled_document>();
+  d->current = {1, 5};
+  d->routes = {{.name = "lookup", .host = "certdesk.pwani", .path_prefix = "/certificates", .service = "certdesk"}};
+  d->services["certdesk"] = {.name = "certdesk", .versions = {"v1", "v2"}, .shares = std::move(shares)};
+  return d;
+}
+
+request_facts lookup() { return {.host = "certdesk.pwani", .path = "/certificates/7", .method = "GET"}; }
+
+struct traffic_core_test : testing::Test {
+  traffic_core core{{.node_id = "n1", .availability_zone = "dar-1", .region = "dar", .seed = seed}};
+  time_point now = start_time;
+
+  void two_versions() {
+    core.use_members({member("n1", "dar-1", {endpoint("t1", "v1")}), member("n2", "dar-2", {endpoint("t2", "v2")}),
+                      member("n3", "mwa-1", {endpoint("t3", "v1")})},
+                     now);
+  }
+  upstream_choice chosen(const request_facts& facts = lookup()) {
+    const pick_answer answer = core.pick(now, facts);
+    const auto* choice = std::get_if<upstream_choice>(&answer);
+    return choice != nullptr ? *choice : upstream_choice{};
+  }
+  refusal_reason refused(const request_facts& facts) {
+    const pick_answer answer = core.pick(now, facts);
+    const auto* r = std::get_if<refusal>(&answer);
+    EXPECT_NE(r, nullptr);
+    return r != nullptr ? r->reason : refusal_reason::no_route;
+  }
+  void done(const upstream_choice& choice, call_outcome outcome = call_outcome::ok) {
+    core.finish(now, {choice.ticket, outcome, 5ms, {}});
+  }
+};
+
+// Shares that are not kept make the limits of a rollout's steps void.
+TEST_F(traffic_core_test, shares_are_kept_within_sampling_error) {
+  core.use(document({{"v1", 9'500}, {"v2", 500}}));
+  two_versions();
+  int new_version = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    const upstream_choice c = chosen();
+    new_version += c.upstream_version == "v2" ? 1 : 0;
+    done(c);
+  }
+  EXPECT_NEAR(new_version, 1000, 100);
+}
+
+TEST_F(traffic_core_test, share_of_a_version_without_upstreams_goes_to_the_others_and_is_counted) {
+  core.use(document({{"v1", 5'000}, {"v2", 5'000}}));
+  core.use_members({member("n1", "dar-1", {endpoint("t1", "v1")}),
+                    member("n2", "dar-2", {endpoint("t2", "v2", upstream_state::starting)})},
+                   now);
+  for (int i = 0; i < 100; ++i) {
+    const upstream_choice c = chosen();
+    EXPECT_EQ(c.upstream_version, "v1");
+    done(c);
+  }
+  EXPECT_GT(core.counters().shares_moved, 20U);
+}
+
+// Without a confirmed document a node could act on an old one.
+TEST_F(traffic_core_test, refuses_without_document_route_upstream_or_time) {
+  EXPECT_EQ(refused(lookup()), refusal_reason::no_document);
+  core.use(document({{"v1", 10'000}}));
+  EXPECT_EQ(refused(lookup()), refusal_reason::no_upstream);
+  request_facts other = lookup();
+  other.path = "/certificates-old";
+  EXPECT_EQ(refused(other), refusal_reason::no_route);
+  request_facts late = lookup();
+  late.deadline = 0ms;
+  EXPECT_EQ(refused(late), refusal_reason::deadline);
+}
+
+TEST_F(traffic_core_test, near_upstreams_first_and_farther_ones_when_the_near_ones_are_full) {
+  core.use(document({{"v1", 10'000}}));
+  two_versions();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(chosen().reason, choice_reason::local);
+  EXPECT_EQ(chosen().reason, choice_reason::remote);
+}
+
+// A request from another node that travelled on could loop, and could run after this node has said it did not.
+TEST_F(traffic_core_test, request_from_a_peer_gets_the_local_upstream_or_is_refused) {
+  core.use(document({{"v1", 5'000}, {"v2", 5'000}}));
+  two_versions();
+  request_facts facts = lookup();
+  facts.from_peer = true;
+  facts.service = "certdesk";
+  facts.upstream_version = "v1";
+  const upstream_choice c = chosen(facts);
+  EXPECT_TRUE(c.local);
+  EXPECT_EQ(c.target, "t1");
+  EXPECT_EQ(c.route, "lookup");
+  facts.upstream_version = "v2";
+  EXPECT_EQ(refused(facts), refusal_reason::no_upstream);
+  facts.upstream_version = "v1";
+  core.use_members({member("n1", "dar-1", {endpoint("t1", "v1", upstream_state::draining)})}, now);
+  EXPECT_EQ(refused(facts), refusal_reason::draining);
+  two_versions();
+  core.stop_new_work();
+  EXPECT_EQ(refused(facts), refusal_reason::draining);
+}
+
+TEST_F(traffic_core_test, retry_avoids_the_failed_target_and_is_limited_by_the_budget) {
+  core.use(document({{"v1", 10'000}}));
+  two_versions();
+  request_facts retry = lookup();
+  retry.attempt = 1;
+  retry.avoid_target = "t1";
+  int allowed = 0;
+  for (int i = 0; i < 50; ++i) {
+    const pick_answer answer = core.pick(now, retry);
+    if (const auto* c = std::get_if<upstream_choice>(&answer)) {
+      EXPECT_EQ(c->target, "t3");
+      done(*c);
+      ++allowed;
+    }
+  }
+  EXPECT_EQ(allowed, 3);
+  EXPECT_EQ(refused(retry), refusal_reason::retry_budget);
+}
+
+TEST_F(traffic_core_test, slots_are_released_by_finish_and_a_second_finish_changes_nothing) {
+  core.use(document({{"v1", 10'000}}));
+  two_versions();
+  const upstream_choice c = chosen();
+  done(c);
+  done(c);
+  EXPECT_EQ(core.counters().late_finishes, 1U);
+  EXPECT_EQ(core.dump(now).at("pending").as_uint64(), 0U);
+}
+
+// A bad version must lose this node's calls before the leader has decided, and a fault of everything must cut nobody.
+TEST_F(traffic_core_test, bad_version_is_cut_locally_and_reported) {
+  auto d = document({{"v1", 9'000}, {"v2", 1'000}});
+  d->rollout_progress["certdesk"] = {.service = "certdesk", .from = "v1", .to = "v2", .share = 1'000};
+  core.use(d);
+  two_versions();
+  int bad_calls = 0;
+  const auto second = [&](bool old_fails) {
+    for (int i = 0; i < 100; ++i) {
+      const upstream_choice c = chosen();
+      const bool fails = c.upstream_version == "v2" || old_fails;
+      bad_calls += c.upstream_version == "v2" ? 1 : 0;
+      done(c, fails ? call_outcome::timeout : call_outcome::ok);
+      now += 10ms;
+      if (i % 20 == 19) core.tick(now);
+    }
+  };
+  second(true);
+  EXPECT_FALSE(core.take_evidence() && core.dump(now).at("cut_versions").as_array().size() > 0);
+  bad_calls = 0;
+  for (int i = 0; i < 10; ++i) second(false);
+  EXPECT_EQ(core.dump(now).at("cut_versions").as_array().size(), 1U);
+  EXPECT_LT(bad_calls, 30);
+  const auto report = core.take_evidence();
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->cut_locally, (std::vector<withdrawn_key>{{"certdesk", "v2"}}));
+}
+
+TEST(traffic_service, answers_picks_from_its_mailbox) {
+  kernel k;
+  settings own;
+  own.id = "n1";
+  own.availability_zone = "dar-1";
+  own.seed = seed;
+  auto made = capture([&] { return traffic_service::make(own); });
+  ASSERT_TRUE(made);
+  ASSERT_TRUE(k.add(std::move(*made)));
+  ASSERT_TRUE(k.start());
+  pick_answer got;
+  boost::asio::co_spawn(
+      k.io(),
+      [&]() -> awaitable<void> {
+        auto found = capture([&] { return k.find<traffic_message>(to_name(service_name::traffic)); });
+        address<traffic_message> traffic = *found;
+        traffic.post(use_document{document({{"v1", 10'000}})});
+        auto view = std::make_shared<const std::vector<member_record>>(
+            std::vector<member_record>{member("n1", "dar-1", {endpoint("t1", "v1")})});
+        traffic.post(directory_view{view});
+        auto make = [](reply<pick_answer> r) { return pick_upstream{lookup(), std::move(r)}; };
+        auto answer = co_await ask<pick_answer>(k.timers(), k.executor(), traffic, 5s, make);
+        if (answer) got = *answer;
+        co_await k.stop();
+      },
+      [](std::exception_ptr failure) {
+        if (failure) std::rethrow_exception(failure);
+      });
+  k.io().run();
+  ASSERT_TRUE(std::holds_alternative<upstream_choice>(got));
+  EXPECT_EQ(std::get<upstream_choice>(got).target, "t1");
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- /dev/null
+++ b/traffic/traffic_core_view.cc
@@ -0,0 +1,145 @@
+// The part of traffic_core that follows the directory and shows its state. A new view replaces the lists of upstreams,
+// while what was learnt of an upstream (load, latency, slow start) lives on under its key, node id and target.
+// Invariant: after use_members every list holds exactly the upstreams of the view. Cost: O(members log members) for
+// each view.
+#include <algorithm>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "traffic/traffic_core.h"
+
+namespace heatherdeck {
+namespace {
+
+// Upstreams that the first views show were running before this process was, so they count as warm.
+constexpr std::chrono::seconds settling_time{5};
+
+}  // namespace
+
+choice_reason traffic_core::locality_of(const member_record& member) const {
+  if (member.node_id == identity_.node_id) return choice_reason::local;
+  if (member.availability_zone == identity_.availability_zone) return choice_reason::zone;
+  return member.region == identity_.region ? choice_reason::region : choice_reason::remote;
+}
+
+bool traffic_core::cold_when_new(const upstream& added, time_point now) const {
+  if (added.endpoint.state == upstream_state::starting) return true;
+  return now - first_view_.value_or(now) >= settling_time;
+}
+
+void traffic_core::take_member(const member_record& member, const std::map<std::string, std::shared_ptr<upstream>>& old,
+                               time_point now) {
+  const bool own = member.node_id == identity_.node_id;
+  if (member.state == member_state::left && !own) return;
+  for (const endpoint_record& endpoint : member.endpoints) {
+    if (endpoint.state == upstream_state::gone) continue;
+    std::string key = member.node_id + "/" + endpoint.target;
+    const auto known = old.find(key);
+    const bool same = known != old.end() && known->second->endpoint.service == endpoint.service &&
+                      known->second->endpoint.upstream_version == endpoint.upstream_version;
+    auto u = same ? known->second : std::make_shared<upstream>();
+    const bool was_ready = same && u->endpoint.state == upstream_state::ready;
+    u->key = key;
+    u->endpoint = endpoint;
+    u->node_id = member.node_id;
+    u->availability_zone = member.availability_zone;
+    u->mesh_address = member.mesh_address;
+    u->locality = locality_of(member);
+    // The own node's drain does not stop calls that this node has already accepted.
+    u->usable = endpoint.state == upstream_state::ready && (own || !member.draining);
+    u->suspect = !own && member.state == member_state::suspect;
+    if (endpoint.state == upstream_state::ready && !was_ready && (same || cold_when_new(*u, now))) {
+      u->start.became_ready(now);
+    }
+    service_traffic& traffic = services_[endpoint.service];
+    traffic.versions[endpoint.upstream_version].push_back(u);
+    ++traffic.upstreams;
+    upstreams_.emplace(std::move(key), std::move(u));
+  }
+}
+
+void traffic_core::use_members(const std::vector<member_record>& members, time_point now) {
+  if (!first_view_) first_view_ = now;
+  const auto old = std::exchange(upstreams_, {});
+  for (auto& [name, traffic] : services_) {
+    traffic.versions.clear();
+    traffic.upstreams = 0;
+  }
+  for (const member_record& member : members) take_member(member, old, now);
+  for (const auto& [key, u] : old) {
+    if (!upstreams_.contains(key)) services_[u->endpoint.service].ejector.forget(key);
+  }
+}
+
+boost::json::object traffic_core::dump_upstream(const upstream& shown, const service_traffic& traffic,
+                                                const std::string& service, time_point now) const {
+  const auto standing = traffic.ejector.standing_of(shown.key, now);
+  std::string_view why = to_name(shown.endpoint.state);
+  if (shown.endpoint.state == upstream_state::ready) {
+    if (!shown.usable) {
+      why = "node draining";
+    } else if (cutter_.cut(service, shown.endpoint.upstream_version, now)) {
+      why = "version cut locally";
+    } else if (standing != outlier_ejector::standing::in) {
+      why = to_name(standing);
+    } else if (shown.suspect) {
+      why = "node suspect";
+    } else if (shown.start.cold(now)) {
+      why = "slow start";
+    }
+  }
+  const bool out = !shown.usable || standing == outlier_ejector::standing::ejected || why == "version cut locally";
+  return {{"target", shown.endpoint.target},
+          {"version", shown.endpoint.upstream_version},
+          {"node", shown.node_id},
+          {"zone", shown.availability_zone},
+          {"locality", to_name(shown.locality)},
+          {"in", !out},
+          {"why", why},
+          {"in_flight", shown.load.own_in_flight},
+          {"requests", shown.load.requests(now)},
+          {"slots", shown.endpoint.slots},
+          {"latency_ms", shown.latency_ms},
+          {"weight", shown.start.weight(now)}};
+}
+
+boost::json::value traffic_core::dump(time_point now) const {
+  boost::json::object services;
+  for (const auto& [name, traffic] : services_) {
+    boost::json::array upstreams;
+    for (const auto& [upstream_version, members] : traffic.versions) {
+      for (const auto& u : members) upstreams.push_back(dump_upstream(*u, traffic, name, now));
+    }
+    boost::json::object shares;
+    if (document_) {
+      const auto spec = document_->services.find(name);
+      if (spec != document_->services.end()) {
+        for (const version_share& s : spec->second.shares) shares[s.upstream_version] = s.share;
+      }
+    }
+    services[name] = boost::json::object{{"shares", std::move(shares)},
+                                         {"limit", traffic.limiter.limit()},
+                                         {"in_flight", traffic.limiter.in_flight()},
+                                         {"refused_by_limit", traffic.limiter.refused()},
+                                         {"retry_tokens", traffic.retries.tokens()},
+                                         {"ejected", traffic.ejector.ejected(now)},
+                                         {"upstreams", std::move(upstreams)}};
+  }
+  boost::json::array cut;
+  for (const auto& [service, name] : cutter_.cut_versions(now)) {
+    cut.push_back(boost::json::object{{"service", service}, {"version", name}});
+  }
+  return boost::json::object{{"document", document_ ? document_->current.text() : "none"},
+                             {"draining", stopping_},
+                             {"pending", pending_.size()},
+                             {"picks", counters_.picks},
+                             {"refusals", counters_.refusals},
+                             {"shares_moved", counters_.shares_moved},
+                             {"late_finishes", counters_.late_finishes},
+                             {"cut_versions", std::move(cut)},
+                             {"services", std::move(services)}};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/traffic/traffic_service.cc
@@ -0,0 +1,107 @@
+// One task receives all messages in order and calls the pure core, so a pick never waits for anything but the mailbox.
+// Invariant: only this task touches the core while the service runs. Cost: one message for each pick and one for each
+// finish; five ticks a second.
+#include "traffic/traffic_service.h"
+
+#include <random>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr std::size_t inbox_capacity = 8192;
+constexpr milliseconds tick_period{200};
+constexpr std::uint32_t ticks_for_each_report = 5;
+
+template <class... Handlers>
+struct overloaded_handlers : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded_handlers(Handlers...) -> overloaded_handlers<Handlers...>;
+
+}  // namespace
+
+result<std::unique_ptr<traffic_service>> traffic_service::make(const settings& own) {
+  if (own.id.empty()) return fail(error_kind::bad_settings, "the process has no id", "set id", "id");
+  if (own.availability_zone.empty()) {
+    return fail(error_kind::bad_settings, "the availability zone is not set", "set availability_zone",
+                "availability_zone");
+  }
+  std::uint64_t seed = own.seed;
+  if (seed == 0) {
+    std::random_device source;
+    seed = (static_cast<std::uint64_t>(source()) << 32) | source();
+  }
+  return std::unique_ptr<traffic_service>(
+      new traffic_service(traffic_identity{own.id, own.availability_zone, own.region, seed}));
+}
+
+std::string_view traffic_service::name() const { return to_name(service_name::traffic); }
+
+void traffic_service::publish(kernel& k) {
+  inbox_ = std::make_unique<mailbox<traffic_message>>(k.executor(), inbox_capacity);
+  k.publish(name(), inbox_->address());
+}
+
+result<void> traffic_service::start(kernel& k) {
+  // A process without a subscriber, such as a test, has nobody who would pass evidence on.
+  if (k.has(to_name(service_name::subscriber))) {
+    BOOST_LEAF_ASSIGN(subscriber_, k.find<subscriber_message>(to_name(service_name::subscriber)));
+  }
+  ticks_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(traffic_tick{}); });
+  boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+  return {};
+}
+
+void traffic_service::stop() {
+  ticks_.cancel();
+  inbox_->close();
+}
+
+awaitable<void> traffic_service::run() {
+  for (;;) {
+    outcome<traffic_message> message = co_await inbox_->receive();
+    if (!message) co_return;
+    handle(std::move(*message));
+  }
+}
+
+void traffic_service::handle(traffic_message message) {
+  const time_point now = timer_service::now();
+  std::visit(overloaded_handlers{
+                 [&](const traffic_tick&) { tick(now); },
+                 [&](use_document& m) { core_.use(std::move(m.document)); },
+                 [&](const directory_view& m) { core_.use_members(*m.members, now); },
+                 [&](const pick_upstream& m) { m.answer(core_.pick(now, m.facts)); },
+                 [&](const finish_call& m) { core_.finish(now, m); },
+                 [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
+                 [&](const stop_new_work&) { core_.stop_new_work(); },
+             },
+             message);
+}
+
+void traffic_service::tick(time_point now) {
+  for (const auto& [service, upstream_version] : core_.tick(now)) {
+    log_event(log_level::warning, "version_cut_locally", {{"service", service}, {"version", upstream_version}});
+  }
+  if (++ticks_since_evidence_ < ticks_for_each_report) return;
+  ticks_since_evidence_ = 0;
+  auto report = core_.take_evidence();
+  if (!report || !subscriber_) return;
+  if (!subscriber_.post(send_evidence{std::move(*report)})) ++evidence_dropped_;
+}
+
+boost::json::value traffic_service::dump() const {
+  boost::json::value state = core_.dump(timer_service::now());
+  state.as_object()["evidence_dropped"] = evidence_dropped_;
+  return state;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/traffic/traffic_service.h
@@ -0,0 +1,47 @@
+/// @file
+/// The service "traffic": feeds traffic_core from its mailbox and timers, and sends evidence to "subscriber".
+///
+///     BOOST_LEAF_AUTO(traffic, traffic_service::make(settings));
+///     BOOST_LEAF_CHECK(k.add(std::move(traffic)));
+///     ...
+///     auto inbox = k.find<traffic_message>(to_name(service_name::traffic));
+///     auto answer = co_await ask<pick_answer>(timers, executor, inbox, 1s, make_pick);
+#pragma once
+
+#include <memory>
+
+#include "kernel/kernel.h"
+#include "model/publisher_messages.h"
+#include "model/settings.h"
+#include "model/traffic_messages.h"
+#include "traffic/traffic_core.h"
+
+namespace heatherdeck {
+
+class traffic_service : public service {
+ public:
+  /// @param own node id, availability zone, region and seed of this process.
+  /// @return the service, or `bad_settings` when id or availability zone is missing.
+  static result<std::unique_ptr<traffic_service>> make(const settings& own);
+
+  std::string_view name() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  explicit traffic_service(traffic_identity identity) : core_(std::move(identity)) {}
+  awaitable<void> run();
+  void handle(traffic_message message);
+  void tick(time_point now);
+
+  traffic_core core_;
+  std::unique_ptr<mailbox<traffic_message>> inbox_;
+  address<subscriber_message> subscriber_;
+  subscription ticks_;
+  std::uint32_t ticks_since_evidence_ = 0;
+  std::uint64_t evidence_dropped_ = 0;  ///< reports that the subscriber's full mailbox refused
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/traffic/version_cutter.cc
@@ -0,0 +1,83 @@
+// The sequential test of model/odds_test.h on this node's own calls, with a much higher threshold than the leader's and
+// without a bound on what one window may show, because a cut must come within a few failed calls. Windows in which only
+// one version was called say nothing and are carried over. Invariant: without calls of the old version at the same time
+// nothing is cut, so a failure of everything cuts nobody. Cost: O(1) for each call.
+#include "traffic/version_cutter.h"
+
+#include <algorithm>
+
+namespace heatherdeck {
+namespace {
+
+// A window in which only one version was called is carried over until it holds this many calls. Beyond that, the calls
+// were not made at the same time.
+constexpr std::uint32_t largest_carried_window = 2000;
+constexpr double tolerated_odds = 2.0;
+
+}  // namespace
+
+sequential_odds_test version_cutter::new_test() {
+  return sequential_odds_test({.tolerated_odds = tolerated_odds, .largest_factor = 1e6, .windows = 4500});
+}
+
+void version_cutter::set_document(const compiled_document& document) {
+  std::map<std::string, watched_rollout> next;
+  for (const auto& [service, progress] : document.rollout_progress) {
+    if (progress.status != rollout_status::running && progress.status != rollout_status::watching) continue;
+    const auto known = rollouts_.find(service);
+    const bool same =
+        known != rollouts_.end() && known->second.from == progress.from && known->second.to == progress.to;
+    next.emplace(service,
+                 same ? known->second : watched_rollout{.from = progress.from, .to = progress.to, .test = new_test()});
+  }
+  rollouts_ = std::move(next);
+}
+
+void version_cutter::record(const std::string& service, const std::string& upstream_version, bool failed) {
+  const auto found = rollouts_.find(service);
+  if (found == rollouts_.end()) return;
+  watched_rollout& r = found->second;
+  if (upstream_version == r.to) {
+    ++r.window.new_calls;
+    r.window.new_events += failed ? 1 : 0;
+    r.failures += failed ? 1 : 0;
+  } else if (upstream_version == r.from) {
+    ++r.window.old_calls;
+    r.window.old_events += failed ? 1 : 0;
+  }
+}
+
+std::vector<withdrawn_key> version_cutter::close_window(time_point now) {
+  std::vector<withdrawn_key> cut_now;
+  for (auto& [service, r] : rollouts_) {
+    if (r.window.new_calls + r.window.old_calls == 0) continue;
+    if (r.window.new_calls == 0 || r.window.old_calls == 0) {
+      if (r.window.new_calls + r.window.old_calls > largest_carried_window) r.window = {};
+      continue;
+    }
+    r.test.add(std::span(&r.window, 1));
+    r.window = {};
+    if (r.cut_until > now || r.test.evidence() < evidence_to_cut || r.failures < failures_to_cut) continue;
+    r.cut_until = now + first_cut * (1U << std::min(r.cuts, 6U));
+    ++r.cuts;
+    r.test = new_test();
+    r.failures = 0;
+    cut_now.emplace_back(service, r.to);
+  }
+  return cut_now;
+}
+
+bool version_cutter::cut(const std::string& service, const std::string& upstream_version, time_point now) const {
+  const auto found = rollouts_.find(service);
+  return found != rollouts_.end() && found->second.to == upstream_version && found->second.cut_until > now;
+}
+
+std::vector<withdrawn_key> version_cutter::cut_versions(time_point now) const {
+  std::vector<withdrawn_key> cut_now;
+  for (const auto& [service, r] : rollouts_) {
+    if (r.cut_until > now) cut_now.emplace_back(service, r.to);
+  }
+  return cut_now;
+}
+
+}  // namespace heatherdeck
