--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -33,7 +33,7 @@
   for (const control_host& host : s.control_hosts) {
     core.sources_.push_back({host.id, host.mesh_address, distance_of(host, s)});
   }
-  std::sort(core.sources_.begin(), core.sources_.end(), [&](const source& a, const source& b) {
+  std::sort(core.sources_.begin(), core.sources_.end(), [&](const candidate& a, const candidate& b) {
     return std::tuple(a.distance, hash_of(s.id + "/" + a.host_id)) <
            std::tuple(b.distance, hash_of(s.id + "/" + b.host_id));
   });
@@ -45,7 +45,7 @@
 }
 
 subscriber_core::attempt subscriber_core::next_source() {
-  const source& s = sources_[next_ % sources_.size()];
+  const candidate& s = sources_[next_ % sources_.size()];
   at_nearest_ = next_ % sources_.size() == 0;
   ++next_;
   const milliseconds backoff =
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -77,7 +77,7 @@
   const std::string& source() const { return source_; }
 
  private:
-  struct source {
+  struct candidate {
     std::string host_id;
     std::string mesh_address;
     std::uint32_t distance = 0;  ///< 0 own availability zone, 1 own region, 2 elsewhere
@@ -100,7 +100,7 @@
   std::string zone_;
   milliseconds keepalive_;
   std::mt19937_64 random_;
-  std::vector<source> sources_;
+  std::vector<candidate> sources_;
   std::size_t next_ = 0;        ///< index into sources_ of the next attempt
   std::uint32_t failures_ = 0;  ///< attempts since the last source that proved useful
   bool useful_ = false;         ///< the present source has shown that it has a quorum
