Stand-in upstream: slots, cold start, faults, load reports and counted runs

Every measurement and scenario needs upstreams whose behaviour is known. The behaviour is a pure model; the service announces itself, drains, sheds, keeps deadlines and counts how often each request ran.

--- /dev/null
+++ b/testing/upstream.cmake
@@ -0,0 +1,4 @@
+add_executable(heatherdeck_upstream upstream_main.cc upstream_service.cc upstream_model.cc)
+target_link_libraries(heatherdeck_upstream PRIVATE hd_wire gflags)
+hd_test(upstream_model_test hd_kernel)
+target_sources(upstream_model_test PRIVATE upstream_model.cc)
