--- /dev/null
+++ b/consensus/raft_core.cc
@@ -0,0 +1,321 @@
+// The common part of the state machine: dispatch of events, persistence tickets, role changes and the commit index.
+// Invariants: (1) everything a step must make durable is one `persist_state`, placed before the step's messages;
+// (2) a message held for a ticket leaves only after that ticket is durable; (3) `applied_` <= `commit_` and both only
+// grow; (4) `durable_` never exceeds the part of the present log that the store has acknowledged.
+// A step costs O(peers) plus the entries it moves.
+#include "consensus/raft_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace heatherdeck {
+
+raft_core::raft_core(raft_config config, time_point now)
+    : config_(std::move(config)), now_(now), random_(config_.seed) {}
+
+result<raft_core> raft_core::make(raft_config config, stored_state stored, time_point now) {
+  raft_core core(std::move(config), now);
+  core.config_.store_id = stored.store_id;
+  core.hard_ = std::move(stored.hard);
+  if (stored.image) {
+    core.image_ = stored.image;
+    core.log_.reset(stored.image->index, stored.image->term, stored.image->voters);
+    core.commit_ = core.applied_ = stored.image->index;
+  }
+  for (log_entry& entry : stored.entries) {
+    if (entry.index <= core.log_.last_index()) continue;
+    if (entry.index != core.log_.last_index() + 1) {
+      return fail(error_kind::corrupt,
+                  fmt::format("the log lacks the entries {} to {}", core.log_.last_index() + 1, entry.index - 1),
+                  "replace this host's data folder and admit it as a new member");
+    }
+    std::optional<std::vector<voter>> voters;
+    if (entry.kind == entry_kind::membership) {
+      BOOST_LEAF_AUTO(read, to_result(core.config_.codec.read_voters(entry.payload)));
+      voters = std::move(read);
+    }
+    core.log_.append(std::move(entry), voters);
+  }
+  core.durable_ = core.log_.last_index();
+  core.heard_leader_ = now - 2 * core.config_.election_timeout;
+  core.draw_election_deadline();
+  // A blank founder asks at once, and the only voter need not wait for a leader.
+  const bool alone = quorum_size(core.log_.voters()) == 1 && core.self_votes();
+  if (core.log_.voters().empty() || alone) core.election_deadline_ = now;
+  return core;
+}
+
+std::vector<raft_action> raft_core::step(time_point now, raft_event event) {
+  now_ = std::max(now, now_);
+  actions_.clear();
+  check_lease();
+  std::visit([this](auto&& e) { handle(std::forward<decltype(e)>(e)); }, std::move(event));
+  finish_step();
+  return std::exchange(actions_, {});
+}
+
+time_point raft_core::wake_at() const {
+  if (state_ == state::leader) return next_heartbeat_;
+  if (reads_at_leader_.empty()) return election_deadline_;
+  return std::min(election_deadline_, reads_at_leader_.begin()->second + read_patience * config_.election_timeout);
+}
+
+// --- events --------------------------------------------------------------------------------------------------------
+
+void raft_core::handle(timer_expired /*event*/) {
+  refuse_reads(now_ - read_patience * config_.election_timeout);
+  if (state_ == state::leader) {
+    if (now_ >= next_heartbeat_) heartbeat();
+  } else if (now_ >= election_deadline_) {
+    election_timer_expired();
+  }
+}
+
+void raft_core::handle(message_received event) {
+  const raft_message& m = event.message;
+  // A message for another store of this host was meant for the disk that this one replaced.
+  if (m.to != config_.host_id || (!m.to_store.empty() && m.to_store != config_.store_id)) return;
+  if (const voter* member = find_member(log_.voters(), m.from); member != nullptr) {
+    if (member->store_id == m.from_store) {
+      unadmitted_.erase(m.from);
+    } else {
+      unadmitted_[m.from] = m.from_store;
+    }
+  } else if (!log_.voters().empty()) {
+    unadmitted_[m.from] = m.from_store;
+  }
+  struct dispatch {
+    raft_core& core;
+    const raft_message& message;
+    void operator()(const vote_request& body) const { core.on_vote_request(message, body); }
+    void operator()(const vote_answer& body) const { core.on_vote_answer(message, body); }
+    void operator()(const append_request& body) const { core.on_append_request(message, body); }
+    void operator()(const append_answer& body) const { core.on_append_answer(message, body); }
+    void operator()(const snapshot_chunk& body) const { core.on_snapshot_chunk(message, body); }
+    void operator()(const snapshot_answer& body) const { core.on_snapshot_answer(message, body); }
+    void operator()(const read_request& body) const { core.on_read_request(message, body); }
+    void operator()(const read_answer& body) const { core.on_read_answer(body); }
+  };
+  std::visit(dispatch{*this, m}, m.body);
+}
+
+void raft_core::handle(proposed event) {
+  error refused;
+  if (state_ != state::leader) {
+    refused = refusal();
+  } else if (proposals_.size() >= config_.max_pending) {
+    refused = {error_kind::overloaded, "too many proposals wait for their commit", "try again later", {}};
+  } else if (event.payload.size() > config_.payload_bytes) {
+    refused = {error_kind::limit, "the command is larger than one message may be", "split the change", {}};
+  } else {
+    proposals_[log_.last_index() + 1] = event.id;
+    append_entry({hard_.term, log_.last_index() + 1, entry_kind::command, std::move(event.payload)}, std::nullopt);
+    replicate_all(false);
+    return;
+  }
+  actions_.emplace_back(answer_proposal{event.id, refused});
+}
+
+void raft_core::handle(read_asked event) {
+  if (state_ != state::leader) return ask_leader(event);
+  reads_waiting_.push_back({{}, {}, event.id, 0, 0, now_});
+  start_read_round();
+}
+
+void raft_core::handle(change_asked event) {
+  const outcome<std::vector<voter>> voters =
+      state_ == state::leader ? changed_voters(event) : outcome<std::vector<voter>>(refusal());
+  if (!voters) {
+    actions_.emplace_back(answer_proposal{event.id, voters.failure()});
+    return;
+  }
+  proposals_[log_.last_index() + 1] = event.id;
+  append_entry({hard_.term, log_.last_index() + 1, entry_kind::membership, config_.codec.write_voters(*voters)},
+               *voters);
+  peers_.follow(log_, now_);
+  replicate_all(false);
+}
+
+void raft_core::handle(persisted event) {
+  durable_ticket_ = std::max(durable_ticket_, event.ticket);
+  while (!ticket_ends_.empty() && ticket_ends_.front().first <= durable_ticket_) {
+    durable_ = std::max(durable_, ticket_ends_.front().second);
+    ticket_ends_.pop_front();
+  }
+  while (!held_.empty() && held_.front().first <= durable_ticket_) {
+    send(std::move(held_.front().second));
+    held_.pop_front();
+  }
+  if (state_ == state::candidate && own_vote_ticket_ != 0 && own_vote_ticket_ <= durable_ticket_) {
+    votes_.insert(config_.host_id);
+    count_votes();
+  }
+  if (state_ == state::leader) advance_commit();
+}
+
+void raft_core::handle(image_taken event) {
+  const bool newer = !image_ || event.index > image_->index;
+  const auto term = log_.term_at(event.index);
+  if (!newer || event.index > applied_ || !term) return;
+  image_ = make_snapshot(config_.codec, event.index, *term, log_.voters_at(event.index), event.bytes);
+  unsaved_.image = image_;
+  has_unsaved_ = true;
+  if (event.index > config_.trailing_entries) log_.compact(event.index - config_.trailing_entries);
+}
+
+// --- persistence ---------------------------------------------------------------------------------------------------
+
+void raft_core::finish_step() {
+  if (has_unsaved_) {
+    unsaved_.ticket = ++last_ticket_;
+    if (unsaved_.hard) hard_ticket_ = last_ticket_;
+    ticket_ends_.emplace_back(last_ticket_, log_.last_index());
+    actions_.insert(actions_.begin(), std::exchange(unsaved_, {}));
+    has_unsaved_ = false;
+  }
+  for (raft_message& message : held_in_step_) {
+    if (durable_ticket_ >= last_ticket_) {
+      send(std::move(message));
+    } else {
+      held_.emplace_back(last_ticket_, std::move(message));
+    }
+  }
+  held_in_step_.clear();
+}
+
+void raft_core::append_entry(log_entry entry, const std::optional<std::vector<voter>>& voters) {
+  unsaved_.entries.push_back(entry);
+  has_unsaved_ = true;
+  log_.append(std::move(entry), voters);
+}
+
+void raft_core::truncate_after(std::uint64_t index) {
+  log_.truncate_after(index);
+  unsaved_.truncate_after = index;
+  has_unsaved_ = true;
+  durable_ = std::min(durable_, index);
+  for (auto& [ticket, end] : ticket_ends_) end = std::min(end, index);
+}
+
+void raft_core::send(raft_message message) { actions_.emplace_back(send_message{std::move(message)}); }
+
+void raft_core::send_when_durable(raft_message message) { held_in_step_.push_back(std::move(message)); }
+
+raft_message raft_core::envelope(const std::string& to, const std::string& to_store, std::uint64_t term,
+                                 raft_body body) const {
+  return {config_.host_id, config_.store_id, to, to_store, term, std::move(body)};
+}
+
+raft_message raft_core::answer_to(const raft_message& asked, raft_body body) const {
+  return envelope(asked.from, asked.from_store, hard_.term, std::move(body));
+}
+
+// --- roles ---------------------------------------------------------------------------------------------------------
+
+void raft_core::become_follower(std::uint64_t term, const std::string& leader) {
+  if (term > hard_.term) {
+    hard_ = {term, {}, {}};
+    unsaved_.hard = hard_;
+    has_unsaved_ = true;
+  }
+  if (state_ == state::leader) fail_waiting();
+  if (state_ != state::follower || leader_ != leader) draw_election_deadline();
+  if (leader_ != leader) refuse_reads(now_);
+  state_ = state::follower;
+  leader_ = leader;
+  own_vote_ticket_ = 0;
+}
+
+void raft_core::fail_waiting() {
+  const error lost{error_kind::unknown_outcome,
+                   "leadership was lost before the entry was committed",
+                   "send the same submission again; its id prevents a second execution",
+                   {}};
+  for (const auto& [index, id] : std::exchange(proposals_, {})) actions_.emplace_back(answer_proposal{id, lost});
+  const error unconfirmed{error_kind::no_quorum, "leadership was lost before the read was confirmed", "ask again", {}};
+  for (auto* queue : {&reads_waiting_, &reads_in_round_}) {
+    for (const read_wait& read : std::exchange(*queue, {})) {
+      if (read.host.empty()) {
+        actions_.emplace_back(answer_read{read.id, unconfirmed});
+      } else {
+        send(envelope(read.host, read.store, hard_.term, read_answer{read.id, false, 0}));
+      }
+    }
+  }
+}
+
+error raft_core::refusal() const {
+  if (leader_.empty()) {
+    return {error_kind::no_quorum, "no leader is known", "try again; check that a quorum of control hosts is up", {}};
+  }
+  return {error_kind::not_leader, "this control host is not the leader", "ask the leader '" + leader_ + "'", leader_};
+}
+
+void raft_core::halt_with(std::string text) {
+  actions_.emplace_back(
+      halt{{error_kind::corrupt, std::move(text), "replace this host's data folder and admit it as a new member", {}}});
+}
+
+// --- commit --------------------------------------------------------------------------------------------------------
+
+void raft_core::commit_to(std::uint64_t index) {
+  if (index <= commit_) return;
+  commit_ = index;
+  apply_committed_entries();
+  while (!proposals_.empty() && proposals_.begin()->first <= commit_) {
+    const auto [at, id] = *proposals_.begin();
+    proposals_.erase(proposals_.begin());
+    actions_.emplace_back(answer_proposal{id, committed{at, hard_.term}});
+  }
+}
+
+void raft_core::apply_committed_entries() {
+  if (applied_ >= commit_) return;
+  apply_committed action;
+  action.entries.reserve(commit_ - applied_);
+  for (std::uint64_t i = applied_ + 1; i <= commit_; ++i) action.entries.push_back(log_.at(i));
+  applied_ = commit_;
+  actions_.emplace_back(std::move(action));
+}
+
+// --- views ---------------------------------------------------------------------------------------------------------
+
+raft_role raft_core::role() const {
+  switch (state_) {
+    case state::leader:
+      return raft_role::leader;
+    case state::candidate:
+      return raft_role::candidate;
+    case state::pre_candidate:
+      return raft_role::pre_candidate;
+    case state::follower:
+      break;
+  }
+  return self_votes() ? raft_role::follower : raft_role::learner;
+}
+
+duration raft_core::lease_left(time_point now) const {
+  if (state_ != state::leader) return duration::zero();
+  const duration left = peers_.quorum_contact(log_.voters(), now) + config_.lease - now;
+  return std::max(left, duration::zero());
+}
+
+const std::vector<voter>& raft_core::known_hosts() const {
+  return log_.voters().empty() ? config_.founders : log_.voters();
+}
+
+consensus_status raft_core::status(time_point now) const {
+  consensus_status s;
+  s.role = role();
+  s.term = hard_.term;
+  s.commit = commit_;
+  s.leader = leader_;
+  s.voters = log_.voters();
+  s.quorum = state_ == state::leader ? lease_left(now) > duration::zero()
+                                     : !leader_.empty() && now - heard_leader_ < config_.election_timeout;
+  return s;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/raft_peers.cc
@@ -0,0 +1,87 @@
+// All quorum figures are order statistics over the voting members: the value that at least a quorum has reached.
+// Invariant: a contact time is the time at which the answered round was sent, not received, so that a delayed answer
+// cannot lengthen the lease. Each figure costs one sort over at most seven values.
+#include "consensus/raft_peers.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace heatherdeck {
+
+namespace {
+// Rounds that are older than this many are not answered any more in practice; an answer to one extends no lease.
+constexpr std::size_t kept_rounds = 256;
+}  // namespace
+
+void raft_peers::reset(const raft_log& log, const std::string& own_id, time_point now) {
+  own_id_ = own_id;
+  peers_.clear();
+  rounds_.clear();
+  follow(log, now);
+}
+
+void raft_peers::follow(const raft_log& log, time_point now) {
+  const std::vector<voter>& voters = log.voters();
+  std::erase_if(peers_, [&](const auto& item) {
+    const voter* member = find_member(voters, item.first);
+    return member == nullptr || member->store_id != item.second.store_id;
+  });
+  for (const voter& member : voters) {
+    if (member.host_id == own_id_ || peers_.contains(member.host_id)) continue;
+    peer_progress added;
+    added.store_id = member.store_id;
+    added.next = log.last_index() + 1;
+    added.acked_at = now;
+    peers_.emplace(member.host_id, added);
+  }
+}
+
+peer_progress* raft_peers::find(const std::string& host_id) {
+  const auto found = peers_.find(host_id);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t raft_peers::begin_round(time_point now) {
+  rounds_.emplace_back(++round_, now);
+  if (rounds_.size() > kept_rounds) rounds_.pop_front();
+  return round_;
+}
+
+void raft_peers::answered(peer_progress& peer, std::uint64_t round) {
+  if (round <= peer.acked_round || round > round_) return;
+  peer.acked_round = round;
+  const auto sent = std::lower_bound(rounds_.begin(), rounds_.end(), round,
+                                     [](const auto& item, std::uint64_t wanted) { return item.first < wanted; });
+  if (sent != rounds_.end() && sent->first == round) peer.acked_at = std::max(peer.acked_at, sent->second);
+}
+
+template <class Value, class Get>
+Value raft_peers::quorum_value(const std::vector<voter>& voters, Value own, Get get) const {
+  std::vector<Value> values;
+  for (const voter& member : voters) {
+    if (member.learner) continue;
+    if (member.host_id == own_id_) {
+      values.push_back(own);
+      continue;
+    }
+    const auto found = peers_.find(member.host_id);
+    values.push_back(found == peers_.end() ? Value{} : get(found->second));
+  }
+  if (values.empty()) return Value{};
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[quorum_size(voters) - 1];
+}
+
+std::uint64_t raft_peers::quorum_match(const std::vector<voter>& voters, std::uint64_t own_durable) const {
+  return quorum_value<std::uint64_t>(voters, own_durable, [](const peer_progress& p) { return p.match; });
+}
+
+std::uint64_t raft_peers::quorum_round(const std::vector<voter>& voters) const {
+  return quorum_value<std::uint64_t>(voters, round_, [](const peer_progress& p) { return p.acked_round; });
+}
+
+time_point raft_peers::quorum_contact(const std::vector<voter>& voters, time_point now) const {
+  return quorum_value<time_point>(voters, now, [](const peer_progress& p) { return p.acked_at; });
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/raft_types.cc
@@ -0,0 +1,41 @@
+// Packs a snapshot into one blob and back, so that files and chunks carry the same bytes. Invariant: a blob is the
+// 4-byte length of the membership, the membership and the state, and `state_offset` points behind the membership.
+#include "consensus/raft_types.h"
+
+#include <utility>
+
+namespace heatherdeck {
+
+snapshot_ptr make_snapshot(const entry_codec& codec, std::uint64_t index, std::uint64_t term, std::vector<voter> voters,
+                           std::string_view state) {
+  auto made = std::make_shared<snapshot>();
+  made->index = index;
+  made->term = term;
+  const std::string membership = codec.write_voters(voters);
+  for (int shift = 0; shift < 32; shift += 8) made->blob += static_cast<char>(membership.size() >> shift);
+  made->blob += membership;
+  made->state_offset = made->blob.size();
+  made->blob += state;
+  made->voters = std::move(voters);
+  return made;
+}
+
+result<snapshot_ptr> parse_snapshot(const entry_codec& codec, std::uint64_t index, std::uint64_t term,
+                                    std::string blob) {
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < 4 && blob.size() >= 4; ++i) {
+    length |= static_cast<std::size_t>(static_cast<unsigned char>(blob[i])) << (8 * i);
+  }
+  if (blob.size() < 4 || length > blob.size() - 4) {
+    return fail(error_kind::corrupt, "a snapshot's membership is longer than the snapshot", "replace the data folder");
+  }
+  auto parsed = std::make_shared<snapshot>();
+  parsed->index = index;
+  parsed->term = term;
+  BOOST_LEAF_ASSIGN(parsed->voters, to_result(codec.read_voters(std::string_view(blob).substr(4, length))));
+  parsed->state_offset = 4 + length;
+  parsed->blob = std::move(blob);
+  return snapshot_ptr(std::move(parsed));
+}
+
+}  // namespace heatherdeck
