consensus service and log store: first working version

Cause: control hosts must keep agreed state across kills. Change: log files with checksums, a writer thread, links to peers, the service.

--- /dev/null
+++ b/consensus/consensus_service.cc
@@ -0,0 +1,47 @@
+// The service is a thin shell: it checks the settings, publishes the two addresses and starts the task that owns the
+// state. Invariant: nothing here touches the Raft state; `dump` asks the task, which lives on the same thread.
+#include "consensus/consensus_service.h"
+
+#include <utility>
+
+#include <boost/json/object.hpp>
+
+#include "consensus/consensus_task.h"
+#include "model/service_names.h"
+
+namespace heatherdeck {
+
+consensus_service::consensus_service(const settings& s) : settings_(s) {}
+
+consensus_service::~consensus_service() = default;
+
+result<std::unique_ptr<service>> consensus_service::make(const settings& s) {
+  if (s.data_folder.empty()) {
+    return fail(error_kind::bad_settings, "a control host needs a data folder", "set data_folder", "data_folder");
+  }
+  return std::unique_ptr<service>(new consensus_service(s));
+}
+
+std::string_view consensus_service::name() const { return to_name(service_name::consensus); }
+
+std::vector<std::string_view> consensus_service::dependencies() const { return {to_name(service_name::mesh)}; }
+
+void consensus_service::publish(kernel& k) {
+  task_ = std::make_shared<task>(k.executor());
+  k.publish(name(), task_->asked.address());
+  k.publish(name(), task_->streams.address());
+}
+
+result<void> consensus_service::start(kernel& k) {
+  task::surroundings around;
+  around.owner = &k;
+  BOOST_LEAF_ASSIGN(around.mesh, k.find<mesh_message>(to_name(service_name::mesh)));
+  BOOST_LEAF_ASSIGN(around.ledger, k.find<ledger_message>(to_name(service_name::ledger)));
+  return task_->start(settings_, std::move(around));
+}
+
+void consensus_service::stop() { task_->stop(); }
+
+boost::json::value consensus_service::dump() const { return task_ ? task_->describe() : boost::json::object{}; }
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/consensus_task.cc
@@ -0,0 +1,354 @@
+// Turns mailbox messages into events of the Raft state machine and carries out its actions in order. Invariants: at
+// most one batch is with the log writer and one message with the ledger, so both keep their order; what arrives
+// meanwhile joins the next batch (group commit). A full mailbox delays its sender, never this task.
+// An event costs one step; a commit costs one write and one sync on this host.
+#include "consensus/consensus_task.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "consensus/log_record.h"
+#include "consensus/wire_entry_codec.h"
+#include "kernel/log.h"
+#include "wire/codec.h"
+
+namespace heatherdeck {
+
+namespace {
+using namespace std::chrono_literals;
+
+constexpr std::size_t inbox_length = 1024;
+constexpr std::size_t asked_length = 1024;
+constexpr std::size_t streams_length = 32;
+// Proposals are refused while more messages than this wait for the ledger, so that its backlog stays bounded.
+constexpr std::size_t most_undelivered = 1024;
+// A snapshot rewrites the whole state (up to some megabytes), so it is taken rarely: 4,096 entries are five days of
+// 750 changes.
+constexpr std::uint64_t entries_per_image = 4096;
+constexpr std::uint64_t bytes_per_image = 32 << 20;
+constexpr milliseconds image_limit = 10'000ms;
+// Three election time-outs without an answer: the connection is replaced even when it still takes bytes.
+constexpr milliseconds silence_limit = 2000ms;
+
+// The founders in the same order on every host, whatever the order in the settings.
+std::vector<voter> founders_of(const settings& s) {
+  std::vector<voter> founders;
+  for (const control_host& host : s.control_hosts) founders.push_back({host.id, {}, host.mesh_address, false});
+  if (founders.empty()) founders.push_back({s.id, {}, s.mesh_listen, false});
+  std::sort(founders.begin(), founders.end(), [](const voter& a, const voter& b) { return a.host_id < b.host_id; });
+  return founders;
+}
+}  // namespace
+
+consensus_service::task::task(executor_type executor)
+    : asked(executor, asked_length),
+      streams(executor, streams_length),
+      executor_(executor),
+      inbox_(executor, inbox_length) {}
+
+result<void> consensus_service::task::start(const settings& s, surroundings around) {
+  around_ = std::move(around);
+  host_id_ = s.id;
+  seed_ = (s.seed != 0 ? s.seed : std::random_device{}()) ^ (std::uint64_t{crc32c(s.id)} << 16U);
+  BOOST_LEAF_AUTO(store, log_store::open(files_, {s.data_folder, wire_entry_codec()}));
+  stored_state stored = store.take_state();
+  store_id_ = stored.store_id;
+  raft_config config;
+  config.host_id = s.id;
+  config.founders = founders_of(s);
+  config.heartbeat = s.heartbeat;
+  config.election_timeout = s.election_timeout;
+  config.lease = s.election_timeout * 5 / 6;  // the design's 500 ms of 600 ms
+  config.seed = seed_;
+  config.codec = wire_entry_codec();
+  const snapshot_ptr image = stored.image;
+  BOOST_LEAF_ASSIGN(core_, raft_core::make(std::move(config), std::move(stored), timer_service::now()));
+  writer_ = std::make_unique<log_writer>(executor_, std::move(store),
+                                         [to = inbox_.address(), ex = executor_](outcome<std::uint64_t> ticket) {
+                                           boost::asio::co_spawn(
+                                               ex,
+                                               [to, ticket = std::move(ticket)]() mutable -> awaitable<void> {
+                                                 consensus_input input = batch_written{std::move(ticket)};
+                                                 (void)co_await to.send(std::move(input));
+                                               },
+                                               boost::asio::detached);
+                                         });
+  if (image) carry_out(restore_state{image});
+  const auto self = shared_from_this();
+  boost::asio::co_spawn(
+      executor_, [self]() -> awaitable<void> { co_await self->run(); }, boost::asio::detached);
+  boost::asio::co_spawn(
+      executor_, [self]() -> awaitable<void> { co_await self->forward_asked(); }, boost::asio::detached);
+  boost::asio::co_spawn(
+      executor_, [self]() -> awaitable<void> { co_await self->accept_streams(); }, boost::asio::detached);
+  arm_timer();
+  return {};
+}
+
+void consensus_service::task::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  asked.close();
+  streams.close();
+  inbox_.close();
+  links_.clear();
+  proposals_.clear();
+  reads_.clear();
+  writer_.reset();
+}
+
+// --- tasks ---------------------------------------------------------------------------------------------------------
+
+awaitable<void> consensus_service::task::run() {
+  const auto self = shared_from_this();
+  for (;;) {
+    auto input = co_await inbox_.receive();
+    if (!input || stopped_) co_return;
+    std::visit([this](auto&& message) { handle(std::forward<decltype(message)>(message)); }, std::move(*input));
+    // A long queue must not delay heartbeats.
+    if (!failure_ && timer_service::now() >= core_->wake_at()) step(timer_expired{});
+    arm_timer();
+  }
+}
+
+awaitable<void> consensus_service::task::forward_asked() {
+  const auto self = shared_from_this();
+  const auto to = inbox_.address();
+  for (;;) {
+    auto message = co_await asked.receive();
+    if (!message) co_return;
+    consensus_input input = std::move(*message);
+    auto sent = co_await to.send(std::move(input));
+    if (!sent) co_return;
+  }
+}
+
+awaitable<void> consensus_service::task::accept_streams() {
+  const auto self = shared_from_this();
+  const auto to = inbox_.address();
+  for (;;) {
+    auto incoming = co_await streams.receive();
+    if (!incoming) co_return;
+    boost::asio::co_spawn(executor_, read_stream(std::move(*incoming), to), boost::asio::detached);
+  }
+}
+
+awaitable<void> consensus_service::task::read_stream(incoming_stream incoming, address<consensus_input> to) {
+  header_list headers{{":status", "200"}};
+  auto begun = co_await incoming.stream->send_headers(std::move(headers), false);
+  if (!begun) co_return;
+  for (;;) {
+    auto frame = co_await incoming.stream->read_frame();
+    if (!frame) co_return;
+    outcome<raft_message> message = capture([&] { return decode<raft_message>(*frame); });
+    if (!message || message->from != incoming.peer_id) {
+      log_error("raft_message_refused",
+                message ? error{error_kind::unauthorised, "the sender is not the peer of the connection",
+                                "check the ids in the settings of both hosts", message->from}
+                        : message.failure(),
+                {{"peer", incoming.peer_id}});
+      co_return;
+    }
+    consensus_input input = message_received{std::move(*message)};
+    auto sent = co_await to.send(std::move(input));
+    if (!sent) co_return;
+  }
+}
+
+awaitable<void> consensus_service::task::deliver(address<ledger_message> ledger, ledger_message message,
+                                                 address<consensus_input> to) {
+  auto sent = co_await ledger.send(std::move(message));
+  if (!sent) co_return;
+  consensus_input input = delivered{};
+  (void)co_await to.send(std::move(input));
+}
+
+awaitable<void> consensus_service::task::fetch_image(timer_service& timers, executor_type executor,
+                                                     address<ledger_message> ledger, address<consensus_input> to) {
+  auto make = [](reply<ledger_image> answer) { return take_image{std::move(answer)}; };
+  auto image = co_await ask<ledger_image>(timers, executor, ledger, image_limit, make);
+  consensus_input input = image_answered{std::move(image)};
+  (void)co_await to.send(std::move(input));
+}
+
+// --- inputs --------------------------------------------------------------------------------------------------------
+
+void consensus_service::task::handle(consensus_message message) {
+  std::visit([this](auto&& question) { on_question(std::forward<decltype(question)>(question)); }, std::move(message));
+}
+
+void consensus_service::task::on_question(propose_command question) {
+  if (failure_) return question.answer(*failure_);
+  if (undelivered_.size() > most_undelivered) {
+    return question.answer(error{error_kind::overloaded, "the ledger is behind", "try again later", {}});
+  }
+  const std::uint64_t id = next_id_++;
+  proposals_[id] = std::move(question.answer);
+  step(proposed{id, std::move(question.payload)});
+}
+
+void consensus_service::task::on_question(confirm_read question) {
+  if (failure_) return question.answer(*failure_);
+  const std::uint64_t id = next_id_++;
+  reads_[id] = std::move(question.answer);
+  step(read_asked{id});
+}
+
+void consensus_service::task::on_question(get_consensus_status question) {
+  question.answer(core_->status(timer_service::now()));
+}
+
+void consensus_service::task::on_question(change_voters question) {
+  if (failure_) return question.answer(*failure_);
+  const std::uint64_t id = next_id_++;
+  proposals_[id] = std::move(question.answer);
+  step(change_asked{id, question.action, std::move(question.subject)});
+}
+
+void consensus_service::task::handle(message_received message) {
+  if (failure_) return;
+  silent_since_.erase(message.message.from);
+  step(std::move(message));
+}
+
+void consensus_service::task::handle(timer_expired /*message*/) {
+  // `run` steps whenever the core is due.
+}
+
+void consensus_service::task::handle(batch_written message) {
+  writing_ = false;
+  if (!message.ticket) return end_process(message.ticket.failure());
+  if (failure_) return;
+  step(persisted{*message.ticket});
+  write_next_batch();
+}
+
+void consensus_service::task::handle(delivered /*message*/) {
+  delivering_ = false;
+  deliver_next();
+}
+
+void consensus_service::task::handle(image_answered message) {
+  fetching_image_ = false;
+  if (failure_) return;
+  if (!message.image) return log_error("snapshot_failed", message.image.failure());
+  entries_since_image_ = 0;
+  bytes_since_image_ = 0;
+  step(image_taken{message.image->index, std::move(message.image->bytes)});
+}
+
+// --- actions -------------------------------------------------------------------------------------------------------
+
+void consensus_service::task::step(raft_event event) {
+  std::vector<raft_action> actions = core_->step(timer_service::now(), std::move(event));
+  for (raft_action& action : actions) {
+    std::visit([this](auto&& a) { carry_out(std::forward<decltype(a)>(a)); }, std::move(action));
+    if (failure_) return;
+  }
+  log_role_change();
+}
+
+void consensus_service::task::carry_out(persist_state action) {
+  unwritten_.push_back(std::move(action));
+  write_next_batch();
+}
+
+void consensus_service::task::write_next_batch() {
+  if (writing_ || unwritten_.empty() || !writer_) return;
+  writing_ = true;
+  writer_->write(std::exchange(unwritten_, {}));
+}
+
+void consensus_service::task::carry_out(send_message action) {
+  const std::string to = action.message.to;
+  peer_link* link = link_to(to);
+  if (link == nullptr) return;
+  const auto [since, added] = silent_since_.try_emplace(to, timer_service::now());
+  if (!added && timer_service::now() - since->second > silence_limit) {
+    since->second = timer_service::now();
+    link->reconnect();
+  }
+  link->post(std::move(action.message));
+}
+
+peer_link* consensus_service::task::link_to(const std::string& host_id) {
+  const voter* host = find_member(core_->known_hosts(), host_id);
+  const auto found = links_.find(host_id);
+  if (host == nullptr) return found == links_.end() ? nullptr : found->second.get();
+  if (found != links_.end() && found->second->mesh_address() == host->mesh_address) return found->second.get();
+  auto link = std::make_unique<peer_link>(peer_link::target{host_id, host->mesh_address, seed_ ^ crc32c(host_id)},
+                                          around_.owner->timers(), executor_, around_.mesh);
+  return (links_[host_id] = std::move(link)).get();
+}
+
+void consensus_service::task::carry_out(apply_committed action) {
+  entries_since_image_ += action.entries.size();
+  for (const log_entry& entry : action.entries) bytes_since_image_ += entry.payload.size();
+  apply_entries* last = undelivered_.empty() ? nullptr : std::get_if<apply_entries>(&undelivered_.back());
+  if (last != nullptr) {
+    std::move(action.entries.begin(), action.entries.end(), std::back_inserter(last->entries));
+  } else {
+    undelivered_.emplace_back(apply_entries{std::move(action.entries)});
+  }
+  deliver_next();
+  take_snapshot_if_due();
+}
+
+void consensus_service::task::carry_out(restore_state action) {
+  undelivered_.clear();  // the image contains these entries
+  undelivered_.emplace_back(install_state{action.image->index, std::string(action.image->state())});
+  deliver_next();
+}
+
+void consensus_service::task::deliver_next() {
+  if (delivering_ || undelivered_.empty()) return;
+  delivering_ = true;
+  ledger_message message = std::move(undelivered_.front());
+  undelivered_.pop_front();
+  boost::asio::co_spawn(executor_, deliver(around_.ledger, std::move(message), inbox_.address()),
+                        boost::asio::detached);
+}
+
+void consensus_service::task::take_snapshot_if_due() {
+  if (fetching_image_ || (entries_since_image_ < entries_per_image && bytes_since_image_ < bytes_per_image)) return;
+  fetching_image_ = true;
+  boost::asio::co_spawn(executor_, fetch_image(around_.owner->timers(), executor_, around_.ledger, inbox_.address()),
+                        boost::asio::detached);
+}
+
+void consensus_service::task::carry_out(answer_proposal action) {
+  if (auto found = proposals_.extract(action.id)) found.mapped()(std::move(action.answer));
+}
+
+void consensus_service::task::carry_out(answer_read action) {
+  if (auto found = reads_.extract(action.id)) found.mapped()(std::move(action.answer));
+}
+
+void consensus_service::task::carry_out(halt action) { end_process(action.reason); }
+
+// Nothing is sent or accepted any more: what the disk holds is not known.
+void consensus_service::task::end_process(const error& reason) {
+  if (failure_) return;
+  failure_ = reason;
+  log_error("consensus_failed", reason);
+  for (auto& [id, answer] : std::exchange(proposals_, {})) {
+    answer(error{error_kind::unknown_outcome, "the store failed: " + reason.text, reason.remedy, reason.where});
+  }
+  for (auto& [id, answer] : std::exchange(reads_, {})) answer(reason);
+  timer_.cancel();
+  links_.clear();
+  around_.owner->request_stop(1);
+}
+
+void consensus_service::task::arm_timer() {
+  if (failure_ || stopped_ || core_->wake_at() == armed_for_) return;
+  armed_for_ = core_->wake_at();
+  const duration delay = armed_for_ - timer_service::now();
+  timer_ = around_.owner->timers().after(delay, [to = inbox_.address()] { to.post(timer_expired{}); });
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/consensus_task.h
@@ -0,0 +1,128 @@
+/// @file
+/// The task behind the service "consensus": the only owner of the Raft state machine. Not for use by other parts.
+///
+/// Everything reaches it through one mailbox of `consensus_input`; helper tasks (askers' mailbox, incoming streams, the
+/// log writer, deliveries to the ledger) send to that mailbox and hold none of its state.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+#include "consensus/consensus_service.h"
+#include "consensus/log_writer.h"
+#include "consensus/peer_link.h"
+#include "consensus/raft_core.h"
+#include "model/ledger_messages.h"
+#include "wire/mesh_messages.h"
+
+namespace heatherdeck {
+
+/// The log writer has finished a batch.
+struct batch_written {
+  outcome<std::uint64_t> ticket;
+};
+
+/// The ledger has taken one message.
+struct delivered {};
+
+/// The ledger's image for a snapshot.
+struct image_answered {
+  outcome<ledger_image> image;
+};
+
+using consensus_input =
+    std::variant<consensus_message, message_received, timer_expired, batch_written, delivered, image_answered>;
+
+struct consensus_service::task : std::enable_shared_from_this<consensus_service::task> {
+  /// What the task needs from its surroundings.
+  struct surroundings {
+    kernel* owner = nullptr;
+    address<mesh_message> mesh;
+    address<ledger_message> ledger;
+  };
+
+  explicit task(executor_type executor);
+
+  /// Opens the store and spawns the tasks.
+  result<void> start(const settings& s, surroundings around);
+  void stop();
+  boost::json::object describe() const;
+
+  mailbox<consensus_message> asked;
+  mailbox<incoming_stream> streams;
+
+ private:
+  awaitable<void> run();
+  awaitable<void> forward_asked();
+  awaitable<void> accept_streams();
+  static awaitable<void> read_stream(incoming_stream incoming, address<consensus_input> to);
+  static awaitable<void> deliver(address<ledger_message> ledger, ledger_message message, address<consensus_input> to);
+  static awaitable<void> fetch_image(timer_service& timers, executor_type executor, address<ledger_message> ledger,
+                                     address<consensus_input> to);
+
+  void handle(consensus_message message);
+  void handle(message_received message);
+  void handle(timer_expired message);
+  void handle(batch_written message);
+  void handle(delivered message);
+  void handle(image_answered message);
+
+  void on_question(propose_command question);
+  void on_question(confirm_read question);
+  void on_question(get_consensus_status question);
+  void on_question(change_voters question);
+
+  void step(raft_event event);
+  void carry_out(persist_state action);
+  void carry_out(send_message action);
+  void carry_out(apply_committed action);
+  void carry_out(restore_state action);
+  void carry_out(answer_proposal action);
+  void carry_out(answer_read action);
+  void carry_out(halt action);
+
+  void write_next_batch();
+  void deliver_next();
+  void take_snapshot_if_due();
+  void arm_timer();
+  void end_process(const error& reason);
+  void log_role_change();
+  peer_link* link_to(const std::string& host_id);
+
+  executor_type executor_;
+  surroundings around_;
+  std::string host_id_;
+  std::uint64_t seed_ = 1;
+  mailbox<consensus_input> inbox_;
+  std::optional<raft_core> core_;
+  posix_files files_;
+  std::unique_ptr<log_writer> writer_;
+  std::vector<persist_state> unwritten_;
+  bool writing_ = false;
+  std::deque<ledger_message> undelivered_;
+  bool delivering_ = false;
+  std::uint64_t entries_since_image_ = 0;
+  std::uint64_t bytes_since_image_ = 0;
+  bool fetching_image_ = false;
+  std::map<std::string, std::unique_ptr<peer_link>> links_;
+  std::map<std::string, time_point> silent_since_;  ///< peers that were sent to and have not been heard since
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, reply<committed>> proposals_;
+  std::map<std::uint64_t, reply<std::uint64_t>> reads_;
+  subscription timer_;
+  time_point armed_for_{};
+  raft_role logged_role_ = raft_role::learner;
+  std::uint64_t logged_term_ = 0;
+  std::string store_id_;
+  std::optional<error> failure_;
+  bool stopped_ = false;
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/log_store.cc
@@ -0,0 +1,168 @@
+// Writing side of the store. Invariants: (1) segments hold consecutive indices without a gap; (2) a segment is synced
+// before the next one is started; (3) a file that replaces another is synced under a temporary name, renamed, and the
+// folder synced; (4) after the first error nothing more is written.
+// A batch of entries costs one write and one fdatasync; a change of term or vote costs one file and two more syncs.
+#include "consensus/log_store.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "consensus/log_record.h"
+
+namespace heatherdeck {
+
+namespace {
+std::string segment_name(std::uint64_t first) { return fmt::format("log-{:020}", first); }
+}  // namespace
+
+result<void> log_store::persist(const std::vector<persist_state>& batch) {
+  if (failure_) return fail(*failure_);
+  const outcome<void> done = capture([&] { return persist_all(batch); });
+  if (done) return {};
+  failure_ = done.failure();
+  return fail(*failure_);
+}
+
+result<void> log_store::persist_all(const std::vector<persist_state>& batch) {
+  // The term goes first: entries of a term must never be durable while the term itself is not.
+  const hard_state* hard = nullptr;
+  for (const persist_state& action : batch) {
+    if (action.hard) hard = &*action.hard;
+  }
+  if (hard != nullptr) BOOST_LEAF_CHECK(write_hard_state(*hard));
+  for (const persist_state& action : batch) {
+    if (action.image) BOOST_LEAF_CHECK(write_image(action));
+    if (action.truncate_after) BOOST_LEAF_CHECK(truncate_after(*action.truncate_after));
+    for (const log_entry& entry : action.entries) BOOST_LEAF_CHECK(append(entry));
+  }
+  return flush();
+}
+
+result<void> log_store::write_hard_state(const hard_state& state) {
+  std::string payload;
+  append_number(payload, state.term);
+  append_number(payload, state.vote_host.size(), 4);
+  payload += state.vote_host;
+  payload += state.vote_store;
+  std::string bytes;
+  append_record(bytes, record_type::hard_state, payload);
+  return replace_file("term-vote", bytes);
+}
+
+result<void> log_store::write_image(const persist_state& action) {
+  BOOST_LEAF_CHECK(flush());
+  const snapshot& image = *action.image;
+  std::string payload;
+  append_number(payload, image.index);
+  append_number(payload, image.term);
+  payload += image.blob;
+  std::string bytes;
+  append_record(bytes, record_type::image, payload);
+  BOOST_LEAF_CHECK(replace_file(fmt::format("snapshot-{:020}", image.index), bytes));
+  if (action.replace_log) {
+    BOOST_LEAF_CHECK(drop_log());
+  } else {
+    while (segments_.size() > 1 && segments_.front().end() <= image.index + 1) {
+      BOOST_LEAF_CHECK(files_->remove(path(segment_name(segments_.front().first))));
+      segments_.erase(segments_.begin());
+    }
+  }
+  if (image_index_ != 0 && image_index_ != image.index) {
+    BOOST_LEAF_CHECK(files_->remove(path(fmt::format("snapshot-{:020}", image_index_))));
+  }
+  image_index_ = image.index;
+  return sync_folder();
+}
+
+result<void> log_store::append(const log_entry& entry) {
+  if (segments_.empty() || segments_.back().bytes + buffer_.size() >= options_.segment_bytes) {
+    BOOST_LEAF_CHECK(flush());
+    BOOST_LEAF_CHECK(start_segment(entry.index));
+  }
+  segment& current = segments_.back();
+  if (entry.index != current.end()) {
+    return fail(error_kind::internal,
+                fmt::format("entry {} was given to the store instead of entry {}", entry.index, current.end()),
+                "report this as a defect", options_.folder);
+  }
+  if (buffer_.empty()) {
+    std::string offset;
+    append_number(offset, current.bytes);
+    append_record(buffer_, record_type::mark, offset);
+  }
+  current.offsets.push_back(current.bytes + buffer_.size());
+  append_record(buffer_, record_type::entry, options_.codec.write_entry(entry));
+  return {};
+}
+
+result<void> log_store::flush() {
+  if (buffer_.empty()) return {};
+  BOOST_LEAF_CHECK(last_->write(buffer_));
+  segments_.back().bytes += buffer_.size();
+  buffer_.clear();
+  ++syncs_;
+  return last_->sync();
+}
+
+result<void> log_store::start_segment(std::uint64_t first) {
+  segments_.push_back({first, {}, 0});
+  BOOST_LEAF_CHECK(open_last());
+  return sync_folder();
+}
+
+result<void> log_store::open_last() {
+  BOOST_LEAF_ASSIGN(last_, files_->open_append(path(segment_name(segments_.back().first))));
+  return {};
+}
+
+// Segments go from the last to the first, so that a crash in between leaves a log without a gap.
+result<void> log_store::truncate_after(std::uint64_t index) {
+  BOOST_LEAF_CHECK(flush());
+  bool dropped = false;
+  while (!segments_.empty() && segments_.back().first > index) {
+    BOOST_LEAF_CHECK(drop_segment());
+    dropped = true;
+  }
+  if (dropped) {
+    BOOST_LEAF_CHECK(sync_folder());
+    if (!segments_.empty()) BOOST_LEAF_CHECK(open_last());
+  }
+  if (segments_.empty() || segments_.back().end() <= index + 1) return {};
+  segment& cut = segments_.back();
+  cut.bytes = cut.offsets[index + 1 - cut.first];
+  cut.offsets.resize(index + 1 - cut.first);
+  BOOST_LEAF_CHECK(last_->truncate(cut.bytes));
+  ++syncs_;
+  return last_->sync();
+}
+
+result<void> log_store::drop_segment() {
+  last_.reset();
+  BOOST_LEAF_CHECK(files_->remove(path(segment_name(segments_.back().first))));
+  segments_.pop_back();
+  return {};
+}
+
+result<void> log_store::drop_log() {
+  while (!segments_.empty()) BOOST_LEAF_CHECK(drop_segment());
+  return {};
+}
+
+result<void> log_store::replace_file(const std::string& name, const std::string& bytes) {
+  const std::string temporary = path(name + ".tmp");
+  BOOST_LEAF_CHECK(files_->remove(temporary));
+  BOOST_LEAF_AUTO(file, files_->open_append(temporary));
+  BOOST_LEAF_CHECK(file->write(bytes));
+  ++syncs_;
+  BOOST_LEAF_CHECK(file->sync());
+  BOOST_LEAF_CHECK(files_->rename(temporary, path(name)));
+  return sync_folder();
+}
+
+result<void> log_store::sync_folder() {
+  ++syncs_;
+  return files_->sync_folder(options_.folder);
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/log_store.h
@@ -0,0 +1,99 @@
+/// @file
+/// The durable part of the replicated log: files under one data folder.
+///
+/// - `store-id`: random identity, created with the folder; a replaced disk gets a new one;
+/// - `term-vote`: the hard state, replaced as a whole;
+/// - `log-<first index>`: segments of entries, appended to;
+/// - `snapshot-<index>`: the latest snapshot;
+/// - `lock`: held while a process uses the folder.
+///
+/// `persist` returns only when everything is durable. After any error the store refuses all further work, because pages
+/// of a failed sync may be lost; the process must stop. A torn tail (a batch that was never acknowledged) is cut off at
+/// start; damage in front of acknowledged data is refused as `corrupt`.
+///
+///     BOOST_LEAF_AUTO(store, log_store::open(files, {folder, codec}));
+///     stored_state state = store.take_state();
+///     BOOST_LEAF_CHECK(store.persist({action}));
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/file_access.h"
+#include "consensus/raft_types.h"
+
+namespace heatherdeck {
+
+struct log_store_options {
+  std::string folder;
+  entry_codec codec;
+  std::uint64_t segment_bytes = 8 << 20;
+};
+
+class log_store {
+ public:
+  /// Opens or initialises the data folder.
+  /// @param files must outlive the store.
+  /// @return `storage` when the system refuses an operation, `corrupt` when acknowledged data is damaged.
+  static result<log_store> open(file_access& files, log_store_options options);
+
+  /// @return what was found; call once.
+  stored_state take_state() { return std::move(found_); }
+  const std::string& store_id() const { return store_id_; }
+
+  /// Makes the batch durable, in order, with one sync for all entries.
+  result<void> persist(const std::vector<persist_state>& batch);
+
+  /// @return syncs of files and folders so far.
+  std::uint64_t syncs() const { return syncs_; }
+
+ private:
+  /// One log file with the offsets of its entries.
+  struct segment {
+    std::uint64_t first = 0;
+    std::vector<std::uint64_t> offsets;
+    std::uint64_t bytes = 0;
+    std::uint64_t end() const { return first + offsets.size(); }  ///< index after the last entry
+  };
+
+  log_store(file_access& files, log_store_options options) : files_(&files), options_(std::move(options)) {}
+
+  result<void> load();
+  result<void> load_identity(const std::vector<std::string>& names);
+  result<void> load_hard_state();
+  result<void> load_image(const std::vector<std::string>& names);
+  result<void> load_segment(const std::string& name, bool is_last);
+  result<void> cut_torn_tail(segment& last, const std::string& bytes, std::size_t valid);
+  result<void> check_log();
+  result<void> persist_all(const std::vector<persist_state>& batch);
+  result<void> write_hard_state(const hard_state& state);
+  result<void> write_image(const persist_state& action);
+  result<void> append(const log_entry& entry);
+  result<void> start_segment(std::uint64_t first);
+  result<void> truncate_after(std::uint64_t index);
+  result<void> drop_log();
+  result<void> drop_segment();
+  result<void> open_last();
+  result<void> flush();
+  result<void> replace_file(const std::string& name, const std::string& bytes);
+  result<void> sync_folder();
+  std::string path(const std::string& name) const { return options_.folder + "/" + name; }
+  boost::leaf::error_id damaged(const std::string& name, const std::string& what) const;
+
+  file_access* files_;
+  log_store_options options_;
+  std::unique_ptr<open_file> lock_;
+  stored_state found_;
+  std::string store_id_;
+  std::vector<segment> segments_;
+  std::unique_ptr<open_file> last_;  ///< the last segment, open for appending
+  std::string buffer_;               ///< records not written yet
+  std::uint64_t image_index_ = 0;
+  std::optional<error> failure_;
+  std::uint64_t syncs_ = 0;
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/consensus/peer_link.h
@@ -0,0 +1,55 @@
+/// @file
+/// Sends Raft messages to one control host on a long-lived h2 stream.
+///
+/// One task per peer owns the stream. Messages are posted and may be dropped: while the peer is unreachable, when the
+/// queue is full, and when a stream fails; Raft repeats what matters. Reconnects back off with jitter.
+///
+///     peer_link link({"c2", "10.0.0.2:7001"}, timers, executor, mesh);
+///     link.post(message);
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "model/raft_messages.h"
+#include "wire/mesh_messages.h"
+
+namespace heatherdeck {
+
+class peer_link {
+ public:
+  struct target {
+    std::string host_id;
+    std::string mesh_address;
+    std::uint64_t seed = 1;  ///< for the jitter of reconnects
+  };
+  struct counters {
+    std::uint64_t sent = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t dropped = 0;
+    std::uint64_t connects = 0;
+    bool connected = false;
+  };
+
+  peer_link(target peer, timer_service& timers, executor_type executor, address<mesh_message> mesh);
+  /// Ends the task and its stream.
+  ~peer_link();
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+
+  /// Queues a message; drops it when the queue is full.
+  void post(raft_message message);
+  /// Closes the stream and the connection behind it; used when the peer has not answered for long.
+  void reconnect();
+
+  const std::string& mesh_address() const { return address_; }
+  counters numbers() const;
+
+ private:
+  struct task;
+  std::string address_;
+  std::shared_ptr<task> task_;
+};
+
+}  // namespace heatherdeck
