control: ledger service

Cause: submissions, rollout decisions and reads need one owner of the replicated state in each control host. Change: ledger_service proposes, applies in log order and answers after applying; document_changed carries the history of changes so that the publisher can make a step from any recent version.

--- a/control/ledger.cc
+++ b/control/ledger.cc
@@ -131,18 +131,7 @@
                     "use 1 to " + std::to_string(max_id_bytes) + " bytes",
                     {}});
   }
-  const auto kept = content_.answers.find(command.operator_name);
-  if (kept != content_.answers.end()) {
-    const auto same = std::find_if(kept->second.begin(), kept->second.end(),
-                                   [&](const kept_answer& k) { return k.id == command.id; });
-    if (same != kept->second.end()) {
-      if (same->content == hash_of(signed_bytes(command))) return same->answer;
-      return refused({error_kind::usage,
-                      "the id '" + command.id + "' was used for another submission",
-                      "send the change with a new id",
-                      {}});
-    }
-  }
+  if (auto known = answer_to_resend(command)) return *known;
   conflict_finder conflict;
   for (const section_edit& edit : command.edits) conflict.look_at(edit, content_.document);
   command_answer answer;
@@ -316,12 +305,27 @@
   compiled_ = std::move(next.compiled);
 }
 
-const command_answer* ledger::find(const std::string& operator_name, const std::string& id) const {
-  const auto kept = content_.answers.find(operator_name);
-  if (kept == content_.answers.end()) return nullptr;
+const kept_answer* ledger::kept(const std::string& operator_name, const std::string& id) const {
+  const auto found = content_.answers.find(operator_name);
+  if (found == content_.answers.end()) return nullptr;
   const auto same =
-      std::find_if(kept->second.begin(), kept->second.end(), [&](const kept_answer& k) { return k.id == id; });
-  return same == kept->second.end() ? nullptr : &same->answer;
+      std::find_if(found->second.begin(), found->second.end(), [&](const kept_answer& k) { return k.id == id; });
+  return same == found->second.end() ? nullptr : &*same;
+}
+
+const command_answer* ledger::find(const std::string& operator_name, const std::string& id) const {
+  const kept_answer* found = kept(operator_name, id);
+  return found == nullptr ? nullptr : &found->answer;
+}
+
+std::optional<command_answer> ledger::answer_to_resend(const submission& command) const {
+  const kept_answer* found = kept(command.operator_name, command.id);
+  if (found == nullptr) return std::nullopt;
+  if (found->content == hash_of(signed_bytes(command))) return found->answer;
+  return refused({error_kind::usage,
+                  "the id '" + command.id + "' was used for another submission",
+                  "send the change with a new id",
+                  {}});
 }
 
 void ledger::keep_answer(const submission& command, const command_answer& answer) {
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -70,6 +70,10 @@
   /// @return the stored answer to a submission, or nothing.
   const command_answer* find(const std::string& operator_name, const std::string& id) const;
 
+  /// @return the answer that applying this submission again would give when its id is known: the first answer, or a
+  /// refusal when the content differs. Nothing for a new id.
+  std::optional<command_answer> answer_to_resend(const submission& command) const;
+
   std::uint64_t applied() const { return content_.applied; }
   const document_state& document() const { return content_.document; }
   const document_history& history() const { return content_.history; }
@@ -95,6 +99,7 @@
   result<void> check_end(const candidate& next, const rollout_state& ended, const submission& command) const;
   command_answer finish(outcome<candidate> next);
   void commit(candidate next);
+  const kept_answer* kept(const std::string& operator_name, const std::string& id) const;
   void keep_answer(const submission& command, const command_answer& answer);
 
   std::uint64_t epoch_;
--- /dev/null
+++ b/control/ledger_service.cc
@@ -0,0 +1,309 @@
+// One task receives messages; proposals and confirmed reads wait in child tasks that hold addresses only and report
+// back by message.
+//
+// Invariants: a command is answered as accepted or refused only after its entry has been applied here; an asker whose
+// proposal may still be committed gets unknown_outcome, never a refusal. Cost: one copy of the document for each batch
+// of entries that changes it.
+#include "control/ledger_service.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+
+#include "control/ledger_image.h"
+#include "kernel/log.h"
+#include "model/document_digest.h"
+#include "model/service_names.h"
+#include "wire/codec.h"
+#include "wire/metrics.h"
+
+namespace heatherdeck {
+namespace {
+
+error unknown_outcome(std::string text) {
+  return {error_kind::unknown_outcome, std::move(text), "ask again with the same id; it gets the first answer", {}};
+}
+
+// Errors of the consensus service that prove that the command was not appended; all others leave the outcome open.
+bool proves_not_appended(error_kind kind) {
+  return kind == error_kind::not_leader || kind == error_kind::no_quorum || kind == error_kind::overloaded;
+}
+
+awaitable<void> propose_task(timer_service& timers, executor_type executor, address<consensus_message> consensus,
+                             address<ledger_message> ledger, std::string payload, std::uint64_t ticket) {
+  auto make = [&payload](reply<committed> answer) {
+    return consensus_message(propose_command{std::move(payload), std::move(answer)});
+  };
+  const duration limit = ledger_service::propose_limit;
+  outcome<committed> result = co_await ask<committed>(timers, executor, consensus, limit, make);
+  ledger_message report = proposal_finished{ticket, std::move(result)};
+  co_await ledger.send(std::move(report));
+}
+
+awaitable<void> read_task(timer_service& timers, executor_type executor, address<consensus_message> consensus,
+                          address<ledger_message> ledger, reply<document_state_ptr> answer) {
+  auto make = [](reply<std::uint64_t> index) { return consensus_message(confirm_read{std::move(index)}); };
+  const duration limit = ledger_service::propose_limit;
+  outcome<std::uint64_t> index = co_await ask<std::uint64_t>(timers, executor, consensus, limit, make);
+  if (!index) {
+    answer(index.failure());
+    co_return;
+  }
+  ledger_message report = read_confirmed{*index, std::move(answer)};
+  co_await ledger.send(std::move(report));
+}
+
+template <class Message>
+awaitable<void> send_task(address<Message> target, document_changed change) {
+  Message message = std::move(change);
+  co_await target.send(std::move(message));
+}
+
+}  // namespace
+
+result<std::unique_ptr<service>> ledger_service::make(const settings& s) {
+  return std::unique_ptr<service>(new ledger_service(s.epoch));
+}
+
+std::string_view ledger_service::name() const { return to_name(service_name::ledger); }
+
+void ledger_service::publish(kernel& k) {
+  inbox_.emplace(k.executor(), mailbox_capacity);
+  k.publish(name(), inbox_->address());
+}
+
+result<void> ledger_service::start(kernel& k) {
+  kernel_ = &k;
+  BOOST_LEAF_ASSIGN(consensus_, k.find<consensus_message>(to_name(service_name::consensus)));
+  const auto publisher = capture([&] { return k.find<publisher_message>(to_name(service_name::publisher)); });
+  if (publisher) publisher_ = *publisher;
+  const auto rollout = capture([&] { return k.find<rollout_message>(to_name(service_name::rollout)); });
+  if (rollout) rollout_ = *rollout;
+  const auto operators = capture([&] { return k.find<document_changed>(to_name(service_name::operators)); });
+  if (operators) operators_ = *operators;
+  boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+  return {};
+}
+
+void ledger_service::stop() {
+  if (inbox_) inbox_->close();
+}
+
+boost::json::value ledger_service::dump() const {
+  boost::json::object withdrawn;
+  for (const auto& [key, value] : state_.document().withdrawn) withdrawn[key.first + "/" + key.second] = value.reason;
+  boost::json::object rollouts;
+  for (const auto& [service, value] : state_.document().rollouts) {
+    rollouts[service] = boost::json::object{
+        {"to", value.to}, {"share", value.share}, {"status", to_name(value.status)}, {"reason", value.reason}};
+  }
+  std::size_t answers = 0;
+  for (const auto& [operator_name, kept] : state_.content().answers) answers += kept.size();
+  return boost::json::object{{"version", state_.document().current.text()},
+                             {"digest", to_text(digest_of(state_.document()))},
+                             {"applied", state_.applied()},
+                             {"sections", state_.document().sections.size()},
+                             {"rollouts", std::move(rollouts)},
+                             {"withdrawn", std::move(withdrawn)},
+                             {"stored_answers", answers},
+                             {"steps_from", state_.history().oldest().text()},
+                             {"proposals", proposed_.size()},
+                             {"mailbox_depth", inbox_ ? inbox_->depth() : 0},
+                             {"mailbox_refused", inbox_ ? inbox_->refused() : 0}};
+}
+
+awaitable<void> ledger_service::run() {
+  for (;;) {
+    outcome<ledger_message> message = co_await inbox_->receive();
+    if (!message) co_return;
+    std::visit([this](auto&& one) { handle(std::move(one)); }, std::move(*message));
+  }
+}
+
+void ledger_service::handle(submit message) {
+  // Entries that are applied here are committed, so a known id is answered without a quorum.
+  if (auto known = state_.answer_to_resend(message.change)) {
+    message.answer(std::move(*known));
+    return;
+  }
+  const ledger_command command = message.change;
+  propose(command, {std::move(message.change), std::move(message.answer)});
+}
+
+void ledger_service::handle(propose_system_command message) {
+  propose(message.command, {std::nullopt, std::move(message.answer)});
+}
+
+void ledger_service::propose(const ledger_command& command, waiting asker) {
+  if (proposed_.size() >= max_proposals) {
+    asker.answer(error{error_kind::overloaded, "too many commands wait for agreement", "try again later", {}});
+    return;
+  }
+  const std::uint64_t ticket = next_ticket_++;
+  proposed_.emplace(ticket, std::move(asker));
+  boost::asio::co_spawn(
+      kernel_->executor(),
+      propose_task(kernel_->timers(), kernel_->executor(), consensus_, inbox_->address(), encode(command), ticket),
+      boost::asio::detached);
+}
+
+void ledger_service::handle(proposal_finished message) {
+  const auto found = proposed_.find(message.ticket);
+  if (found == proposed_.end()) return;
+  waiting asker = std::move(found->second);
+  proposed_.erase(found);
+  if (!message.result) {
+    const error& e = message.result.failure();
+    answer_from_store(asker, proves_not_appended(e.kind) ? e : unknown_outcome("no answer to the proposal: " + e.text));
+    return;
+  }
+  const std::uint64_t index = message.result->index;
+  if (index > state_.applied()) {
+    committed_.emplace(index, std::move(asker));
+    return;
+  }
+  const auto known =
+      std::find_if(recent_.begin(), recent_.end(), [&](const auto& entry) { return entry.first == index; });
+  if (known != recent_.end()) {
+    asker.answer(known->second);
+  } else {
+    answer_from_store(asker, unknown_outcome("the entry was applied as part of an image"));
+  }
+}
+
+// A submission's answer may be known by its id although the proposal's own report failed.
+void ledger_service::answer_from_store(const waiting& asker, const error& otherwise) {
+  if (asker.change) {
+    if (auto known = state_.answer_to_resend(*asker.change)) {
+      asker.answer(std::move(*known));
+      return;
+    }
+  }
+  asker.answer(otherwise);
+}
+
+void ledger_service::handle(get_document message) {
+  if (!message.confirmed) {
+    message.answer(document_);
+    return;
+  }
+  boost::asio::co_spawn(
+      kernel_->executor(),
+      read_task(kernel_->timers(), kernel_->executor(), consensus_, inbox_->address(), std::move(message.answer)),
+      boost::asio::detached);
+}
+
+void ledger_service::handle(read_confirmed message) {
+  reads_.emplace(message.index, std::move(message.answer));
+  answer_reads();
+}
+
+void ledger_service::answer_reads() {
+  const auto end = reads_.upper_bound(state_.applied());
+  for (auto read = reads_.begin(); read != end; ++read) read->second(document_);
+  reads_.erase(reads_.begin(), end);
+}
+
+void ledger_service::handle(find_submission message) {
+  if (const command_answer* known = state_.find(message.operator_name, message.id)) {
+    message.answer(*known);
+    return;
+  }
+  message.answer(error{error_kind::not_found,
+                       "operator '" + message.operator_name + "' has no submission with the id '" + message.id + "'",
+                       "submit it again with the same id, or ask another control host",
+                       {}});
+}
+
+void ledger_service::handle(apply_entries message) {
+  for (const log_entry& entry : message.entries) {
+    if (entry.index > state_.applied()) apply(entry);
+  }
+  announce();
+  answer_reads();
+}
+
+void ledger_service::apply(const log_entry& entry) {
+  if (entry.kind != entry_kind::command) {
+    state_.skip(entry.index);
+    return;
+  }
+  const auto command = capture([&] { return decode<ledger_command>(entry.payload); });
+  if (!command) {
+    // Going on without this entry would give this host another state than the others.
+    fail_process("committed_entry_unreadable", command.failure());
+    return;
+  }
+  const command_answer answer = state_.apply(entry.index, *command);
+  counter("heatherdeck_ledger_commands_total", "Committed commands by their answer",
+          {{"answer", answer.ok() ? "accepted" : std::string(to_name(answer.refusal.kind))}})
+      .Increment();
+  recent_.emplace_back(entry.index, answer);
+  if (recent_.size() > recent_answers) recent_.pop_front();
+  answer_applied(entry.index, answer);
+}
+
+void ledger_service::answer_applied(std::uint64_t index, const command_answer& answer) {
+  const auto [first, last] = committed_.equal_range(index);
+  for (auto asker = first; asker != last; ++asker) asker->second.answer(answer);
+  committed_.erase(first, last);
+}
+
+void ledger_service::handle(install_state message) {
+  if (message.bytes.empty()) return;
+  auto content = capture([&] { return decode_image(message.bytes); });
+  if (!content) return fail_process("image_refused", content.failure());
+  if (content->applied < state_.applied()) return;
+  auto restored = capture([&] { return ledger::restore(epoch_, std::move(*content)); });
+  if (!restored) return fail_process("image_refused", restored.failure());
+  state_ = std::move(*restored);
+  if (state_.applied() < message.index) state_.skip(message.index);
+  log_event(log_level::info, "image_installed",
+            {{"index", message.index}, {"version", state_.document().current.text()}});
+  answer_skipped();
+  announce();
+  answer_reads();
+}
+
+// Entries up to the image's index were applied elsewhere; their answers are known by id only.
+void ledger_service::answer_skipped() {
+  const auto end = committed_.upper_bound(state_.applied());
+  for (auto asker = committed_.begin(); asker != end; ++asker) {
+    answer_from_store(asker->second, unknown_outcome("the entry was applied as part of an image"));
+  }
+  committed_.erase(committed_.begin(), end);
+}
+
+void ledger_service::handle(take_image message) {
+  message.answer(ledger_image{state_.applied(), encode_image(state_.content())});
+}
+
+void ledger_service::announce() {
+  if (document_->current == state_.document().current) return;
+  document_ = std::make_shared<const document_state>(state_.document());
+  const document_changed change{document_, std::make_shared<const document_history>(state_.history())};
+  gauge("heatherdeck_document_version_index", "Index of the accepted document's version")
+      .Set(static_cast<double>(document_->current.index));
+  log_event(log_level::info, "document_changed",
+            {{"version", document_->current.text()}, {"sections", document_->sections.size()}});
+  deliver(publisher_, change);
+  deliver(rollout_, change);
+  deliver(operators_, change);
+}
+
+// A change must not be lost when a mailbox is full; the child task waits for room.
+template <class Message>
+void ledger_service::deliver(const address<Message>& target, const document_changed& change) {
+  if (!target || target.post(change)) return;
+  boost::asio::co_spawn(kernel_->executor(), send_task(target, change), boost::asio::detached);
+}
+
+void ledger_service::fail_process(const char* event, const error& e) {
+  log_error(event, e);
+  inbox_->close();
+  kernel_->request_stop(1);
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/control/ledger_service.h
@@ -0,0 +1,96 @@
+/// @file
+/// Service "ledger": owns the replicated state of a control host.
+///
+/// It proposes commands through the "consensus" service, applies committed entries in log order, answers a command once
+/// its entry has been applied here, and posts document_changed to "publisher", "rollout" and "operators" where these
+/// run in the same process. Others reach it by the messages in model/ledger_messages.h:
+///
+///     BOOST_LEAF_AUTO(ledger, k.find<ledger_message>(to_name(service_name::ledger)));
+///     outcome<command_answer> answer = co_await ask<command_answer>(timers, executor, ledger, 5s, make_submit);
+///
+/// `unknown_outcome` means that the change may still be accepted; asking again with the same id gives the first answer.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "control/ledger.h"
+#include "kernel/kernel.h"
+#include "model/ledger_messages.h"
+#include "model/publisher_messages.h"
+#include "model/rollout_messages.h"
+#include "model/settings.h"
+
+namespace heatherdeck {
+
+class ledger_service : public service {
+ public:
+  /// How long a proposal may stay unanswered by the consensus service.
+  static constexpr std::chrono::seconds propose_limit{5};
+  static constexpr std::size_t mailbox_capacity = 1024;
+  static constexpr std::size_t max_proposals = 256;
+  static constexpr std::size_t recent_answers = 1024;
+
+  /// @param s uses epoch.
+  static result<std::unique_ptr<service>> make(const settings& s);
+
+  std::string_view name() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  // A command whose answer is awaited. Only submissions have an operator and an id.
+  struct waiting {
+    std::optional<submission> change;
+    reply<command_answer> answer;
+  };
+
+  explicit ledger_service(std::uint64_t epoch) : epoch_(epoch), state_(epoch) {}
+
+  awaitable<void> run();
+  void handle(submit message);
+  void handle(propose_system_command message);
+  void handle(get_document message);
+  void handle(find_submission message);
+  void handle(apply_entries message);
+  void handle(install_state message);
+  void handle(take_image message);
+  void handle(proposal_finished message);
+  void handle(read_confirmed message);
+
+  void propose(const ledger_command& command, waiting asker);
+  void apply(const log_entry& entry);
+  void answer_applied(std::uint64_t index, const command_answer& answer);
+  void answer_skipped();
+  void answer_from_store(const waiting& asker, const error& otherwise);
+  void answer_reads();
+  void announce();
+  template <class Message>
+  void deliver(const address<Message>& target, const document_changed& change);
+  void fail_process(const char* event, const error& e);
+
+  std::uint64_t epoch_;
+  ledger state_;
+  document_state_ptr document_ = std::make_shared<const document_state>();
+  std::uint64_t next_ticket_ = 1;
+  std::map<std::uint64_t, waiting> proposed_;                      // by ticket: not yet known to be committed
+  std::multimap<std::uint64_t, waiting> committed_;                // by index: committed, not yet applied here
+  std::multimap<std::uint64_t, reply<document_state_ptr>> reads_;  // by index to wait for
+  std::deque<std::pair<std::uint64_t, command_answer>> recent_;    // answers applied before their commit was reported
+
+  kernel* kernel_ = nullptr;
+  std::optional<mailbox<ledger_message>> inbox_;
+  address<consensus_message> consensus_;
+  address<publisher_message> publisher_;
+  address<rollout_message> rollout_;
+  address<document_changed> operators_;
+};
+
+}  // namespace heatherdeck
--- a/model/ledger_messages.h
+++ b/model/ledger_messages.h
@@ -13,6 +13,7 @@
 
 #include "kernel/mailbox.h"
 #include "model/document.h"
+#include "model/document_delta.h"
 #include "model/raft_messages.h"
 
 namespace heatherdeck {
@@ -110,12 +111,26 @@
   reply<ledger_image> answer;
 };
 
+/// From the ledger service's own child task: how a proposal ended.
+struct proposal_finished {
+  std::uint64_t ticket = 0;
+  outcome<committed> result;
+};
+
+/// From the ledger service's own child task: a confirmed read may be answered once `index` has been applied.
+struct read_confirmed {
+  std::uint64_t index = 0;
+  reply<document_state_ptr> answer;
+};
+
 using ledger_message = std::variant<submit, propose_system_command, get_document, find_submission, apply_entries,
-                                    install_state, take_image>;
+                                    install_state, take_image, proposal_finished, read_confirmed>;
 
-/// Posted by the ledger service to every address<document_changed> that `publisher`, `rollout` and `operators` publish.
+/// Posted by the ledger service to `publisher`, `rollout` and `operators` after every change. Several changes may be
+/// combined into one message; `history` gives the step from any of the last 1,000 versions to `state`.
 struct document_changed {
   document_state_ptr state;
+  document_history_ptr history;
 };
 
 }  // namespace heatherdeck
