--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -33,7 +33,7 @@
 };
 
 /// Why no upstream was chosen; part of the refusal's `hd-refused` header. All of these mean that nothing has run.
-enum class refusal_reason { no_document, no_route, no_upstream, overloaded, deadline, draining, retry_budget };
+enum class refusal_reason { no_document, no_route, no_upstream, overloaded, deadline, draining, retry_budget, hops };
 
 template <>
 struct enum_table<refusal_reason> {
@@ -45,6 +45,7 @@
       {refusal_reason::deadline, "deadline"},
       {refusal_reason::draining, "draining"},
       {refusal_reason::retry_budget, "retry_budget"},
+      {refusal_reason::hops, "hops"},
   });
 };
 
@@ -62,6 +63,12 @@
   std::string avoid_target;      ///< the target of the failed attempt before, if any
 };
 
+/// Load of a target, from its announcement (own host) or from the `hd-load` header of an answer.
+struct load_report {
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+};
+
 /// An upstream for one attempt.
 struct upstream_choice {
   std::uint64_t ticket = 0;
@@ -77,6 +84,7 @@
   choice_reason reason = choice_reason::local;
   bool idempotent = false;
   std::chrono::milliseconds timeout{0};  ///< the smaller of the route's time-out and the deadline
+  std::optional<load_report> target_load;  ///< local: last reported load; goes into hd-load of the answer to a peer
 };
 
 struct refusal {
@@ -100,12 +108,6 @@
   });
 };
 
-/// Load of a target, from its announcement (own host) or from the `hd-load` header of an answer.
-struct load_report {
-  std::uint32_t in_flight = 0;
-  std::uint32_t queued = 0;
-};
-
 struct traffic_tick {};
 
 struct use_document {
--- /dev/null
+++ b/node/exchange.h
@@ -0,0 +1,40 @@
+/// @file
+/// One exchange from the first attempt to the end of the answer, for both kinds of caller.
+///
+///     auto end = co_await run_exchange(context, caller, std::move(head));
+///     if (end == exchange_end::close) ...          // the caller's connection cannot be used again
+///
+/// The exchange asks "traffic" for an upstream, opens the link to it, streams both directions and tells "traffic" how
+/// it ended. Decisions are those of `exchange_core`.
+#pragma once
+
+#include "node/links.h"
+#include "node/proxy_context.h"
+
+namespace heatherdeck {
+
+enum class exchange_end {
+  keep,   ///< the whole answer was sent and the whole request was read
+  close,  ///< the answer was sent; the rest of the request must not be read as a new one
+  cut,    ///< the answer is incomplete or the caller has gone
+};
+
+template <>
+struct enum_table<exchange_end> {
+  static constexpr auto entries = std::to_array<enum_entry<exchange_end>>({
+      {exchange_end::keep, "keep"},
+      {exchange_end::close, "close"},
+      {exchange_end::cut, "cut"},
+  });
+};
+
+/// @param caller owned by the calling task; must outlive the operation.
+/// @param head the request; its limits say whether it came from a peer.
+awaitable<exchange_end> run_exchange(proxy_context_ptr context, caller_link& caller, request_head head);
+
+/// Answers a request that was refused before an exchange began.
+/// @param reason machine-readable word for the body.
+awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, std::string refused,
+                             std::string text, std::string request_id);
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/h1_stream.h
@@ -0,0 +1,142 @@
+/// @file
+/// One HTTP/1.1 connection and the reading of one message from it (Beast). Heavy header: only for the sessions' sources.
+///
+///     h1_stream stream(std::move(socket));
+///     h1_reader<true> request(stream);
+///     auto ec = co_await request.read_head();
+///     auto chunk = co_await request.read_body();        // empty at the end
+///
+/// Memory: the read buffer holds at most 64 KiB, and one piece of a body at most 64 KiB.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "kernel/mailbox.h"
+#include "node/message_head.h"
+
+namespace heatherdeck {
+
+using tcp_socket = boost::asio::ip::tcp::socket;
+
+inline constexpr std::size_t piece_bytes = 16 * 1024;
+
+struct h1_stream {
+  explicit h1_stream(tcp_socket s) : socket(std::move(s)), buffer(stream_buffer_bytes) {}
+
+  tcp_socket socket;
+  boost::beast::flat_buffer buffer;
+
+  void close() {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
+
+  /// @return true when the peer has neither sent anything nor closed.
+  bool open_and_silent() {
+    if (!socket.is_open() || buffer.size() != 0) return false;
+    char byte = 0;
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, ec);
+    return ec == boost::asio::error::would_block;
+  }
+};
+
+/// Reads one message. A reader lives as long as its message; bytes after the message stay in the stream's buffer.
+template <bool is_request>
+class h1_reader {
+ public:
+  explicit h1_reader(h1_stream& stream) : stream_(&stream) {
+    parser_.header_limit(max_header_bytes);
+    parser_.body_limit(boost::none);
+  }
+
+  /// The message has no body whatever its fields say (answer to HEAD).
+  void without_body() { parser_.skip(true); }
+
+  awaitable<boost::system::error_code> read_head() {
+    auto [ec, size] = co_await boost::beast::http::async_read_header(stream_->socket, stream_->buffer, parser_, use_tuple);
+    co_return ec;
+  }
+
+  /// Waits for the next piece of the body.
+  /// @return the piece; empty at the end of the body; an error when the message is broken or cut off.
+  awaitable<outcome<std::string>> read_body() {
+    std::string piece;
+    while (!parser_.is_done()) {
+      piece.resize(next_size());
+      parser_.get().body().data = piece.data();
+      parser_.get().body().size = piece.size();
+      parser_.get().body().more = true;
+      auto [ec, size] =
+          co_await boost::beast::http::async_read_some(stream_->socket, stream_->buffer, parser_, use_tuple);
+      if (ec == boost::beast::http::error::need_buffer) ec = {};
+      if (ec) co_return error{kind_of(ec), "the body cannot be read: " + ec.message(), "check the sender", {}};
+      piece.resize(piece.size() - parser_.get().body().size);
+      if (!piece.empty()) co_return std::move(piece);
+    }
+    co_return std::string();
+  }
+
+  auto& message() { return parser_.get(); }
+  auto& parser() { return parser_; }
+  bool done() const { return parser_.is_done(); }
+  /// @return true when a part of the body can be read without waiting.
+  bool has_buffered() const { return stream_->buffer.size() != 0; }
+
+  /// @return `bad_message` when the bytes break HTTP, `closed` when the connection ended.
+  static error_kind kind_of(const boost::system::error_code& ec) {
+    using boost::beast::http::error;
+    if (ec == error::partial_message || ec == error::end_of_stream) return error_kind::closed;
+    static const boost::system::error_code sample = error::bad_method;
+    return ec.category() == sample.category() ? error_kind::bad_message : error_kind::closed;
+  }
+
+ private:
+  std::size_t next_size() const {
+    const auto remaining = parser_.content_length_remaining();
+    if (remaining) return static_cast<std::size_t>(std::clamp<std::uint64_t>(*remaining, 1, stream_buffer_bytes));
+    return piece_bytes;
+  }
+
+  h1_stream* stream_;
+  boost::beast::http::parser<is_request, boost::beast::http::buffer_body> parser_;
+};
+
+struct h1_written {
+  boost::system::error_code ec;
+  std::size_t size = 0;  ///< bytes that the kernel has taken
+};
+
+/// Writes a head that may be empty and one piece of a body, with chunk framing if asked for, in one system call.
+/// @param last adds the last chunk when `chunked`.
+inline awaitable<h1_written> write_h1(h1_stream& stream, std::string head, std::string piece, bool chunked,
+                                      bool last) {
+  std::string chunk_head;
+  std::string_view chunk_tail;
+  if (chunked && !piece.empty()) {
+    static constexpr std::string_view digits = "0123456789abcdef";
+    for (std::size_t size = piece.size(); size != 0; size /= 16) chunk_head.insert(chunk_head.begin(), digits[size % 16]);
+    chunk_head += "\r\n";
+    chunk_tail = last ? "\r\n0\r\n\r\n" : "\r\n";
+  } else if (chunked && last) {
+    chunk_tail = "0\r\n\r\n";
+  }
+  const std::array<boost::asio::const_buffer, 4> parts{
+      boost::asio::buffer(head), boost::asio::buffer(chunk_head), boost::asio::buffer(piece),
+      boost::asio::buffer(chunk_tail.data(), chunk_tail.size())};
+  auto [ec, size] = co_await boost::asio::async_write(stream.socket, parts, use_tuple);
+  co_return h1_written{ec, size};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/local_upstream.h
@@ -0,0 +1,19 @@
+/// @file
+/// The link to the upstream on this host: HTTP/1.1 on a connection of the pool.
+///
+///     auto link = co_await open_local_upstream(context, choice, head, limits, 800ms);
+#pragma once
+
+#include "node/links.h"
+#include "node/proxy_context.h"
+
+namespace heatherdeck {
+
+/// @param limits those of the next hop.
+/// @param timeout for connecting.
+/// @return the link; after an error nothing has been sent.
+awaitable<outcome<upstream_link_ptr>> open_local_upstream(proxy_context_ptr context, upstream_choice choice,
+                                                          const request_head& head, exchange_limits limits,
+                                                          duration timeout);
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/mesh_upstream.cc
@@ -0,0 +1,86 @@
+// A stream carries one exchange and is never used again. Invariant: the answer's hd-outcome was written by the next node
+// itself, because nodes drop that field from their upstreams' answers. Back-pressure is the stream's: a write waits
+// while 64 KiB are unsent, and the peer's window opens only as pieces are read.
+#include "node/mesh_upstream.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr std::uint32_t cancel_code = 8;
+
+class mesh_upstream : public upstream_link {
+ public:
+  mesh_upstream(std::shared_ptr<h2_stream> stream, std::string method, bool request_done)
+      : stream_(std::move(stream)), method_(std::move(method)), request_done_(request_done) {}
+
+  awaitable<outcome<void>> send(std::string piece, bool last) override {
+    if (request_done_ || (piece.empty() && !last)) co_return outcome<void>();
+    request_done_ = last;
+    auto writing = stream_->write(std::move(piece), last);
+    co_return co_await std::move(writing);
+  }
+
+  awaitable<outcome<answer_head>> read_head() override {
+    auto reading = stream_->read_headers();
+    auto fields = co_await std::move(reading);
+    if (!fields) co_return fields.failure();
+    auto head = read_h2_answer(*fields, method_);
+    if (head) {
+      answer_done_ = head->body == body_kind::none;
+      left_ = head->content_length;
+      sized_ = head->body == body_kind::sized;
+    }
+    co_return std::move(head);
+  }
+
+  awaitable<outcome<std::string>> read_body() override {
+    if (answer_done_) co_return std::string();
+    auto reading = stream_->read();
+    auto piece = co_await std::move(reading);
+    if (!piece) co_return piece.failure();
+    if (sized_ && (piece->size() > left_ || (piece->empty() && left_ != 0))) {
+      co_return error{error_kind::bad_message, "the body does not have its announced length", "check the peer", {}};
+    }
+    left_ -= sized_ ? piece->size() : 0;
+    answer_done_ = piece->empty() || (sized_ && left_ == 0);
+    co_return std::move(piece);
+  }
+
+  bool answer_done() const override { return answer_done_; }
+  bool body_buffered() const override { return false; }
+  bool may_have_been_sent() const override { return stream_->may_have_been_sent(); }
+  void finish() override {
+    if (!request_done_) stream_->reset(cancel_code);
+  }
+  void abandon() override { stream_->reset(cancel_code); }
+
+ private:
+  std::shared_ptr<h2_stream> stream_;
+  std::string method_;
+  std::uint64_t left_ = 0;
+  bool sized_ = false;
+  bool request_done_ = false;
+  bool answer_done_ = false;
+};
+
+}  // namespace
+
+awaitable<outcome<upstream_link_ptr>> open_mesh_upstream(proxy_context_ptr context, upstream_choice choice,
+                                                         const request_head& head, exchange_limits limits,
+                                                         duration timeout) {
+  const bool end = head.body == body_kind::none;
+  std::string method = head.method;
+  header_list fields = h2_request_fields(head, choice, limits);
+  auto make = [&](reply<std::shared_ptr<h2_stream>> answer) {
+    return open_stream{choice.mesh_address, stream_kind::call, std::move(fields), end, std::move(answer)};
+  };
+  if (!context->mesh) co_return error{error_kind::unreachable, "this process has no mesh", "set mesh_listen", {}};
+  auto asking =
+      ask<std::shared_ptr<h2_stream>>(*context->timers, context->executor, context->mesh, timeout, std::move(make));
+  auto stream = co_await std::move(asking);
+  if (!stream) co_return stream.failure();
+  upstream_link_ptr link = std::make_unique<mesh_upstream>(std::move(*stream), std::move(method), end);
+  co_return std::move(link);
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/message_head.cc
@@ -0,0 +1,368 @@
+// Every field passes one table look-up that says where it goes: kept, dropped (hop-by-hop) or read into a member (hd-*).
+// Invariant: a head that `finish` has accepted contains no control characters, exactly one framing and no field of
+// another hop, so writing it out cannot produce a second message. Cost: one pass and one copy of each field.
+#include "node/message_head.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace heatherdeck {
+namespace {
+
+using field_reader = bool (*)(request_head&, std::string_view);
+
+bool drop(request_head&, std::string_view) { return true; }
+
+template <class Number>
+bool read_number(std::string_view text, std::uint64_t limit, Number& into) {
+  const auto number = parse_number(text);
+  if (!number || *number > limit) return false;
+  into = static_cast<Number>(*number);
+  return true;
+}
+
+bool read_deadline(request_head& head, std::string_view text) {
+  std::uint64_t left = 0;
+  if (!read_number(text, 86'400'000, left)) return false;
+  head.limits.deadline = milliseconds(left);
+  return true;
+}
+
+bool read_request_id(request_head& head, std::string_view text) {
+  if (text.empty() || text.size() > 128) return false;
+  head.request_id = text;
+  return true;
+}
+
+// More hops or retries than the defaults are not granted, so that a caller cannot widen the limits of a path.
+bool read_hops(request_head& head, std::string_view text) {
+  return read_number(text, default_hops, head.limits.hops_left);
+}
+bool read_retries(request_head& head, std::string_view text) {
+  return read_number(text, default_retries, head.limits.retries_left);
+}
+bool read_service(request_head& head, std::string_view text) {
+  head.service = text;
+  return true;
+}
+bool read_upstream_version(request_head& head, std::string_view text) {
+  head.upstream_version = text;
+  return true;
+}
+bool read_expect(request_head& head, std::string_view text) {
+  head.expects_continue = lower_case(text) == "100-continue";
+  return head.expects_continue;
+}
+
+struct request_field_row {
+  std::string_view name;
+  field_reader read;
+};
+
+constexpr auto request_field_rows = std::to_array<request_field_row>({
+    {"keep-alive", drop},
+    {"proxy-connection", drop},
+    {"te", drop},
+    {"trailer", drop},
+    {"upgrade", drop},
+    {"proxy-authorization", drop},
+    {"http2-settings", drop},
+    {"transfer-encoding", drop},
+    {"content-length", drop},
+    {"expect", read_expect},
+    {"hd-deadline-ms", read_deadline},
+    {"hd-hops-left", read_hops},
+    {"hd-retries-left", read_retries},
+    {"hd-request-id", read_request_id},
+    {"hd-service", read_service},
+    {"hd-upstream-version", read_upstream_version},
+    {"hd-stream", drop},
+    {"hd-body", drop},
+    {"hd-outcome", drop},
+    {"hd-refused", drop},
+    {"hd-served-by", drop},
+    {"hd-load", drop},
+});
+
+constexpr auto dropped_answer_fields = std::to_array<std::string_view>({
+    "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "proxy-authenticate", "transfer-encoding",
+});
+
+// Removes the fields whose names stand in a comma-separated list.
+void remove_named(header_list& headers, std::string_view names) {
+  while (!names.empty()) {
+    const std::size_t comma = std::min(names.find(','), names.size());
+    std::string_view name = names.substr(0, comma);
+    names.remove_prefix(std::min(comma + 1, names.size()));
+    const std::size_t begin = name.find_first_not_of(" \t");
+    if (begin == std::string_view::npos) continue;
+    name = name.substr(begin, name.find_last_not_of(" \t") - begin + 1);
+    std::erase_if(headers, [name](const auto& field) { return field.first == name; });
+  }
+}
+
+void append_field(std::string& text, std::string_view name, std::string_view value) {
+  text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view reason_of(unsigned status) {
+  switch (status) {
+    case 200: return "OK";
+    case 201: return "Created";
+    case 204: return "No Content";
+    case 304: return "Not Modified";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 408: return "Request Timeout";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    case 508: return "Loop Detected";
+    default: return "Status";
+  }
+}
+
+void add_limits(header_list& fields, const request_head& head, const exchange_limits& limits) {
+  if (!head.request_id.empty()) fields.emplace_back("hd-request-id", head.request_id);
+  if (limits.deadline) fields.emplace_back("hd-deadline-ms", std::to_string(limits.deadline->count()));
+  fields.emplace_back("hd-hops-left", std::to_string(limits.hops_left));
+  fields.emplace_back("hd-retries-left", std::to_string(limits.retries_left));
+}
+
+header_list own_answer_fields(const answer_head& head) {
+  header_list fields;
+  if (head.claim != run_claim::none) fields.emplace_back("hd-outcome", to_name(head.claim));
+  if (!head.refused.empty()) fields.emplace_back("hd-refused", head.refused);
+  if (!head.served_by.empty()) fields.emplace_back("hd-served-by", head.served_by);
+  if (!head.request_id.empty()) fields.emplace_back("hd-request-id", head.request_id);
+  if (head.load) fields.emplace_back("hd-load", load_text(*head.load));
+  return fields;
+}
+
+error bad_head(std::string text) {
+  return {error_kind::bad_message, std::move(text), "the sender breaks the rules of HTTP; see section 5.2", {}};
+}
+
+}  // namespace
+
+std::string lower_case(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return lower;
+}
+
+bool is_clean_text(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte >= 0x20 && byte != 0x7f) || c == '\t';
+  });
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  if (text.empty() || text.size() > 18) return std::nullopt;
+  std::uint64_t number = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (ec != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+std::string load_text(const load_report& load) {
+  return fmt::format("in_flight={};queued={}", load.in_flight, load.queued);
+}
+
+std::optional<load_report> parse_load(std::string_view text) {
+  constexpr std::string_view first = "in_flight=";
+  constexpr std::string_view second = ";queued=";
+  if (!text.starts_with(first)) return std::nullopt;
+  text.remove_prefix(first.size());
+  const std::size_t split = text.find(second);
+  if (split == std::string_view::npos) return std::nullopt;
+  load_report load;
+  if (!read_number(text.substr(0, split), 1'000'000, load.in_flight)) return std::nullopt;
+  if (!read_number(text.substr(split + second.size()), 1'000'000, load.queued)) return std::nullopt;
+  return load;
+}
+
+bool request_head::add(std::string_view name, std::string_view value) {
+  if (!is_clean_text(value) || name.empty()) return false;
+  std::string lower = lower_case(name);
+  if (lower == "host") {
+    if (has_host_) return false;
+    has_host_ = true;
+    host = value;
+    return true;
+  }
+  if (lower == "connection") {
+    connection_names_.append(lower_case(value)).append(",");
+    return true;
+  }
+  const auto* row = std::find_if(request_field_rows.begin(), request_field_rows.end(),
+                                 [&lower](const request_field_row& r) { return r.name == lower; });
+  if (row != request_field_rows.end()) return row->read(*this, value);
+  headers.emplace_back(std::move(lower), value);
+  return true;
+}
+
+std::string request_head::finish() {
+  remove_named(headers, connection_names_);
+  if (headers.size() > max_header_fields) return "more than 100 header fields";
+  if (method.empty() || method == "CONNECT") return "the method is not supported";
+  if (!is_clean_text(target) || target.find(' ') != std::string::npos) return "the request target is malformed";
+  // The absolute form carries its own host, which takes the place of the field (RFC 9112, 3.2.2).
+  constexpr std::string_view scheme = "http://";
+  if (target.starts_with(scheme)) {
+    const std::size_t path = std::min(target.find_first_of("/?", scheme.size()), target.size());
+    host = target.substr(scheme.size(), path - scheme.size());
+    has_host_ = true;
+    target.erase(0, path);
+    if (target.empty() || target.front() == '?') target.insert(0, "/");
+  }
+  if (target.empty() || (target.front() != '/' && !(target == "*" && method == "OPTIONS"))) {
+    return "the request target is not a path";
+  }
+  if (!has_host_ && !http_1_0) return "the host field is missing";
+  return {};
+}
+
+void answer_head::add(std::string_view name, std::string_view value) {
+  if (!is_clean_text(value) || name.empty()) return;
+  std::string lower = lower_case(name);
+  if (lower == "connection") {
+    connection_names_.append(lower_case(value)).append(",");
+  } else if (lower == "content-length") {
+    announced_length = parse_number(value);
+  } else if (lower == "hd-outcome") {
+    claim = from_name<run_claim>(value).value_or(run_claim::none);
+  } else if (lower == "hd-refused") {
+    refused = value;
+  } else if (lower == "hd-load") {
+    load = parse_load(value);
+  } else if (lower.starts_with("hd-")) {
+    return;
+  } else if (std::find(dropped_answer_fields.begin(), dropped_answer_fields.end(), lower) ==
+             dropped_answer_fields.end()) {
+    headers.emplace_back(std::move(lower), value);
+  }
+}
+
+void answer_head::finish() { remove_named(headers, connection_names_); }
+
+std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits) {
+  std::string text;
+  text.reserve(512);
+  text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+  append_field(text, "host", head.host.empty() ? default_host : std::string_view(head.host));
+  for (const auto& [name, value] : head.headers) append_field(text, name, value);
+  header_list own;
+  add_limits(own, head, limits);
+  for (const auto& [name, value] : own) append_field(text, name, value);
+  if (head.body == body_kind::sized) append_field(text, "content-length", std::to_string(head.content_length));
+  if (head.body == body_kind::streamed) append_field(text, "transfer-encoding", "chunked");
+  text.append("\r\n");
+  return text;
+}
+
+std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked) {
+  std::string text;
+  text.reserve(512);
+  text.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ").append(reason_of(head.status));
+  text.append("\r\n");
+  for (const auto& [name, value] : head.headers) append_field(text, name, value);
+  for (const auto& [name, value] : own_answer_fields(head)) append_field(text, name, value);
+  if (head.body == body_kind::sized) {
+    append_field(text, "content-length", std::to_string(head.content_length));
+  } else if (chunked) {
+    append_field(text, "transfer-encoding", "chunked");
+  } else if (head.body == body_kind::none && head.status != 204) {
+    if (head.announced_length) append_field(text, "content-length", std::to_string(*head.announced_length));
+    if (!head.announced_length && head.status != 304) append_field(text, "content-length", "0");
+  }
+  if (!keep_alive) append_field(text, "connection", "close");
+  text.append("\r\n");
+  return text;
+}
+
+header_list h2_request_fields(const request_head& head, const upstream_choice& choice, const exchange_limits& limits) {
+  header_list fields;
+  fields.reserve(head.headers.size() + 10);
+  fields.emplace_back(":method", head.method);
+  fields.emplace_back(":path", head.target);
+  if (!head.host.empty()) fields.emplace_back("host", head.host);
+  fields.emplace_back("hd-service", choice.service);
+  fields.emplace_back("hd-upstream-version", choice.upstream_version);
+  add_limits(fields, head, limits);
+  if (head.body == body_kind::sized) fields.emplace_back("content-length", std::to_string(head.content_length));
+  fields.insert(fields.end(), head.headers.begin(), head.headers.end());
+  // A body of unknown length has no content-length; the field tells it from a request without a body.
+  if (head.body == body_kind::streamed) fields.emplace_back("hd-body", "streamed");
+  return fields;
+}
+
+header_list h2_answer_fields(const answer_head& head) {
+  header_list fields;
+  fields.reserve(head.headers.size() + 6);
+  fields.emplace_back(":status", std::to_string(head.status));
+  for (auto& field : own_answer_fields(head)) fields.push_back(std::move(field));
+  if (head.body == body_kind::sized) {
+    fields.emplace_back("content-length", std::to_string(head.content_length));
+  } else if (head.body == body_kind::none && head.announced_length) {
+    fields.emplace_back("content-length", std::to_string(*head.announced_length));
+  }
+  fields.insert(fields.end(), head.headers.begin(), head.headers.end());
+  return fields;
+}
+
+outcome<request_head> read_h2_request(const header_list& fields) {
+  request_head head;
+  head.limits.from_peer = true;
+  if (fields.size() > max_header_fields) return bad_head("more than 100 header fields");
+  for (const auto& [name, value] : fields) {
+    if (name == ":method") {
+      head.method = value;
+    } else if (name == ":path") {
+      head.target = value;
+    } else if (name == ":authority") {
+      if (head.host.empty()) head.host = value;
+    } else if (name == "content-length") {
+      const auto length = parse_number(value);
+      if (!length) return bad_head("content-length is not a number");
+      head.body = *length == 0 ? body_kind::none : body_kind::sized;
+      head.content_length = *length;
+    } else if (name == "hd-body") {
+      head.body = body_kind::streamed;
+    } else if (!name.starts_with(':') && !head.add(name, value)) {
+      return bad_head("the field '" + name + "' is refused");
+    }
+  }
+  head.http_1_0 = head.host.empty();  // a caller of HTTP/1.0 need not send a host
+  if (std::string problem = head.finish(); !problem.empty()) return bad_head(std::move(problem));
+  return head;
+}
+
+outcome<answer_head> read_h2_answer(const header_list& fields, std::string_view request_method) {
+  answer_head head;
+  for (const auto& [name, value] : fields) {
+    if (name == ":status") {
+      head.status = static_cast<unsigned>(parse_number(value).value_or(0));
+    } else {
+      head.add(name, value);
+    }
+  }
+  head.finish();
+  if (head.status < 200 || head.status > 999) return bad_head("the answer has no valid status");
+  const bool bodiless = request_method == "HEAD" || head.status == 204 || head.status == 304;
+  if (!bodiless && head.announced_length) {
+    head.body = *head.announced_length == 0 ? body_kind::none : body_kind::sized;
+    head.content_length = *head.announced_length;
+  } else if (!bodiless) {
+    head.body = body_kind::streamed;
+  }
+  return head;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/message_head.h
@@ -0,0 +1,118 @@
+/// @file
+/// Heads of requests and answers as the exchange sees them, free of their encoding.
+///
+/// Field names are lower case. Hop-by-hop fields and the fields of heatherdeck itself are taken out of `headers` when a
+/// head is read and are written anew when it is passed on, so that neither a caller nor an upstream can set them for
+/// another hop.
+///
+///     request_head head;
+///     head.add("Accept", "text/plain");                        // kept, as "accept"
+///     head.add("hd-deadline-ms", "250");                       // goes to head.limits
+///     auto problem = head.finish();                            // nothing, or what is wrong
+///     socket.write(h1_request_text(head, upstream_address, limits));
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "node/exchange_core.h"
+#include "wire/h2_stream.h"
+
+namespace heatherdeck {
+
+inline constexpr std::size_t max_header_bytes = 16 * 1024;
+inline constexpr std::size_t max_header_fields = 100;
+
+/// How a body's end is known.
+enum class body_kind { none, sized, streamed };
+
+template <>
+struct enum_table<body_kind> {
+  static constexpr auto entries = std::to_array<enum_entry<body_kind>>({
+      {body_kind::none, "none"},
+      {body_kind::sized, "sized"},
+      {body_kind::streamed, "streamed"},
+  });
+};
+
+struct request_head {
+  std::string method;
+  std::string target;
+  std::string host;
+  std::string request_id;
+  std::string service;           ///< from a peer: hd-service
+  std::string upstream_version;  ///< from a peer: hd-upstream-version
+  exchange_limits limits;
+  header_list headers;  ///< end-to-end fields, without host
+  body_kind body = body_kind::none;
+  std::uint64_t content_length = 0;
+  bool expects_continue = false;
+  bool http_1_0 = false;
+  bool keep_alive = true;
+
+  /// Takes one field as read.
+  /// @return false when the field must be refused (bad number, second host, characters that break a line).
+  bool add(std::string_view name, std::string_view value);
+
+  /// Removes the fields that `connection` has named and checks the whole head.
+  /// @return what is wrong, in words; empty when the head is good.
+  std::string finish();
+
+ private:
+  std::string connection_names_;
+  bool has_host_ = false;
+};
+
+struct answer_head {
+  unsigned status = 0;
+  header_list headers;  ///< end-to-end fields
+  body_kind body = body_kind::none;
+  std::uint64_t content_length = 0;
+  std::optional<std::uint64_t> announced_length;  ///< content-length of an answer to HEAD, passed on without a body
+  run_claim claim = run_claim::none;              ///< hd-outcome; believed from the next node only
+  std::string refused;                            ///< hd-refused
+  std::string served_by;                          ///< hd-served-by
+  std::string request_id;
+  std::optional<load_report> load;  ///< hd-load
+
+  void add(std::string_view name, std::string_view value);
+
+  /// Removes the fields that `connection` has named.
+  void finish();
+
+ private:
+  std::string connection_names_;
+};
+
+/// @return the name in lower case.
+std::string lower_case(std::string_view text);
+
+/// @return true when the text may stand in a field value or a request target: no control characters except tab.
+bool is_clean_text(std::string_view text);
+
+/// Parses a decimal number of at most 18 digits; anything else is refused.
+std::optional<std::uint64_t> parse_number(std::string_view text);
+
+/// Text form of hd-load: "in_flight=3;queued=0".
+std::string load_text(const load_report& load);
+std::optional<load_report> parse_load(std::string_view text);
+
+/// @return the HTTP/1.1 head of a request to an upstream; `limits` are those of the next hop.
+std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits);
+
+/// @param keep_alive false adds "connection: close".
+/// @param chunked the body is written in chunks.
+std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked);
+
+/// @return the fields of a request to another node.
+header_list h2_request_fields(const request_head& head, const upstream_choice& choice, const exchange_limits& limits);
+header_list h2_answer_fields(const answer_head& head);
+
+/// Reads the fields of a request from another node.
+/// @return the head, or what is wrong with it.
+outcome<request_head> read_h2_request(const header_list& fields);
+outcome<answer_head> read_h2_answer(const header_list& fields, std::string_view request_method);
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/pool_service.cc
@@ -0,0 +1,198 @@
+// One task owns the idle connections and counts those that are out. Invariant: for each target, connections that are
+// connecting, in use or idle together never exceed the target's limit. The most recently used connection is handed out
+// first, so that surplus ones grow old and are closed. Acquiring costs one system call (the look whether the connection
+// is silent); the sweep costs one for each idle connection a second.
+#include "node/pool_service.h"
+
+#include <deque>
+#include <map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "node/endpoint_address.h"
+#include "node/upstream_connection.h"
+
+namespace heatherdeck {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+// More than the most sessions of a process, each of which has at most one message under way, so none is ever refused.
+constexpr std::size_t mailbox_capacity = 32'768;
+
+struct target_connections {
+  std::uint32_t limit = default_connection_limit;
+  std::uint32_t out = 0;  // connecting or in use
+  std::deque<upstream_connection_ptr> idle;
+};
+
+error connect_error(error_kind kind, const std::string& address, const std::string& text) {
+  return {kind, "no connection to the upstream: " + text, "check that the upstream listens at its announced address",
+          address};
+}
+
+}  // namespace
+
+struct pool_service::state : std::enable_shared_from_this<pool_service::state> {
+  state(timer_service& t, executor_type e) : timers(&t), executor(std::move(e)), inbox(executor, mailbox_capacity) {}
+
+  timer_service* timers;
+  executor_type executor;
+  mailbox<pool_message> inbox;
+  subscription tick;
+  std::map<std::string, target_connections, std::less<>> targets;
+  std::uint64_t connects = 0;
+  std::uint64_t reuses = 0;
+  std::uint64_t stale = 0;
+  std::uint64_t failures = 0;
+
+  void handle(pool_tick);
+  void handle(acquire_connection asked);
+  void handle(release_connection given);
+  void handle(const set_connection_limit& change);
+  upstream_connection_ptr take_idle(target_connections& target, bool single_run);
+  void connect(acquire_connection asked);
+  // Runs until the mailbox closes; the task keeps the state alive.
+  static awaitable<void> run(std::shared_ptr<state> self);
+};
+
+void pool_service::state::handle(pool_tick) {
+  const time_point now = timer_service::now();
+  for (auto& [address, target] : targets) {
+    std::erase_if(target.idle, [now](const upstream_connection_ptr& connection) {
+      return now - connection->idle_since > longest_idle || !connection->stream.open_and_silent();
+    });
+  }
+  std::erase_if(targets, [](const auto& entry) {
+    return entry.second.limit == 0 && entry.second.out == 0 && entry.second.idle.empty();
+  });
+}
+
+upstream_connection_ptr pool_service::state::take_idle(target_connections& target, bool single_run) {
+  const time_point now = timer_service::now();
+  while (!target.idle.empty()) {
+    // The newest is at the back; when it is too old for this request, all others are.
+    if (single_run && now - target.idle.back()->idle_since > longest_idle_for_single_run) return nullptr;
+    upstream_connection_ptr connection = std::move(target.idle.back());
+    target.idle.pop_back();
+    if (connection->stream.open_and_silent()) return connection;
+    ++stale;
+  }
+  return nullptr;
+}
+
+void pool_service::state::handle(acquire_connection asked) {
+  target_connections& target = targets[asked.upstream_address];
+  if (upstream_connection_ptr connection = take_idle(target, asked.single_run)) {
+    ++target.out;
+    ++reuses;
+    connection->reused = true;
+    connection->lease(inbox.address());
+    asked.answer(std::move(connection));
+    return;
+  }
+  // A target that has left by its announcement may still be named by a choice made before; it is tried.
+  const std::uint32_t limit = target.limit == 0 ? default_connection_limit : target.limit;
+  if (target.out + target.idle.size() >= limit && !target.idle.empty()) target.idle.pop_front();
+  if (target.out + target.idle.size() >= limit) {
+    ++failures;
+    asked.answer(error{error_kind::overloaded, "all connections of the upstream are in use",
+                       "raise the service's 'connections' or add targets", asked.upstream_address});
+    return;
+  }
+  ++target.out;
+  connect(std::move(asked));
+}
+
+void pool_service::state::handle(release_connection given) {
+  target_connections& target = targets[given.upstream_address];
+  if (target.out > 0) --target.out;
+  if (!given.connection || target.limit == 0 || target.out + target.idle.size() >= target.limit) return;
+  given.connection->idle_since = timer_service::now();
+  target.idle.push_back(std::move(given.connection));
+}
+
+void pool_service::state::handle(const set_connection_limit& change) {
+  target_connections& target = targets[change.upstream_address];
+  target.limit = change.limit;
+  if (change.limit == 0) target.idle.clear();
+}
+
+void pool_service::state::connect(acquire_connection asked) {
+  const auto endpoint = parse_endpoint(asked.upstream_address);
+  if (!endpoint) {
+    --targets[asked.upstream_address].out;
+    asked.answer(endpoint.failure());
+    return;
+  }
+  ++connects;
+  auto task = [](std::shared_ptr<state> self, acquire_connection request, tcp::endpoint where) -> awaitable<void> {
+    auto socket = std::make_shared<tcp_socket>(self->executor);
+    bool late = false;
+    const subscription limit = self->timers->after(request.timeout, [socket, &late] {
+      late = true;
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    });
+    auto [ec] = co_await socket->async_connect(where, use_tuple);
+    if (!ec && !late) {
+      socket->set_option(tcp::no_delay(true), ec);
+      auto connection = std::make_shared<upstream_connection>(std::move(*socket), request.upstream_address);
+      connection->lease(self->inbox.address());
+      request.answer(std::move(connection));
+      co_return;
+    }
+    ++self->failures;
+    const std::string text = late ? std::string("no answer in time") : ec.message();
+    request.answer(connect_error(late ? error_kind::timeout : error_kind::unreachable, request.upstream_address, text));
+    self->inbox.address().post(release_connection{request.upstream_address, nullptr});
+  };
+  boost::asio::co_spawn(executor, task(shared_from_this(), std::move(asked), *endpoint), boost::asio::detached);
+}
+
+awaitable<void> pool_service::state::run(std::shared_ptr<state> self) {
+  while (true) {
+    auto message = co_await self->inbox.receive();
+    if (!message) co_return;
+    std::visit([&](auto& m) { self->handle(std::move(m)); }, *message);
+  }
+}
+
+pool_service::pool_service(kernel& k) : state_(std::make_shared<state>(k.timers(), k.executor())) {}
+
+pool_service::~pool_service() { stop(); }
+
+std::string_view pool_service::name() const { return to_name(service_name::pool); }
+
+void pool_service::publish(kernel& k) { k.publish(name(), state_->inbox.address()); }
+
+result<void> pool_service::start(kernel& k) {
+  boost::asio::co_spawn(k.executor(), state::run(state_), boost::asio::detached);
+  const address<pool_message> inbox = state_->inbox.address();
+  state_->tick = k.timers().every(std::chrono::seconds(1), [inbox] { inbox.post(pool_tick{}); });
+  return {};
+}
+
+void pool_service::stop() {
+  state_->tick.cancel();
+  state_->inbox.close();
+  state_->targets.clear();
+}
+
+boost::json::value pool_service::dump() const {
+  boost::json::object targets;
+  for (const auto& [address, target] : state_->targets) {
+    targets[address] = boost::json::object{
+        {"limit", target.limit}, {"in_use", target.out}, {"idle", target.idle.size()}};
+  }
+  return boost::json::object{{"targets", std::move(targets)},
+                             {"connects", state_->connects},
+                             {"reuses", state_->reuses},
+                             {"stale", state_->stale},
+                             {"failures", state_->failures}};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/pool_service.h
@@ -0,0 +1,44 @@
+/// @file
+/// The service "pool": keep-alive HTTP/1.1 connections to the upstream on this host.
+///
+///     k.add(std::make_unique<pool_service>(k));
+///     auto pool = k.find<pool_message>(to_name(service_name::pool));
+///     auto connection = co_await ask<upstream_connection_ptr>(timers, executor, pool, 1s, make);
+///     ...
+///     pool.post(release_connection{address, connection});
+///
+/// A connection is handed out only if it is still open and silent. A request that may not be repeated gets none that was
+/// idle for longer than `longest_idle_for_single_run`, because the upstream may be closing it at that moment.
+#pragma once
+
+#include <memory>
+
+#include "kernel/kernel.h"
+#include "node/pool_messages.h"
+
+namespace heatherdeck {
+
+/// The shortest keep-alive time-out of common upstreams is 1 s; half of it leaves room for a slow upstream.
+inline constexpr duration longest_idle_for_single_run = milliseconds(500);
+/// An idle connection is closed after this time.
+inline constexpr duration longest_idle = std::chrono::seconds(30);
+/// Used until the target has announced its own limit.
+inline constexpr std::uint32_t default_connection_limit = 130;
+
+class pool_service : public service {
+ public:
+  explicit pool_service(kernel& k);
+  ~pool_service() override;
+
+  std::string_view name() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace heatherdeck
