--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -1,8 +1,8 @@
 // The task waits for a request or for the message that the drain begins, reads the head, runs the exchange and goes on.
 // Invariant: a connection is used again only after the whole request has been read and the whole answer sent.
 // A connection is closed in three steps (last answer, end of sending, reading until the caller closes), because closing
-// a socket with unread bytes resets it and can destroy the answer on its way. An idle connection that must be closed gets
-// 408 with hd-outcome: not-run, so a request that crosses it on the wire has a true answer.
+// a socket with unread bytes resets it and can destroy the answer on its way. An idle connection that must be closed
+// gets 408 with hd-outcome: not-run, so a request that crosses it on the wire has a true answer.
 #include "node/caller_session.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -40,7 +40,8 @@
   if (lengths != 0) return "both content-length and transfer-encoding";
   if (message.version() == 10) return "transfer-encoding in HTTP/1.0";
   const auto coding = message[boost::beast::http::field::transfer_encoding];
-  if (codings > 1 || lower_case({coding.data(), coding.size()}) != "chunked") return "the transfer-encoding is not 'chunked'";
+  if (codings > 1 || lower_case({coding.data(), coding.size()}) != "chunked")
+    return "the transfer-encoding is not 'chunked'";
   return {};
 }
 
@@ -227,7 +228,8 @@
   const auto ec = co_await std::move(reading);
   limit_->clear();
   if (ec) {
-    const bool too_long = ec == boost::beast::http::error::header_limit || ec == boost::beast::http::error::buffer_overflow;
+    const bool too_long =
+        ec == boost::beast::http::error::header_limit || ec == boost::beast::http::error::buffer_overflow;
     if (request_reader::kind_of(ec) == error_kind::bad_message) {
       auto refusing = refuse(reader, too_long ? 431 : 400, "the request is malformed: " + ec.message());
       co_await std::move(refusing);
@@ -248,7 +250,7 @@
   auto exchanging = run_exchange(context_, caller, std::move(head));
   const exchange_end end = co_await std::move(exchanging);
   if (end == exchange_end::cut) ++counts_.cut;
-  co_return end == exchange_end::keep && caller.kept_alive();
+  co_return end == exchange_end::keep&& caller.kept_alive();
 }
 
 awaitable<void> caller_session::close_gently() {
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -1,8 +1,8 @@
-// An attempt runs as three branches of one task: `drive` reads the answer and relays it, `upload` passes on the request's
-// body and then watches for the caller to go, `guard` ends the attempt when its time has passed. The first branch that
-// ends decides; the link is abandoned before anything else happens, so a late answer has nowhere to go. Up to 64 KiB of
-// the body are kept for a retry. Invariant: `mark_sent` precedes the first write of each attempt. Cost: three coroutine
-// frames, one timer and one message each way to "traffic" and "pool" per attempt.
+// An attempt runs as three branches of one task: `drive` reads the answer and relays it, `upload` passes on the
+// request's body and then watches for the caller to go, `guard` ends the attempt when its time has passed. The first
+// branch that ends decides; the link is abandoned before anything else happens, so a late answer has nowhere to go. Up
+// to 64 KiB of the body are kept for a retry. Invariant: `mark_sent` precedes the first write of each attempt. Cost:
+// three coroutine frames, one timer and one message each way to "traffic" and "pool" per attempt.
 #include "node/exchange.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -32,11 +32,16 @@
   switch (kind) {
     case error_kind::unreachable:
     case error_kind::unauthorised:
-    case error_kind::overloaded: return exchange_failure::refused;
-    case error_kind::not_processed: return exchange_failure::refused_stream;
-    case error_kind::timeout: return exchange_failure::timeout;
-    case error_kind::bad_message: return exchange_failure::bad_answer;
-    default: return exchange_failure::closed;
+    case error_kind::overloaded:
+      return exchange_failure::refused;
+    case error_kind::not_processed:
+      return exchange_failure::refused_stream;
+    case error_kind::timeout:
+      return exchange_failure::timeout;
+    case error_kind::bad_message:
+      return exchange_failure::bad_answer;
+    default:
+      return exchange_failure::closed;
   }
 }
 
@@ -109,7 +114,8 @@
   return result;
 }
 
-// The route's time-out counts from the last piece of the request; an answer that has begun is limited by idle time only.
+// The route's time-out counts from the last piece of the request; an answer that has begun is limited by idle time
+// only.
 void exchange::note_progress() {
   const time_point now = timer_service::now();
   if (core_.state() != run_state::answered) core_.note_upload(now);
@@ -138,8 +144,8 @@
 awaitable<exchange_end> exchange::answer(exchange_decision decision, std::string refused, std::string text) {
   core_.mark_answered();
   if (decision.claim != run_claim::not_run) refused.clear();  // the header says that nothing has run
-  auto sending = send_refusal(*caller_, decision.status, decision.claim, std::move(refused), std::move(text),
-                              head_.request_id);
+  auto sending =
+      send_refusal(*caller_, decision.status, decision.claim, std::move(refused), std::move(text), head_.request_id);
   co_await std::move(sending);
   co_return caller_->body_done() ? exchange_end::keep : exchange_end::close;
 }
@@ -175,7 +181,8 @@
     co_return co_await std::move(opening);
   }
   // The head leaves with the opening of the stream, so the deadline is looked at here.
-  if (!core_.may_send(timer_service::now())) co_return error{error_kind::unreachable, "the deadline has passed", {}, {}};
+  if (!core_.may_send(timer_service::now()))
+    co_return error{error_kind::unreachable, "the deadline has passed", {}, {}};
   auto opening = open_mesh_upstream(context_, choice, head_, limits, timeout);
   auto opened = co_await std::move(opening);
   const auto failed = opened ? exchange_failure::closed : failure_of(opened.failure().kind);
@@ -333,7 +340,7 @@
     if (result.end == attempt_end::answered) co_return caller_->body_done() ? exchange_end::keep : exchange_end::close;
     if (result.end == attempt_end::retry) continue;
     const bool gone = result.end == attempt_end::caller_gone || result.end == attempt_end::caller_broke;
-    const exchange_failure failure = gone                                  ? exchange_failure::cancelled
+    const exchange_failure failure = gone                                 ? exchange_failure::cancelled
                                      : result.end == attempt_end::timeout ? exchange_failure::timeout
                                                                           : result.failure;
     const bool replayable = replayable_;
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -130,7 +130,7 @@
     return decision;
   }
   exchange_decision decision{.action = next_action::relay, .status = status, .claim = run_claim::none};
-  decision.report = status == 504 ? call_outcome::timeout
+  decision.report = status == 504   ? call_outcome::timeout
                     : status >= 500 ? call_outcome::upstream_error
                                     : call_outcome::ok;
   const bool own_failure_of_peer = claim_of_peer == run_claim::unknown;
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -134,7 +134,8 @@
   /// @param timeout as the choice says; the first attempt's time-out bounds the whole exchange.
   void begin_attempt(bool idempotent, milliseconds timeout, time_point now);
 
-  /// A piece of the request's body has been passed on: the route's time-out counts from here, the caller's deadline stays.
+  /// A piece of the request's body has been passed on: the route's time-out counts from here, the caller's deadline
+  /// stays.
   void note_upload(time_point now);
 
   /// To be asked directly before the first byte is written.
--- a/node/h1_stream.h
+++ b/node/h1_stream.h
@@ -1,5 +1,6 @@
 /// @file
-/// One HTTP/1.1 connection and the reading of one message from it (Beast). Heavy header: only for the sessions' sources.
+/// One HTTP/1.1 connection and the reading of one message from it (Beast). Heavy header: only for the sessions'
+/// sources.
 ///
 ///     h1_stream stream(std::move(socket));
 ///     h1_reader<true> request(stream);
@@ -65,7 +66,8 @@
   void without_body() { parser_.skip(true); }
 
   awaitable<boost::system::error_code> read_head() {
-    auto [ec, size] = co_await boost::beast::http::async_read_header(stream_->socket, stream_->buffer, parser_, use_tuple);
+    auto [ec, size] =
+        co_await boost::beast::http::async_read_header(stream_->socket, stream_->buffer, parser_, use_tuple);
     co_return ec;
   }
 
@@ -120,21 +122,21 @@
 
 /// Writes a head that may be empty and one piece of a body, with chunk framing if asked for, in one system call.
 /// @param last adds the last chunk when `chunked`.
-inline awaitable<h1_written> write_h1(h1_stream& stream, std::string head, std::string piece, bool chunked,
-                                      bool last) {
+inline awaitable<h1_written> write_h1(h1_stream& stream, std::string head, std::string piece, bool chunked, bool last) {
   std::string chunk_head;
   std::string_view chunk_tail;
   if (chunked && !piece.empty()) {
     static constexpr std::string_view digits = "0123456789abcdef";
-    for (std::size_t size = piece.size(); size != 0; size /= 16) chunk_head.insert(chunk_head.begin(), digits[size % 16]);
+    for (std::size_t size = piece.size(); size != 0; size /= 16)
+      chunk_head.insert(chunk_head.begin(), digits[size % 16]);
     chunk_head += "\r\n";
     chunk_tail = last ? "\r\n0\r\n\r\n" : "\r\n";
   } else if (chunked && last) {
     chunk_tail = "0\r\n\r\n";
   }
-  const std::array<boost::asio::const_buffer, 4> parts{
-      boost::asio::buffer(head), boost::asio::buffer(chunk_head), boost::asio::buffer(piece),
-      boost::asio::buffer(chunk_tail.data(), chunk_tail.size())};
+  const std::array<boost::asio::const_buffer, 4> parts{boost::asio::buffer(head), boost::asio::buffer(chunk_head),
+                                                       boost::asio::buffer(piece),
+                                                       boost::asio::buffer(chunk_tail.data(), chunk_tail.size())};
   auto [ec, size] = co_await boost::asio::async_write(stream.socket, parts, use_tuple);
   co_return h1_written{ec, size};
 }
--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -63,8 +63,8 @@
       if (reader_->message().result_int() == 101) break;
       new_reader();
     }
-    co_return error{error_kind::bad_message, "the upstream sent an interim answer that is not supported",
-                    "check the upstream", {}};
+    co_return error{
+        error_kind::bad_message, "the upstream sent an interim answer that is not supported", "check the upstream", {}};
   }
 
   awaitable<outcome<std::string>> read_body() override { return reader_->read_body(); }
@@ -73,8 +73,8 @@
   bool may_have_been_sent() const override { return sent_; }
 
   void finish() override {
-    const bool clean = request_done_ && answer_done() && connection_->stream.buffer.size() == 0 &&
-                       reader_->parser().keep_alive();
+    const bool clean =
+        request_done_ && answer_done() && connection_->stream.buffer.size() == 0 && reader_->parser().keep_alive();
     if (clean) {
       give_back(std::move(connection_));
     } else {
@@ -118,7 +118,8 @@
                                              timeout + std::chrono::seconds(1), make);
   auto connection = co_await std::move(asking);
   if (!connection) co_return connection.failure();
-  upstream_link_ptr link = std::make_unique<local_upstream>(std::move(*connection), std::move(text), chunked, head_request);
+  upstream_link_ptr link =
+      std::make_unique<local_upstream>(std::move(*connection), std::move(text), chunked, head_request);
   co_return std::move(link);
 }
 
--- a/node/mesh_upstream.cc
+++ b/node/mesh_upstream.cc
@@ -1,6 +1,6 @@
-// A stream carries one exchange and is never used again. Invariant: the answer's hd-outcome was written by the next node
-// itself, because nodes drop that field from their upstreams' answers. Back-pressure is the stream's: a write waits
-// while 64 KiB are unsent, and the peer's window opens only as pieces are read.
+// A stream carries one exchange and is never used again. Invariant: the answer's hd-outcome was written by the next
+// node itself, because nodes drop that field from their upstreams' answers. Back-pressure is the stream's: a write
+// waits while 64 KiB are unsent, and the peer's window opens only as pieces are read.
 #include "node/mesh_upstream.h"
 
 namespace heatherdeck {
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -1,6 +1,6 @@
-// Every field passes one table look-up that says where it goes: kept, dropped (hop-by-hop) or read into a member (hd-*).
-// Invariant: a head that `finish` has accepted contains no control characters, exactly one framing and no field of
-// another hop, so writing it out cannot produce a second message. Cost: one pass and one copy of each field.
+// Every field passes one table look-up that says where it goes: kept, dropped (hop-by-hop) or read into a member
+// (hd-*). Invariant: a head that `finish` has accepted contains no control characters, exactly one framing and no field
+// of another hop, so writing it out cannot produce a second message. Cost: one pass and one copy of each field.
 #include "node/message_head.h"
 
 #include <algorithm>
@@ -87,7 +87,13 @@
 });
 
 constexpr auto dropped_answer_fields = std::to_array<std::string_view>({
-    "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "proxy-authenticate", "transfer-encoding",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "upgrade",
+    "proxy-authenticate",
+    "transfer-encoding",
 });
 
 // Removes the fields whose names stand in a comma-separated list.
@@ -109,19 +115,32 @@
 
 std::string_view reason_of(unsigned status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 204: return "No Content";
-    case 304: return "Not Modified";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 408: return "Request Timeout";
-    case 431: return "Request Header Fields Too Large";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    case 508: return "Loop Detected";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 204:
+      return "No Content";
+    case 304:
+      return "Not Modified";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    case 508:
+      return "Loop Detected";
+    default:
+      return "Status";
   }
 }
 
--- /dev/null
+++ b/node/peer_session.cc
@@ -0,0 +1,76 @@
+// The same exchange as for callers, with an h2 stream in place of the connection. Invariant: this node's refusals carry
+// hd-outcome: not-run only when its upstream cannot have seen the request, and the upstream's own hd-outcome is
+// dropped, so the first node may believe the field. A reset of the stream ends the exchange and closes the upstream's
+// connection.
+#include "node/peer_session.h"
+
+#include "node/exchange.h"
+
+namespace heatherdeck {
+namespace {
+
+constexpr std::uint32_t cancel_code = 8;
+
+class peer_caller : public caller_link {
+ public:
+  peer_caller(std::shared_ptr<h2_stream> stream, const request_head& head)
+      : stream_(std::move(stream)), left_(head.content_length), sized_(head.body == body_kind::sized) {
+    body_done_ = head.body == body_kind::none;
+  }
+
+  awaitable<outcome<std::string>> read_body() override {
+    if (body_done_) co_return std::string();
+    auto reading = stream_->read();
+    auto piece = co_await std::move(reading);
+    if (!piece) co_return piece.failure();
+    if (sized_ && (piece->size() > left_ || (piece->empty() && left_ != 0))) {
+      co_return error{error_kind::bad_message, "the body does not have its announced length", "check the peer", {}};
+    }
+    left_ -= sized_ ? piece->size() : 0;
+    body_done_ = piece->empty() || (sized_ && left_ == 0);
+    co_return std::move(piece);
+  }
+
+  bool body_done() const override { return body_done_; }
+  bool body_buffered() const override { return false; }
+
+  awaitable<outcome<void>> send_head(answer_head head, bool end, bool) override {
+    auto sending = stream_->send_headers(h2_answer_fields(head), end);
+    co_return co_await std::move(sending);
+  }
+
+  awaitable<outcome<void>> send_body(std::string piece, bool last) override {
+    if (piece.empty() && !last) co_return outcome<void>();
+    auto sending = stream_->write(std::move(piece), last);
+    co_return co_await std::move(sending);
+  }
+
+  awaitable<void> watch_gone() override { return stream_->wait_closed(); }
+  void cut() override { stream_->reset(cancel_code); }
+
+ private:
+  std::shared_ptr<h2_stream> stream_;
+  std::uint64_t left_ = 0;
+  bool sized_ = false;
+  bool body_done_ = false;
+};
+
+}  // namespace
+
+awaitable<session_counts> run_peer_session(proxy_context_ptr context, incoming_stream incoming) {
+  session_counts counts{.requests = 1};
+  auto head = read_h2_request(incoming.headers);
+  if (!head) {
+    peer_caller caller(incoming.stream, {});
+    auto refusing = send_refusal(caller, 400, run_claim::not_run, {}, head.failure().text, {});
+    co_await std::move(refusing);
+    co_return counts;
+  }
+  peer_caller caller(incoming.stream, *head);
+  auto exchanging = run_exchange(std::move(context), caller, std::move(*head));
+  const exchange_end end = co_await std::move(exchanging);
+  if (end == exchange_end::cut) ++counts.cut;
+  co_return counts;
+}
+
+}  // namespace heatherdeck
--- a/node/pick_ticket.cc
+++ b/node/pick_ticket.cc
@@ -11,10 +11,11 @@
 
 using answer_channel = reply<pick_answer>::channel_type;
 
-awaitable<void> hand_back(proxy_context_ptr context, std::shared_ptr<answer_channel> channel) {
-  auto [ec, answer] = co_await channel->async_receive(use_tuple);
-  // The ticket's destructor reports the choice as cancelled.
-  if (!ec && answer) const pick_ticket late(std::move(context), std::move(*answer));
+// The ticket's destructor reports the choice as cancelled.
+void hand_back(const proxy_context_ptr& context, const std::shared_ptr<answer_channel>& channel) {
+  channel->async_receive([context, channel](boost::system::error_code ec, outcome<pick_answer> answer) {
+    if (!ec && answer) const pick_ticket late(context, std::move(*answer));
+  });
 }
 
 struct unclaimed_answer {
@@ -27,9 +28,7 @@
   unclaimed_answer(const unclaimed_answer&) = delete;
   unclaimed_answer& operator=(const unclaimed_answer&) = delete;
   ~unclaimed_answer() {
-    if (!claimed) {
-      boost::asio::co_spawn(context->executor, hand_back(context, std::move(channel)), boost::asio::detached);
-    }
+    if (!claimed) hand_back(context, channel);
   }
 };
 
--- a/node/pick_ticket.h
+++ b/node/pick_ticket.h
@@ -18,11 +18,14 @@
 class pick_ticket {
  public:
   pick_ticket() = default;
-  pick_ticket(proxy_context_ptr context, pick_answer answer) : context_(std::move(context)), answer_(std::move(answer)) {
+  pick_ticket(proxy_context_ptr context, pick_answer answer)
+      : context_(std::move(context)), answer_(std::move(answer)) {
     open_ = answer_.index() == 1;
   }
   pick_ticket(pick_ticket&& other) noexcept
-      : context_(std::move(other.context_)), answer_(std::move(other.answer_)), open_(std::exchange(other.open_, false)) {}
+      : context_(std::move(other.context_)),
+        answer_(std::move(other.answer_)),
+        open_(std::exchange(other.open_, false)) {}
   pick_ticket& operator=(pick_ticket&& other) noexcept;
   pick_ticket(const pick_ticket&) = delete;
   pick_ticket& operator=(const pick_ticket&) = delete;
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -12,8 +12,8 @@
 
 #include "kernel/log.h"
 #include "model/service_names.h"
-#include "node/endpoint_address.h"
 #include "node/upstream_connection.h"
+#include "wire/endpoint.h"
 
 namespace heatherdeck {
 namespace {
@@ -122,12 +122,13 @@
 }
 
 void pool_service::state::connect(acquire_connection asked) {
-  const auto endpoint = parse_endpoint(asked.upstream_address);
-  if (!endpoint) {
+  const auto parts = capture([&asked] { return parse_endpoint(asked.upstream_address); });
+  if (!parts) {
     --targets[asked.upstream_address].out;
-    asked.answer(endpoint.failure());
+    asked.answer(connect_error(error_kind::unreachable, asked.upstream_address, parts.failure().text));
     return;
   }
+  const tcp::endpoint endpoint(parts->ip, parts->port);
   ++connects;
   auto task = [](std::shared_ptr<state> self, acquire_connection request, tcp::endpoint where) -> awaitable<void> {
     auto socket = std::make_shared<tcp_socket>(self->executor);
@@ -150,7 +151,7 @@
     request.answer(connect_error(late ? error_kind::timeout : error_kind::unreachable, request.upstream_address, text));
     self->inbox.address().post(release_connection{request.upstream_address, nullptr});
   };
-  boost::asio::co_spawn(executor, task(shared_from_this(), std::move(asked), *endpoint), boost::asio::detached);
+  boost::asio::co_spawn(executor, task(shared_from_this(), std::move(asked), endpoint), boost::asio::detached);
 }
 
 awaitable<void> pool_service::state::run(std::shared_ptr<state> self) {
@@ -161,13 +162,18 @@
   }
 }
 
-pool_service::pool_service(kernel& k) : state_(std::make_shared<state>(k.timers(), k.executor())) {}
+result<std::unique_ptr<service>> pool_service::make(const settings&) {
+  return std::unique_ptr<service>(new pool_service);
+}
 
 pool_service::~pool_service() { stop(); }
 
 std::string_view pool_service::name() const { return to_name(service_name::pool); }
 
-void pool_service::publish(kernel& k) { k.publish(name(), state_->inbox.address()); }
+void pool_service::publish(kernel& k) {
+  state_ = std::make_shared<state>(k.timers(), k.executor());
+  k.publish(name(), state_->inbox.address());
+}
 
 result<void> pool_service::start(kernel& k) {
   boost::asio::co_spawn(k.executor(), state::run(state_), boost::asio::detached);
@@ -177,6 +183,7 @@
 }
 
 void pool_service::stop() {
+  if (!state_) return;
   state_->tick.cancel();
   state_->inbox.close();
   state_->targets.clear();
@@ -185,8 +192,8 @@
 boost::json::value pool_service::dump() const {
   boost::json::object targets;
   for (const auto& [address, target] : state_->targets) {
-    targets[address] = boost::json::object{
-        {"limit", target.limit}, {"in_use", target.out}, {"idle", target.idle.size()}};
+    targets[address] =
+        boost::json::object{{"limit", target.limit}, {"in_use", target.out}, {"idle", target.idle.size()}};
   }
   return boost::json::object{{"targets", std::move(targets)},
                              {"connects", state_->connects},
--- a/node/pool_service.h
+++ b/node/pool_service.h
@@ -1,19 +1,20 @@
 /// @file
 /// The service "pool": keep-alive HTTP/1.1 connections to the upstream on this host.
 ///
-///     k.add(std::make_unique<pool_service>(k));
+///     BOOST_LEAF_AUTO(pool, pool_service::make(settings));
 ///     auto pool = k.find<pool_message>(to_name(service_name::pool));
 ///     auto connection = co_await ask<upstream_connection_ptr>(timers, executor, pool, 1s, make);
 ///     ...
 ///     pool.post(release_connection{address, connection});
 ///
-/// A connection is handed out only if it is still open and silent. A request that may not be repeated gets none that was
-/// idle for longer than `longest_idle_for_single_run`, because the upstream may be closing it at that moment.
+/// A connection is handed out only if it is still open and silent. A request that may not be repeated gets none that
+/// was idle for longer than `longest_idle_for_single_run`, because the upstream may be closing it at that moment.
 #pragma once
 
 #include <memory>
 
 #include "kernel/kernel.h"
+#include "model/settings.h"
 #include "node/pool_messages.h"
 
 namespace heatherdeck {
@@ -27,7 +28,7 @@
 
 class pool_service : public service {
  public:
-  explicit pool_service(kernel& k);
+  static result<std::unique_ptr<service>> make(const settings& s);
   ~pool_service() override;
 
   std::string_view name() const override;
@@ -38,6 +39,8 @@
 
  private:
   struct state;
+  pool_service() = default;
+
   std::shared_ptr<state> state_;
 };
 
--- /dev/null
+++ b/node/proxy_service.cc
@@ -0,0 +1,245 @@
+// Three tasks share the service's state on the kernel's thread: one accepts, one takes streams of other nodes, one
+// receives the ends of sessions. Invariant: a session is in the table from before its task starts until its end has
+// been received, so an empty table means that nothing is in flight. Sessions are reached by messages only.
+#include "node/proxy_service.h"
+
+#include <map>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "node/caller_session.h"
+#include "node/peer_session.h"
+#include "node/proxy_context.h"
+#include "node/session_messages.h"
+#include "wire/endpoint.h"
+
+namespace heatherdeck {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+// 8,192 callers at 64 KiB in each direction stay under the node's memory limit only because most are idle; further
+// callers wait in the listener's backlog.
+constexpr std::size_t max_sessions = 8'192;
+constexpr std::size_t stream_capacity = 4'096;
+constexpr int backlog = 4'096;
+
+error listen_error(const std::string& address, const std::string& text) {
+  return {error_kind::bad_settings, "cannot listen for callers: " + text,
+          "set caller_listen to a free ip:port of this host", address};
+}
+
+}  // namespace
+
+struct proxy_service::state : std::enable_shared_from_this<proxy_service::state> {
+  using signal_channel = boost::asio::experimental::channel<void(boost::system::error_code)>;
+
+  state(kernel& k)  // NOLINT(google-explicit-constructor)
+      : executor(k.executor()),
+        streams(executor, stream_capacity),
+        ended(executor, 2 * (max_sessions + stream_capacity)),
+        acceptor(executor),
+        changed(executor, 1) {}
+
+  result<void> listen(const std::string& address);
+  void start_caller(tcp_socket socket);
+  void start_peer(incoming_stream incoming);
+  void accept_backlog();
+  void begin_draining();
+  static awaitable<void> accept(std::shared_ptr<state> self);
+  static awaitable<void> take_streams(std::shared_ptr<state> self);
+  static awaitable<void> count_ends(std::shared_ptr<state> self);
+  void spawn(std::uint64_t id, session_kind kind, awaitable<session_counts> task);
+
+  executor_type executor;
+  mailbox<incoming_stream> streams;
+  mailbox<session_ended> ended;
+  tcp::acceptor acceptor;
+  signal_channel changed;  // a session has ended
+  proxy_context_ptr context;
+  address<directory_message> directory;
+  std::map<std::uint64_t, address<session_message>> sessions;
+  std::string name_prefix;
+  std::uint64_t next_session = 1;
+  std::uint64_t requests = 0;
+  std::uint64_t cut = 0;
+  std::uint16_t port = 0;
+  bool draining = false;
+};
+
+result<void> proxy_service::state::listen(const std::string& address) {
+  BOOST_LEAF_AUTO(parts, parse_endpoint(address));
+  const tcp::endpoint where(parts.ip, parts.port);
+  boost::system::error_code ec;
+  acceptor.open(where.protocol(), ec);
+  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(where, ec);
+  if (!ec) acceptor.listen(backlog, ec);
+  if (ec) return fail(listen_error(address, ec.message()));
+  port = acceptor.local_endpoint(ec).port();
+  return {};
+}
+
+void proxy_service::state::spawn(std::uint64_t id, session_kind kind, awaitable<session_counts> task) {
+  boost::asio::co_spawn(executor, std::move(task),
+                        [end = ended.address(), id, kind](std::exception_ptr failure, session_counts counts) {
+                          if (failure) log_event(log_level::error, "session_failed", {{"kind", to_name(kind)}});
+                          end.post(session_ended{id, kind, counts.requests, counts.cut});
+                        });
+}
+
+void proxy_service::state::start_caller(tcp_socket socket) {
+  const std::uint64_t id = next_session++;
+  auto inbox = std::make_shared<mailbox<session_message>>(executor, 4);
+  const address<session_message> reach = inbox->address();
+  sessions.emplace(id, reach);
+  if (draining) reach.post(begin_drain{});
+  spawn(id, session_kind::caller,
+        run_caller_session(context, std::move(socket), std::move(inbox), fmt::format("{}-{:x}", name_prefix, id)));
+}
+
+void proxy_service::state::start_peer(incoming_stream incoming) {
+  const std::uint64_t id = next_session++;
+  sessions.emplace(id, address<session_message>());
+  spawn(id, session_kind::peer, run_peer_session(context, std::move(incoming)));
+}
+
+awaitable<void> proxy_service::state::accept(std::shared_ptr<state> self) {
+  while (!self->draining) {
+    if (self->sessions.size() >= max_sessions) {
+      (void)co_await self->changed.async_receive(use_tuple);
+      continue;
+    }
+    auto [ec, socket] = co_await self->acceptor.async_accept(use_tuple);
+    if (!ec) {
+      self->start_caller(std::move(socket));
+    } else if (ec == boost::asio::error::operation_aborted || !self->acceptor.is_open()) {
+      co_return;
+    } else {
+      log_error("accept_failed", {error_kind::internal, ec.message(), "raise the limit of open files", {}});
+      // Without file descriptors accepting fails until a session ends.
+      if (!self->sessions.empty()) (void)co_await self->changed.async_receive(use_tuple);
+    }
+  }
+}
+
+awaitable<void> proxy_service::state::take_streams(std::shared_ptr<state> self) {
+  while (true) {
+    auto receiving = self->streams.receive();
+    auto incoming = co_await std::move(receiving);
+    if (!incoming) co_return;
+    self->start_peer(std::move(*incoming));
+  }
+}
+
+awaitable<void> proxy_service::state::count_ends(std::shared_ptr<state> self) {
+  while (true) {
+    auto receiving = self->ended.receive();
+    auto end = co_await std::move(receiving);
+    if (!end) co_return;
+    self->sessions.erase(end->session);
+    self->requests += end->requests;
+    self->cut += end->cut;
+    self->changed.try_send(boost::system::error_code{});
+  }
+}
+
+// Connections that the kernel has accepted would be reset by closing the listener.
+void proxy_service::state::accept_backlog() {
+  boost::system::error_code ec;
+  acceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp_socket socket(executor);
+    acceptor.accept(socket, ec);
+    if (!ec) start_caller(std::move(socket));
+  }
+  acceptor.close(ec);
+}
+
+void proxy_service::state::begin_draining() {
+  draining = true;
+  if (acceptor.is_open()) accept_backlog();
+  if (directory) directory.post(local_draining{});
+  context->traffic.post(stop_new_work{});
+  if (context->mesh) context->mesh.post(refuse_new_streams{});
+  for (const auto& [id, session] : sessions) session.post(begin_drain{});
+  log_event(log_level::info, "proxy_draining", {{"sessions", sessions.size()}});
+}
+
+proxy_service::proxy_service(const settings& s) : listen_(s.caller_listen), node_id_(s.id) {}
+
+proxy_service::~proxy_service() { stop(); }
+
+result<std::unique_ptr<service>> proxy_service::make(const settings& s) {
+  return std::unique_ptr<service>(new proxy_service(s));
+}
+
+std::string_view proxy_service::name() const { return to_name(service_name::proxy); }
+
+std::vector<std::string_view> proxy_service::dependencies() const {
+  return {to_name(service_name::traffic), to_name(service_name::pool)};
+}
+
+void proxy_service::publish(kernel& k) {
+  state_ = std::make_shared<state>(k);
+  k.publish(name(), state_->streams.address());
+}
+
+result<void> proxy_service::start(kernel& k) {
+  auto context = std::make_shared<proxy_context>();
+  context->executor = k.executor();
+  context->timers = &k.timers();
+  context->node_id = node_id_;
+  BOOST_LEAF_ASSIGN(context->traffic, k.find<traffic_message>(to_name(service_name::traffic)));
+  BOOST_LEAF_ASSIGN(context->pool, k.find<pool_message>(to_name(service_name::pool)));
+  if (k.has(to_name(service_name::mesh))) {
+    BOOST_LEAF_ASSIGN(context->mesh, k.find<mesh_message>(to_name(service_name::mesh)));
+  }
+  if (k.has(to_name(service_name::directory))) {
+    BOOST_LEAF_ASSIGN(state_->directory, k.find<directory_message>(to_name(service_name::directory)));
+  }
+  state_->context = std::move(context);
+  // Request ids of a restarted process must differ from those before.
+  state_->name_prefix = fmt::format("{}-{:08x}", node_id_, std::random_device{}());
+  if (!listen_.empty()) {
+    BOOST_LEAF_CHECK(state_->listen(listen_));
+    boost::asio::co_spawn(k.executor(), state::accept(state_), boost::asio::detached);
+  }
+  boost::asio::co_spawn(k.executor(), state::take_streams(state_), boost::asio::detached);
+  boost::asio::co_spawn(k.executor(), state::count_ends(state_), boost::asio::detached);
+  return {};
+}
+
+awaitable<void> proxy_service::drain() {
+  const auto self = state_;
+  self->begin_draining();
+  while (!self->sessions.empty()) (void)co_await self->changed.async_receive(use_tuple);
+}
+
+void proxy_service::stop() {
+  if (!state_) return;
+  boost::system::error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->streams.close();
+  state_->ended.close();
+  state_->changed.close();
+}
+
+std::uint16_t proxy_service::port() const { return state_->port; }
+
+boost::json::value proxy_service::dump() const {
+  return boost::json::object{{"listen", listen_},
+                             {"port", state_->port},
+                             {"sessions", state_->sessions.size()},
+                             {"requests", state_->requests},
+                             {"cut", state_->cut},
+                             {"draining", state_->draining}};
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/proxy_service.h
@@ -0,0 +1,46 @@
+/// @file
+/// The service "proxy": callers' connections and calls from other nodes.
+///
+///     BOOST_LEAF_AUTO(proxy, proxy_service::make(settings));
+///     k.add(std::move(proxy));
+///
+/// Listens on `caller_listen` and takes incoming streams of kind `call`. Each connection and stream has a task of its
+/// own; the service only counts them. Needs "traffic" and "pool"; uses "mesh" and "directory" when they run.
+/// `drain` serves the accepted backlog, announces that the process is leaving and waits for all sessions.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "kernel/kernel.h"
+#include "model/settings.h"
+
+namespace heatherdeck {
+
+class proxy_service : public service {
+ public:
+  /// @param s uses id, caller_listen.
+  static result<std::unique_ptr<service>> make(const settings& s);
+  ~proxy_service() override;
+
+  std::string_view name() const override;
+  std::vector<std::string_view> dependencies() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  awaitable<void> drain() override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+  /// @return the port for callers; known after `start`.
+  std::uint16_t port() const;
+
+ private:
+  struct state;
+  explicit proxy_service(const settings& s);
+
+  std::string listen_;
+  std::string node_id_;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/testing/node_proxy.cmake
@@ -0,0 +1,1 @@
+hd_test(proxy_test hd_node)
--- /dev/null
+++ b/testing/proxy_harness.h
@@ -0,0 +1,196 @@
+/// @file
+/// One node's proxy in the test process: real pool and proxy, a scripted traffic service, and upstreams and callers
+/// that are plain coroutines on the same thread.
+///
+///     proxy_harness h([](tcp_socket s) -> awaitable<void> { ... });      // the upstream's side of each connection
+///     h.run([&]() -> awaitable<void> { auto answer = co_await h.call("GET / HTTP/1.1\r\nhost: a\r\n\r\n"); });
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+#include "kernel/kernel.h"
+#include "model/service_names.h"
+#include "node/h1_stream.h"
+#include "node/pool_service.h"
+#include "node/proxy_service.h"
+
+namespace heatherdeck {
+
+using h1_answer = boost::beast::http::response<boost::beast::http::string_body>;
+using upstream_script = std::function<awaitable<void>(tcp_socket)>;
+
+/// Answers each question by a function and records what was finished.
+class fake_traffic : public service {
+ public:
+  std::function<pick_answer(const request_facts&)> pick;
+  std::vector<finish_call> finished;
+  std::vector<request_facts> asked;
+  std::uint64_t open_tickets = 0;
+  bool stopped_new_work = false;
+
+  std::string_view name() const override { return to_name(service_name::traffic); }
+  void publish(kernel& k) override {
+    inbox_ = std::make_unique<mailbox<traffic_message>>(k.executor(), 1024);
+    k.publish(name(), inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    boost::asio::co_spawn(k.executor(), serve(), boost::asio::detached);
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return nullptr; }
+
+ private:
+  awaitable<void> serve() {
+    while (true) {
+      auto message = co_await inbox_->receive();
+      if (!message) co_return;
+      if (auto* asking = std::get_if<pick_upstream>(&*message)) {
+        asked.push_back(asking->facts);
+        pick_answer answer = pick(asking->facts);
+        if (auto* choice = std::get_if<upstream_choice>(&answer)) {
+          choice->ticket = ++last_ticket_;
+          ++open_tickets;
+        }
+        asking->answer(std::move(answer));
+      } else if (auto* done = std::get_if<finish_call>(&*message)) {
+        finished.push_back(*done);
+        --open_tickets;
+      } else if (std::holds_alternative<stop_new_work>(*message)) {
+        stopped_new_work = true;
+      }
+    }
+  }
+
+  std::unique_ptr<mailbox<traffic_message>> inbox_;
+  std::uint64_t last_ticket_ = 0;
+};
+
+class proxy_harness {
+ public:
+  explicit proxy_harness(upstream_script script)
+      : upstream_(k.io(), {boost::asio::ip::address_v4::loopback(), 0}), script_(std::move(script)) {
+    auto added = std::make_unique<fake_traffic>();
+    traffic = added.get();
+    choice.target = "certdesk-1";
+    choice.service = "certdesk";
+    choice.upstream_version = "v1";
+    choice.availability_zone = "dar-1";
+    choice.local = true;
+    choice.upstream_address = "127.0.0.1:" + std::to_string(upstream_.local_endpoint().port());
+    choice.timeout = std::chrono::seconds(5);
+    traffic->pick = [this](const request_facts& facts) {
+      upstream_choice picked = choice;
+      picked.idempotent = facts.method != "POST";
+      return picked;
+    };
+    EXPECT_TRUE(k.add(std::move(added)));
+    settings s;
+    s.id = "dar-1-01";
+    s.caller_listen = "127.0.0.1:0";
+    EXPECT_TRUE(k.add(std::move(*pool_service::make(s))));
+    auto made = std::move(*proxy_service::make(s));
+    proxy = static_cast<proxy_service*>(made.get());
+    EXPECT_TRUE(k.add(std::move(made)));
+    EXPECT_TRUE(capture([this] { return k.start(); }));
+    boost::asio::co_spawn(k.io(), accept(), boost::asio::detached);
+  }
+
+  /// Runs the test's body, then until every ticket has been finished; fails the test after 30 s.
+  template <class Body>
+  void run(Body body) {
+    bool done = false;
+    boost::asio::co_spawn(k.io(), std::move(body), [&](std::exception_ptr failure) {
+      done = true;
+      if (failure) std::rethrow_exception(failure);
+    });
+    const time_point limit = timer_service::now() + std::chrono::seconds(30);
+    const auto settled = [&] { return done && traffic->open_tickets == 0; };
+    while (!settled() && k.io().run_one_until(limit) != 0) {
+    }
+    EXPECT_TRUE(done) << "the test's body did not end";
+    EXPECT_EQ(traffic->open_tickets, 0U) << "a choice was not finished";
+  }
+
+  awaitable<std::unique_ptr<h1_stream>> connect() {
+    tcp_socket socket(k.io());
+    const boost::asio::ip::tcp::endpoint where(boost::asio::ip::address_v4::loopback(), proxy->port());
+    auto [ec] = co_await socket.async_connect(where, use_tuple);
+    EXPECT_FALSE(ec) << ec.message();
+    co_return std::make_unique<h1_stream>(std::move(socket));
+  }
+
+  static awaitable<void> send(h1_stream& stream, std::string text) {
+    (void)co_await boost::asio::async_write(stream.socket, boost::asio::buffer(text), use_tuple);
+  }
+
+  /// Reads one answer; status 0 when the connection ended first.
+  static awaitable<h1_answer> read_answer(h1_stream& stream, bool bodiless = false) {
+    boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+    parser.body_limit(boost::none);
+    parser.skip(bodiless);
+    auto [ec, size] = co_await boost::beast::http::async_read(stream.socket, stream.buffer, parser, use_tuple);
+    h1_answer answer = parser.release();
+    if (ec) answer.result(0U);
+    co_return answer;
+  }
+
+  /// One request on a connection of its own.
+  awaitable<h1_answer> call(std::string text) {
+    auto stream = co_await connect();
+    co_await send(*stream, std::move(text));
+    auto answer = co_await read_answer(*stream);
+    co_return answer;
+  }
+
+  kernel k;
+  fake_traffic* traffic = nullptr;
+  proxy_service* proxy = nullptr;
+  upstream_choice choice;
+  std::uint64_t upstream_connections = 0;
+
+  void close_upstream() { upstream_.close(); }
+
+ private:
+  awaitable<void> accept() {
+    while (true) {
+      auto [ec, socket] = co_await upstream_.async_accept(use_tuple);
+      if (ec) co_return;
+      ++upstream_connections;
+      boost::asio::co_spawn(k.io(), script_(std::move(socket)), boost::asio::detached);
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor upstream_;
+  upstream_script script_;
+};
+
+/// An upstream that answers every request with its method, target and body.
+inline awaitable<void> echo_upstream(tcp_socket socket) {
+  h1_stream stream(std::move(socket));
+  while (true) {
+    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    parser.body_limit(boost::none);
+    auto [ec, size] = co_await boost::beast::http::async_read(stream.socket, stream.buffer, parser, use_tuple);
+    if (ec) co_return;
+    const auto& request = parser.get();
+    const std::string body =
+        std::string(request.method_string()) + " " + std::string(request.target()) + " " + request.body();
+    std::string text =
+        "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) + "\r\nx-kept: 1\r\n\r\n" + body;
+    co_await proxy_harness::send(stream, std::move(text));
+  }
+}
+
+}  // namespace heatherdeck
