--- a/testing/wire.cmake
+++ b/testing/wire.cmake
@@ -1,1 +1,2 @@
 hd_test(codec_test hd_wire)
+hd_test(h2_test hd_wire)
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -20,7 +20,7 @@
 namespace heatherdeck {
 
 /// Longer input is refused before it is parsed; equal to the longest frame of a control stream.
-inline constexpr std::size_t max_message_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t max_message_bytes = 8UL * 1024 * 1024;
 
 std::string encode(const raft_message& message);
 std::string encode(const log_entry& entry);
--- /dev/null
+++ b/wire/h2_connection.cc
@@ -0,0 +1,265 @@
+// The task of one connection: a reader and a writer coroutine on one session. The reader feeds the session; the writer
+// wakes on the outbox, takes what all holders have queued and writes it at once. The streams that the reader wakes run
+// before the writer, because the event loop is first in, first out: an answer made in the same turn shares the write.
+// Invariants: one write is in flight at most; at most 128 KiB wait for the socket; after `close` no callback reaches
+// the session. Cost: one read and one write system call per batch, 16 KiB of read buffer per connection.
+#include "wire/h2_connection.h"
+
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "kernel/log.h"
+
+namespace heatherdeck {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t read_buffer_bytes = 16UL * 1024;
+constexpr std::size_t kept_out_bytes = 16UL * 1024;
+constexpr duration check_period = milliseconds(250);
+// Counted in checks, not in time: a process that was frozen itself finds one check due when it wakes, and the answer
+// that waits in its socket is read before the next.
+constexpr int checks_per_ping = 4;
+
+/// How long the connection may be silent before a PING, by the kinds of its open streams. Control streams are silent
+/// by nature (keep-alive every 5 s from the control host), and each PING costs bytes on every node.
+struct silence_row {
+  stream_kind kind;
+  h2_side side;
+  duration limit;
+};
+
+constexpr silence_row silence_table[] = {
+    {stream_kind::call, h2_side::client, std::chrono::seconds(1)},
+    {stream_kind::call, h2_side::server, std::chrono::seconds(5)},
+    {stream_kind::subscribe, h2_side::client, std::chrono::seconds(6)},
+    {stream_kind::subscribe, h2_side::server, std::chrono::seconds(30)},
+    {stream_kind::raft, h2_side::client, std::chrono::seconds(1)},
+    {stream_kind::raft, h2_side::server, std::chrono::seconds(5)},
+    {stream_kind::evidence, h2_side::client, std::chrono::seconds(6)},
+    {stream_kind::evidence, h2_side::server, std::chrono::seconds(30)},
+};
+
+}  // namespace
+
+class h2_connection_task : public std::enable_shared_from_this<h2_connection_task> {
+ public:
+  h2_connection_task(tcp::socket socket, timer_service& timers, h2_connection_options options,
+                     std::shared_ptr<h2_outbox> outbox)
+      : socket_(std::move(socket)), timers_(timers), options_(std::move(options)), outbox_(std::move(outbox)) {}
+
+  void start() {
+    const auto self = shared_from_this();
+    auto made = capture([&] {
+      return h2_session::make(options_.side, socket_.get_executor(), outbox_, options_.peer, options_.on_request);
+    });
+    if (!made) return close(made.failure());
+    session_ = std::move(*made);
+    outbox_->signal.set();
+    boost::asio::co_spawn(
+        socket_.get_executor(), [self] { return self->read(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        socket_.get_executor(), [self] { return self->write(); }, boost::asio::detached);
+  }
+
+ private:
+  awaitable<void> read() {
+    const auto self = shared_from_this();
+    std::vector<char> bytes(read_buffer_bytes);
+    const auto buffer = boost::asio::buffer(bytes);
+    while (!closed_) {
+      auto [ec, size] = co_await socket_.async_read_some(buffer, use_tuple);
+      if (closed_) co_return;
+      if (ec) {
+        close({error_kind::closed, "the connection has ended: " + ec.message(), "send the request again", {}});
+        co_return;
+      }
+      last_received_ = timer_service::now();
+      const std::string_view received(bytes.data(), size);
+      const outcome<void> taken = capture([&] { return session_->receive(received); });
+      if (!taken) {
+        log_error("h2_connection_failed", taken.failure(), {{"peer", options_.peer}});
+        close(taken.failure());
+        co_return;
+      }
+      outbox_->signal.set();
+    }
+  }
+
+  awaitable<void> write() {
+    const auto self = shared_from_this();
+    std::string out;
+    while (true) {
+      const bool woken = co_await outbox_->signal.wait();
+      if (!woken || closed_) co_return;
+      while (true) {
+        take_outbox();
+        const outcome<void> collected = capture([&] { return session_->collect(out); });
+        if (!collected) {
+          close(collected.failure());
+          co_return;
+        }
+        if (out.empty()) break;
+        const auto buffer = boost::asio::buffer(out);
+        auto [ec, size] = co_await boost::asio::async_write(socket_, buffer, use_tuple);
+        if (closed_) co_return;
+        if (ec) {
+          close({error_kind::closed, "the connection has ended: " + ec.message(), "send the request again", {}});
+          co_return;
+        }
+        out.clear();
+      }
+      if (out.capacity() > kept_out_bytes) std::string().swap(out);
+      report();
+      if (closed_) co_return;
+    }
+  }
+
+  void take_outbox() {
+    if (outbox_->refuse_new_streams && !std::exchange(refusing_, true)) session_->refuse_new_streams();
+    // Taking one stream may ring another, so the queue is moved out first.
+    taken_.swap(outbox_->ready);
+    for (const auto& stream : taken_) session_->take(stream);
+    taken_.clear();
+  }
+
+  /// Tells the owner what has changed and closes a connection that has nothing left to do.
+  void report() {
+    if (session_->peer_refuses_streams() && !std::exchange(told_refusal_, true)) tell(h2_event::refuses_streams);
+    if (refusing_ && !told_finished_ && session_->open_incoming(stream_kind::call) == 0) {
+      told_finished_ = true;
+      tell(h2_event::calls_finished);
+    }
+    if (outbox_->close_now || session_->finished() || (outbox_->close_when_idle && session_->open_streams() == 0)) {
+      return close({error_kind::closed, "the connection was closed by this process", "open another one", {}});
+    }
+    if (session_->open_streams() > 0 && !watching_) watch();
+  }
+
+  void watch() {
+    watching_ = true;
+    pending_checks_ = 0;
+    last_received_ = timer_service::now();
+    check_ = timers_.every(check_period, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->check_silence();
+    });
+  }
+
+  /// Runs while streams are open.
+  void check_silence() {
+    if (session_->open_streams() == 0) {
+      watching_ = false;
+      check_.cancel();
+      return;
+    }
+    const duration silence = timer_service::now() - last_received_;
+    if (silence < check_period) pending_checks_ = 0;
+    if (pending_checks_ > 0) {
+      if (--pending_checks_ == 0) {
+        close({error_kind::timeout, "the peer has not answered a PING within 1 s", "use another process", {}});
+      }
+      return;
+    }
+    for (const silence_row& row : silence_table) {
+      if (row.side != options_.side || silence < row.limit || !session_->has_kind(row.kind)) continue;
+      pending_checks_ = checks_per_ping;
+      session_->send_ping();
+      outbox_->signal.set();
+      return;
+    }
+  }
+
+  void close(const error& reason) {
+    if (std::exchange(closed_, true)) return;
+    const auto self = shared_from_this();
+    check_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    outbox_->closed = true;
+    outbox_->signal.close();
+    if (session_) session_->fail_all(reason.kind, reason.text);
+    for (const auto& stream : outbox_->ready) {
+      if (stream->id == 0) stream->fail(error_kind::not_processed, reason.text, options_.peer);
+    }
+    outbox_->ready.clear();
+    tell(h2_event::closed);
+    options_.on_event = nullptr;
+    options_.on_request = nullptr;
+  }
+
+  void tell(h2_event event) {
+    if (options_.on_event) options_.on_event(event);
+  }
+
+  tcp::socket socket_;
+  timer_service& timers_;
+  h2_connection_options options_;
+  std::shared_ptr<h2_outbox> outbox_;
+  std::unique_ptr<h2_session> session_;
+  std::vector<std::shared_ptr<h2_stream_state>> taken_;
+  subscription check_;
+  time_point last_received_ = timer_service::now();
+  int pending_checks_ = 0;
+  bool watching_ = false;
+  bool refusing_ = false;
+  bool told_refusal_ = false;
+  bool told_finished_ = false;
+  bool closed_ = false;
+};
+
+h2_connection h2_connection::start(tcp::socket socket, timer_service& timers, h2_connection_options options) {
+  h2_connection handle;
+  handle.executor_ = socket.get_executor();
+  handle.outbox_ = std::make_shared<h2_outbox>(handle.executor_);
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  std::make_shared<h2_connection_task>(std::move(socket), timers, std::move(options), handle.outbox_)->start();
+  return handle;
+}
+
+std::shared_ptr<h2_stream_state> h2_connection::prepare(stream_kind kind, header_list headers, bool end_stream) const {
+  auto state = std::make_shared<h2_stream_state>(executor_, outbox_, kind, /*by_peer=*/false);
+  state->outbound_headers = std::move(headers);
+  state->headers_end_stream = end_stream;
+  state->outbound_ended = end_stream;
+  if (outbox_->closed) {
+    state->fail(error_kind::not_processed, "the connection has ended before the request was sent", {});
+  }
+  return state;
+}
+
+std::shared_ptr<h2_stream> h2_connection::open(stream_kind kind, header_list headers, bool end_stream) const {
+  auto state = prepare(kind, std::move(headers), end_stream);
+  state->ring();
+  return std::make_shared<h2_stream>(std::move(state));
+}
+
+void h2_connection::open(stream_kind kind, header_list headers, bool end_stream,
+                         const reply<std::shared_ptr<h2_stream>>& answer) const {
+  auto state = prepare(kind, std::move(headers), end_stream);
+  answer(std::make_shared<h2_stream>(state));
+  state->ring();
+}
+
+void h2_connection::refuse_new_streams() const {
+  outbox_->refuse_new_streams = true;
+  outbox_->signal.set();
+}
+
+void h2_connection::close_when_idle() const {
+  outbox_->close_when_idle = true;
+  outbox_->signal.set();
+}
+
+void h2_connection::close() const {
+  outbox_->close_now = true;
+  outbox_->signal.set();
+}
+
+}  // namespace heatherdeck
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -27,8 +27,8 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
-inline constexpr std::size_t max_frame_bytes = 8 * 1024 * 1024;
-inline constexpr std::size_t stream_buffer_bytes = 64 * 1024;
+inline constexpr std::size_t max_frame_bytes = 8UL * 1024 * 1024;
+inline constexpr std::size_t stream_buffer_bytes = 64UL * 1024;
 
 /// What a stream is for; carried in the request header `hd-stream`, decides which service gets an incoming stream.
 enum class stream_kind { call, subscribe, raft, evidence };
@@ -77,6 +77,11 @@
   /// Ends both directions at once with an h2 error code (8 is CANCEL, 7 is REFUSED_STREAM).
   void reset(std::uint32_t code);
 
+  /// Waits until the stream is over; lets a server notice a cancelled request while it works on the answer. One task at
+  /// a time.
+  /// @return success when both directions have ended, else the failure.
+  awaitable<outcome<void>> wait_closed();
+
   /// @return true once any byte of this stream's request may have left the process.
   bool may_have_been_sent() const;
 
--- /dev/null
+++ b/wire/mesh_handshake.cc
@@ -0,0 +1,146 @@
+// Three short messages, each with a two-byte length. Invariants: no more than max_handshake_bytes of one message are
+// read; the server sends a proof before it has seen one, which tells nothing because both nonces are random. The whole
+// exchange has one time limit, and the socket is closed when it is over. Cost: one round trip before the first request.
+#include "wire/mesh_handshake.h"
+
+#include <array>
+#include <optional>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "wire/mesh_key.h"
+#include "wire/messages.pb.h"
+
+namespace heatherdeck {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::uint32_t protocol_version = 1;
+constexpr std::string_view client_label = "mesh client 1";
+constexpr std::string_view server_label = "mesh server 1";
+constexpr unsigned byte_bits = 8;
+
+error broken(std::string text) {
+  return {error_kind::bad_message, std::move(text), "check that the address is a mesh_listen of this mesh", {}};
+}
+
+error wrong_key(const std::string& peer) {
+  return {error_kind::unauthorised,
+          "the peer '" + peer + "' has not proved the mesh key",
+          "check that mesh_key is the same in the settings of both processes",
+          {}};
+}
+
+error lost(const boost::system::error_code& ec, bool late) {
+  if (late) return {error_kind::timeout, "the handshake took too long", "check the peer's load and address", {}};
+  return {error_kind::closed,
+          "the connection closed during the handshake: " + ec.message(),
+          "check that mesh_key is the same in the settings of both processes",
+          {}};
+}
+
+/// Closes the socket when the time is over.
+class time_limit {
+ public:
+  time_limit(timer_service& timers, tcp::socket& socket)
+      : guard_(timers.after(handshake_limit, [this, &socket] {
+          late_ = true;
+          boost::system::error_code ignored;
+          socket.close(ignored);
+        })) {}
+  bool late() const { return late_; }
+
+ private:
+  bool late_ = false;
+  subscription guard_;
+};
+
+awaitable<outcome<void>> send(tcp::socket& socket, const time_limit& limit, pb::Handshake message) {
+  std::string bytes = message.SerializeAsString();
+  const auto size = bytes.size();
+  bytes.insert(0, {static_cast<char>(size >> byte_bits), static_cast<char>(size & 0xFFU)});
+  const auto buffer = boost::asio::buffer(bytes);
+  auto [ec, sent] = co_await boost::asio::async_write(socket, buffer, use_tuple);
+  if (ec) co_return lost(ec, limit.late());
+  co_return outcome<void>();
+}
+
+awaitable<outcome<pb::Handshake>> receive(tcp::socket& socket, const time_limit& limit) {
+  std::array<unsigned char, 2> prefix{};
+  const auto prefix_buffer = boost::asio::buffer(prefix);
+  auto [prefix_ec, prefix_size] = co_await boost::asio::async_read(socket, prefix_buffer, use_tuple);
+  if (prefix_ec) co_return lost(prefix_ec, limit.late());
+  const std::size_t size = (static_cast<std::size_t>(prefix[0]) << byte_bits) | prefix[1];
+  if (size > max_handshake_bytes) co_return broken("a handshake message is too long");
+  std::string bytes(size, '\0');
+  const auto buffer = boost::asio::buffer(bytes);
+  auto [ec, got] = co_await boost::asio::async_read(socket, buffer, use_tuple);
+  if (ec) co_return lost(ec, limit.late());
+  pb::Handshake message;
+  if (!message.ParseFromString(bytes)) co_return broken("a handshake message is malformed");
+  co_return message;
+}
+
+/// Checks the parts that a greeting must have.
+std::optional<error> check_greeting(const pb::Handshake& message) {
+  if (message.protocol() != protocol_version) {
+    return broken("the peer speaks handshake protocol " + std::to_string(message.protocol()) + ", this process 1");
+  }
+  if (message.nonce().size() != mesh_nonce_bytes) return broken("the peer's nonce has the wrong length");
+  if (message.id().empty() || message.id().size() > max_peer_id_bytes) return broken("the peer's id is not valid");
+  return std::nullopt;
+}
+
+pb::Handshake make_greeting(const std::string& id) {
+  pb::Handshake message;
+  message.set_protocol(protocol_version);
+  message.set_nonce(random_bytes(mesh_nonce_bytes));
+  message.set_id(id);
+  return message;
+}
+
+std::string proof_of(const std::string& key, std::string_view label, const pb::Handshake& client,
+                     const pb::Handshake& server) {
+  return mesh_proof(key, label, {client.nonce(), server.nonce(), client.id(), server.id()});
+}
+
+}  // namespace
+
+awaitable<outcome<std::string>> handshake_as_client(tcp::socket& socket, timer_service& timers, std::string key,
+                                                    std::string id) {
+  const time_limit limit(timers, socket);
+  const pb::Handshake own = make_greeting(id);
+  const auto greeted = co_await send(socket, limit, own);
+  if (!greeted) co_return greeted.failure();
+  const auto peer = co_await receive(socket, limit);
+  if (!peer) co_return peer.failure();
+  if (auto fault = check_greeting(*peer)) co_return std::move(*fault);
+  if (!equal_proof(peer->proof(), proof_of(key, server_label, own, *peer))) co_return wrong_key(peer->id());
+  pb::Handshake answer;
+  answer.set_proof(proof_of(key, client_label, own, *peer));
+  const auto answered = co_await send(socket, limit, answer);
+  if (!answered) co_return answered.failure();
+  co_return peer->id();
+}
+
+awaitable<outcome<std::string>> handshake_as_server(tcp::socket& socket, timer_service& timers, std::string key,
+                                                    std::string id) {
+  const time_limit limit(timers, socket);
+  const auto peer = co_await receive(socket, limit);
+  if (!peer) co_return peer.failure();
+  if (auto fault = check_greeting(*peer)) co_return std::move(*fault);
+  pb::Handshake own = make_greeting(id);
+  own.set_proof(proof_of(key, server_label, *peer, own));
+  const auto greeted = co_await send(socket, limit, own);
+  if (!greeted) co_return greeted.failure();
+  const auto proof = co_await receive(socket, limit);
+  if (!proof) co_return proof.failure();
+  if (!equal_proof(proof->proof(), proof_of(key, client_label, *peer, own))) co_return wrong_key(peer->id());
+  co_return peer->id();
+}
+
+}  // namespace heatherdeck
