--- a/control/ledger_service.cc
+++ b/control/ledger_service.cc
@@ -81,7 +81,7 @@
   if (publisher) publisher_ = *publisher;
   const auto rollout = capture([&] { return k.find<rollout_message>(to_name(service_name::rollout)); });
   if (rollout) rollout_ = *rollout;
-  const auto operators = capture([&] { return k.find<document_changed>(to_name(service_name::operators)); });
+  const auto operators = capture([&] { return k.find<operators_message>(to_name(service_name::operators)); });
   if (operators) operators_ = *operators;
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   return {};
--- a/control/ledger_service.h
+++ b/control/ledger_service.h
@@ -22,6 +22,7 @@
 #include "control/ledger.h"
 #include "kernel/kernel.h"
 #include "model/ledger_messages.h"
+#include "model/operators_messages.h"
 #include "model/publisher_messages.h"
 #include "model/rollout_messages.h"
 #include "model/settings.h"
@@ -90,7 +91,7 @@
   address<consensus_message> consensus_;
   address<publisher_message> publisher_;
   address<rollout_message> rollout_;
-  address<document_changed> operators_;
+  address<operators_message> operators_;
 };
 
 }  // namespace heatherdeck
--- /dev/null
+++ b/testing/control_service_test.cc
@@ -0,0 +1,230 @@
+// Guards the ledger and operators services together: a change is answered after it has been applied, lost answers are
+// found again by id, and the API refuses what is not signed or not owned. A stand-in consensus service commits at once,
+// or loses answers when told to.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+
+#include "control/ledger_service.h"
+#include "control/operators_service.h"
+#include "model/operator_signature.h"
+#include "model/service_names.h"
+#include "testing/sample_document.h"
+#include "wire/http_client.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+enum class commit_mode { commit, commit_without_answer, not_leader };
+
+// Commits every proposal at once on this one host.
+class single_host_log : public service {
+ public:
+  std::string_view name() const override { return to_name(service_name::consensus); }
+  void publish(kernel& k) override {
+    inbox_.emplace(k.executor(), 64);
+    k.publish(name(), inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    BOOST_LEAF_ASSIGN(ledger_, k.find<ledger_message>(to_name(service_name::ledger)));
+    boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return nullptr; }
+
+  commit_mode mode = commit_mode::commit;
+
+ private:
+  awaitable<void> run() {
+    for (;;) {
+      outcome<consensus_message> message = co_await inbox_->receive();
+      if (!message) co_return;
+      std::visit([this](auto&& one) { handle(std::move(one)); }, std::move(*message));
+    }
+  }
+  void handle(propose_command message) {
+    if (mode == commit_mode::not_leader) {
+      message.answer(error{error_kind::not_leader, "this host is not the leader", "ask the leader", {}});
+      return;
+    }
+    ++index_;
+    // The report of the commit and the entry itself may arrive in either order.
+    const bool report_first = index_ % 2 == 0;
+    if (report_first && mode == commit_mode::commit) message.answer(committed{index_, 1});
+    ledger_.post(apply_entries{{{1, index_, entry_kind::command, message.payload}}});
+    if (mode == commit_mode::commit) message.answer(committed{index_, 1});
+  }
+  void handle(confirm_read message) { message.answer(index_); }
+  void handle(get_consensus_status message) {
+    consensus_status status;
+    status.leader = "c2";
+    status.quorum = true;
+    message.answer(status);
+  }
+  void handle(change_voters) {}
+
+  std::optional<mailbox<consensus_message>> inbox_;
+  address<ledger_message> ledger_;
+  std::uint64_t index_ = 0;
+};
+
+class control_service : public testing::Test {
+ protected:
+  control_service() {
+    keys_ = *capture([] { return generate_operator_keys(); });
+    settings s;
+    s.id = "c1";
+    s.operator_listen = "127.0.0.1:0";
+    s.control_hosts = {{"c1", "dar-1", "dar", "", "127.0.0.1:1"}, {"c2", "dar-2", "dar", "", "127.0.0.1:2"}};
+    s.operators = {{"amina", keys_.public_key, {"services", "shares", "routes.*"}}};
+    auto log = std::make_unique<single_host_log>();
+    log_ = log.get();
+    auto operators = *capture([&] { return operators_service::make(s); });
+    operators_ = static_cast<operators_service*>(operators.get());
+    EXPECT_TRUE(capture([&] { return k_.add(std::move(log)); }));
+    EXPECT_TRUE(capture([&] { return k_.add(*capture([&] { return ledger_service::make(s); })); }));
+    EXPECT_TRUE(capture([&] { return k_.add(std::move(operators)); }));
+    const outcome<void> begun = capture([&] { return k_.start(); });
+    EXPECT_TRUE(begun) << begun.failure().message();
+  }
+
+  // Runs one test body on the kernel's thread.
+  void run(std::function<awaitable<void>()> body) {
+    bool finished = false;
+    boost::asio::co_spawn(k_.executor(), body(), [&](std::exception_ptr) {
+      finished = true;
+      k_.io().stop();
+    });
+    k_.io().run_for(20s);
+    EXPECT_TRUE(finished) << "the test's own calls did not end";
+  }
+
+  submission change(const std::string& id, std::vector<section_edit> edits) {
+    submission made{id, "amina", std::move(edits), {}};
+    EXPECT_TRUE(capture([&] { return sign_submission(made, keys_.secret); }));
+    return made;
+  }
+
+  awaitable<http_response> call(http_request request) {
+    const std::string at = "127.0.0.1:" + std::to_string(operators_->port());
+    const duration limit = 10s;
+    outcome<http_response> answer = co_await http_call(k_.timers(), k_.executor(), at, request, limit);
+    EXPECT_TRUE(answer) << answer.failure().message();
+    co_return answer ? *answer : http_response{0, {}, "{}"};
+  }
+
+  awaitable<submission_result> post(submission made) {
+    http_request request{"POST", "/v1/submissions", {}, {}, boost::json::serialize(to_json(made))};
+    http_response answer = co_await call(request);
+    const auto read = capture([&]() -> result<submission_result> {
+      BOOST_LEAF_AUTO(body, parse_json(answer.body));
+      return from_json<submission_result>(body);
+    });
+    EXPECT_TRUE(read) << answer.body;
+    co_return read ? *read : submission_result();
+  }
+
+  operator_keys keys_;
+  kernel k_;
+  single_host_log* log_ = nullptr;
+  operators_service* operators_ = nullptr;
+};
+
+const section_edit services_edit{"services", "a: { versions: [v1, v2] }\n", {}};
+const section_edit shares_edit{"shares", "a: { v1: 100 }\n", {}};
+
+TEST_F(control_service, accepts_signed_changes_and_shows_them) {
+  run([this]() -> awaitable<void> {
+    submission first = change("id-1", {services_edit, shares_edit});
+    submission_result answer = co_await post(first);
+    EXPECT_EQ(answer.answer.accepted, (version{1, 1})) << answer.answer.refusal.message();
+    submission second = change("id-2", {{"shares", "a: { v1: 50, v2: 50 }\n", {1, 1}}});
+    answer = co_await post(second);
+    EXPECT_EQ(answer.answer.accepted, (version{1, 2}));
+    answer = co_await post(second);
+    EXPECT_EQ(answer.answer.accepted, (version{1, 2})) << "a resend gets the first answer";
+    submission stale = change("id-3", {{"shares", "a: { v2: 100 }\n", {1, 1}}});
+    answer = co_await post(stale);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::conflict);
+    EXPECT_EQ(answer.answer.current, (std::vector<version>{{1, 2}}));
+    http_request show{"GET", "/v1/document", {{"confirmed", "true"}}, {}, {}};
+    http_response shown = co_await call(show);
+    const auto state = capture([&]() -> result<document_state> {
+      BOOST_LEAF_AUTO(body, parse_json(shown.body));
+      return from_json<document_state>(body);
+    });
+    EXPECT_TRUE(state);
+    EXPECT_EQ(state->sections.at("shares").revision, (version{1, 2}));
+  });
+}
+
+// A change without a valid signature, or for another team's section, must not reach the log.
+TEST_F(control_service, refuses_unsigned_and_foreign_changes) {
+  run([this]() -> awaitable<void> {
+    submission altered = change("id-1", {services_edit});
+    altered.edits[0].text += "# more\n";
+    submission_result answer = co_await post(altered);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::unauthorised);
+    submission foreign = change("id-2", {services_edit, {"limits", "{}\n", {}}});
+    answer = co_await post(foreign);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::not_owner);
+    EXPECT_EQ(answer.answer.refusal.where, "section limits");
+    submission unknown = change("id-3", {services_edit});
+    unknown.operator_name = "juma";
+    answer = co_await post(unknown);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::unauthorised);
+    http_request garbage{"POST", "/v1/submissions", {}, {}, "{\"id\":1}"};
+    http_response refused = co_await call(garbage);
+    EXPECT_EQ(refused.status, 400U);
+    http_request show{"GET", "/v1/document", {}, {}, {}};
+    http_response shown = co_await call(show);
+    EXPECT_NE(shown.body.find("\"version\":\"0.0\""), std::string::npos) << shown.body;
+  });
+}
+
+// An operator whose answer was lost must find out by the id what happened.
+TEST_F(control_service, lost_answer_is_found_by_id) {
+  run([this]() -> awaitable<void> {
+    log_->mode = commit_mode::commit_without_answer;
+    submission made = change("id-1", {services_edit, shares_edit});
+    submission_result answer = co_await post(made);
+    EXPECT_EQ(answer.answer.accepted, (version{1, 1})) << "the id is known although the report of the commit was lost";
+    http_request find{"GET", "/v1/submission", {{"operator", "amina"}, {"id", "id-1"}}, {}, {}};
+    http_response found = co_await call(find);
+    EXPECT_EQ(found.body, "{\"accepted\":\"1.1\"}\n");
+    find.query["id"] = "id-2";
+    found = co_await call(find);
+    EXPECT_EQ(found.status, 404U);
+  });
+}
+
+TEST_F(control_service, names_the_leader) {
+  run([this]() -> awaitable<void> {
+    log_->mode = commit_mode::not_leader;
+    submission made = change("id-1", {services_edit});
+    submission_result answer = co_await post(made);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::not_leader);
+    EXPECT_EQ(answer.leader, "127.0.0.1:2");
+  });
+}
+
+// A watching operator must be told of a change at once, not at the next time-out.
+TEST_F(control_service, waiting_call_is_answered_by_the_change) {
+  run([this]() -> awaitable<void> {
+    submission made = change("id-1", {services_edit, shares_edit});
+    const time_point begun = timer_service::now();
+    boost::asio::co_spawn(
+        k_.executor(), [this, made]() -> awaitable<void> { (void)co_await post(made); }, boost::asio::detached);
+    http_request watch{"GET", "/v1/rollouts", {{"after", "0.0"}, {"wait_ms", "9000"}}, {}, {}};
+    http_response changed = co_await call(watch);
+    EXPECT_NE(changed.body.find("\"version\":\"1.1\""), std::string::npos) << changed.body;
+    EXPECT_LT(timer_service::now() - begun, 5s);
+  });
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- /dev/null
+++ b/wire/operator_api.h
@@ -0,0 +1,96 @@
+/// @file
+/// The operators' API as typed values and their JSON; used by the operators service and by the command-line tool.
+///
+///     POST /v1/submissions                            submission          -> submission_result
+///     GET  /v1/submission?operator=O&id=I                                 -> submission_result
+///     GET  /v1/document[?confirmed=true][&after=V&wait_ms=N]              -> document_state
+///     GET  /v1/section?name=S                                             -> one section
+///     GET  /v1/status[?wanted=V&wait_ms=N]                                -> control_status
+///     GET  /v1/rollouts[?after=V&wait_ms=N]                               -> rollouts_status
+///     GET  /v1/dump                                                       -> state of every service of the process
+///
+/// `after` waits until the document is newer than V, `wanted` until every subscriber acts on V or later; both for at
+/// most `wait_ms`, and then answer with what is known. Versions are written "epoch.index", signatures in base64. A
+/// refusal is {"error": {kind, text, remedy, where}}; a submission's refusal may add `current` and `leader`.
+///
+///     boost::json::object body = to_json(change);
+///     BOOST_LEAF_AUTO(change, from_json<submission>(boost::json::parse(text)));
+///
+/// Reading refuses missing members and wrong types as `bad_message` and ignores unknown members.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include "kernel/result.h"
+#include "model/ledger_messages.h"
+#include "model/publisher_messages.h"
+#include "model/raft_messages.h"
+#include "model/rollout_messages.h"
+
+namespace heatherdeck {
+
+/// The answer to a submission.
+struct submission_result {
+  command_answer answer;
+  std::string leader;  ///< not_leader: operator address of the leader, when it is known
+};
+
+/// What one control host tells of itself and of the nodes that subscribe to it.
+struct control_status {
+  std::string host;
+  std::string availability_zone;
+  consensus_status consensus;
+  std::string leader_address;
+  version document;
+  std::vector<subscriber_status> subscribers;
+};
+
+/// All rollouts of the document, with the evidence where this control host knows it.
+struct rollouts_status {
+  version document;
+  std::vector<rollout_view> rollouts;
+  std::vector<withdrawn_version> withdrawn;
+};
+
+boost::json::object to_json(const section_edit& value);
+boost::json::object to_json(const submission& value);
+boost::json::object to_json(const submission_result& value);
+boost::json::object to_json(const section& value);
+boost::json::object to_json(const document_state& value);
+boost::json::object to_json(const control_status& value);
+boost::json::object to_json(const rollout_state& value);
+boost::json::object to_json(const rollout_view& value);
+boost::json::object to_json(const rollouts_status& value);
+boost::json::object to_json(const withdrawn_version& value);
+boost::json::object to_json(const subscriber_status& value);
+boost::json::object to_json(const voter& value);
+
+/// Defined for submission, submission_result, document_state, control_status, rollouts_status and error.
+template <class Value>
+result<Value> from_json(const boost::json::value& body);
+template <>
+result<error> from_json<error>(const boost::json::value& body);
+template <>
+result<submission> from_json<submission>(const boost::json::value& body);
+template <>
+result<submission_result> from_json<submission_result>(const boost::json::value& body);
+template <>
+result<document_state> from_json<document_state>(const boost::json::value& body);
+template <>
+result<control_status> from_json<control_status>(const boost::json::value& body);
+template <>
+result<rollouts_status> from_json<rollouts_status>(const boost::json::value& body);
+
+/// @return the parsed text, or `bad_message`.
+result<boost::json::value> parse_json(std::string_view text);
+
+/// @param text "epoch.index".
+/// @return the version, or `usage`.
+result<version> parse_version(std::string_view text);
+
+}  // namespace heatherdeck
