--- a/testing/node_proxy.cmake
+++ b/testing/node_proxy.cmake
@@ -1,1 +1,2 @@
 hd_test(proxy_test hd_node)
+hd_test(exchange_core_test hd_node)
