--- /dev/null
+++ b/node/announcement_service.cc
@@ -0,0 +1,193 @@
+// Connections of the listener ask the service's task by messages; the task owns the core. Invariant: an endpoint change
+// that the directory's full mailbox refuses stays pending and is posted again at the next tick, so no change is lost;
+// of several changes of one target only the last is kept. Cost: one message each way per announcement.
+#include "node/announcement_service.h"
+
+#include <map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "node/announcement_core.h"
+#include "node/pool_messages.h"
+#include "wire/http_listener.h"
+
+namespace heatherdeck {
+namespace {
+
+// An eighth of the lease: an upstream that has gone is noticed at most this long after its lease.
+constexpr duration tick_period = milliseconds(250);
+constexpr duration answer_limit = std::chrono::seconds(1);
+
+struct announcement_tick {};
+struct put_announcement {
+  std::string body;
+  reply<http_response> answer;
+};
+struct remove_announcement {
+  std::string target;
+  reply<http_response> answer;
+};
+using announcement_message = std::variant<announcement_tick, put_announcement, remove_announcement>;
+
+}  // namespace
+
+struct announcement_service::state : std::enable_shared_from_this<announcement_service::state> {
+  explicit state(kernel& k) : timers(&k.timers()), executor(k.executor()), inbox(executor, 256) {}
+
+  struct route {
+    std::string_view method;
+    announcement_message (*make)(http_request& request, reply<http_response> answer);
+  };
+  static const route routes[];
+
+  awaitable<http_response> serve(http_request request);
+  void handle(const announcement_tick&);
+  void handle(const put_announcement& asked);
+  void handle(const remove_announcement& asked);
+  http_response pass_on(const outcome<announcement_core::changes>& changes);
+  void post_pending();
+  static awaitable<void> run(std::shared_ptr<state> self);
+
+  timer_service* timers;
+  executor_type executor;
+  mailbox<announcement_message> inbox;
+  announcement_core core;
+  std::map<std::string, endpoint_record> pending;
+  address<directory_message> directory;
+  address<traffic_message> traffic;
+  address<pool_message> pool;
+  subscription tick;
+  std::unique_ptr<http_listener> listener;
+  std::uint64_t refused = 0;
+};
+
+const announcement_service::state::route announcement_service::state::routes[] = {
+    {"PUT",
+     [](http_request& request, reply<http_response> answer) -> announcement_message {
+       return put_announcement{std::move(request.body), std::move(answer)};
+     }},
+    {"DELETE",
+     [](http_request& request, reply<http_response> answer) -> announcement_message {
+       return remove_announcement{request.query["target"], std::move(answer)};
+     }},
+};
+
+awaitable<http_response> announcement_service::state::serve(http_request request) {
+  for (const route& r : routes) {
+    if (request.method != r.method || request.path != "/v1/announcement") continue;
+    auto make = [&](reply<http_response> answer) { return r.make(request, std::move(answer)); };
+    auto asking = ask<http_response>(*timers, executor, inbox.address(), answer_limit, std::move(make));
+    auto answer = co_await std::move(asking);
+    if (!answer) co_return error_response(answer.failure());
+    co_return std::move(*answer);
+  }
+  co_return error_response({error_kind::not_found, request.method + " " + request.path + " is not a call of this API",
+                            "use PUT or DELETE /v1/announcement", request.path});
+}
+
+void announcement_service::state::handle(const announcement_tick&) { (void)pass_on(core.tick(timer_service::now())); }
+
+void announcement_service::state::handle(const put_announcement& asked) {
+  asked.answer(pass_on(capture([&]() -> result<announcement_core::changes> {
+    BOOST_LEAF_AUTO(said, parse_announcement(asked.body));
+    return core.put(timer_service::now(), said);
+  })));
+}
+
+void announcement_service::state::handle(const remove_announcement& asked) {
+  asked.answer(pass_on(capture([&] { return core.remove(asked.target); })));
+}
+
+http_response announcement_service::state::pass_on(const outcome<announcement_core::changes>& changes) {
+  if (!changes) {
+    ++refused;
+    log_error("announcement_refused", changes.failure());
+    return error_response(changes.failure());
+  }
+  for (const endpoint_record& endpoint : changes->endpoints) {
+    pending[endpoint.target] = endpoint;
+    const std::uint32_t limit = endpoint.state == upstream_state::gone ? 0 : endpoint.connections;
+    if (pool) pool.post(set_connection_limit{endpoint.address, limit});
+    log_event(
+        log_level::info, "upstream_announced",
+        {{"target", endpoint.target}, {"version", endpoint.upstream_version}, {"state", to_name(endpoint.state)}});
+  }
+  for (const local_load& load : changes->loads) {
+    if (traffic) traffic.post(load);
+  }
+  post_pending();
+  const auto lease = std::chrono::duration_cast<milliseconds>(announcement_lease);
+  return json_response(200, boost::json::object{{"lease_ms", lease.count()}});
+}
+
+void announcement_service::state::post_pending() {
+  std::erase_if(pending, [this](const auto& entry) {
+    return !directory || directory.post(local_endpoint_changed{entry.second});
+  });
+}
+
+awaitable<void> announcement_service::state::run(std::shared_ptr<state> self) {
+  while (true) {
+    auto receiving = self->inbox.receive();
+    auto message = co_await std::move(receiving);
+    if (!message) co_return;
+    std::visit([&](const auto& m) { self->handle(m); }, *message);
+  }
+}
+
+announcement_service::announcement_service(const settings& s) : listen_(s.upstream_listen) {}
+
+announcement_service::~announcement_service() { stop(); }
+
+result<std::unique_ptr<service>> announcement_service::make(const settings& s) {
+  return std::unique_ptr<service>(new announcement_service(s));
+}
+
+std::string_view announcement_service::name() const { return to_name(service_name::announcements); }
+
+void announcement_service::publish(kernel& k) { state_ = std::make_shared<state>(k); }
+
+result<void> announcement_service::start(kernel& k) {
+  if (k.has(to_name(service_name::directory))) {
+    BOOST_LEAF_ASSIGN(state_->directory, k.find<directory_message>(to_name(service_name::directory)));
+  }
+  if (k.has(to_name(service_name::traffic))) {
+    BOOST_LEAF_ASSIGN(state_->traffic, k.find<traffic_message>(to_name(service_name::traffic)));
+  }
+  if (k.has(to_name(service_name::pool))) {
+    BOOST_LEAF_ASSIGN(state_->pool, k.find<pool_message>(to_name(service_name::pool)));
+  }
+  const std::weak_ptr<state> weak = state_;
+  auto serve = [weak](http_request request) -> awaitable<http_response> {
+    const auto self = weak.lock();
+    if (!self) co_return error_response(mailbox_closed());
+    auto serving = self->serve(std::move(request));
+    co_return co_await std::move(serving);
+  };
+  BOOST_LEAF_ASSIGN(state_->listener, http_listener::make(k, listen_, std::move(serve)));
+  boost::asio::co_spawn(k.executor(), state::run(state_), boost::asio::detached);
+  const address<announcement_message> inbox = state_->inbox.address();
+  state_->tick = k.timers().every(tick_period, [inbox] { inbox.post(announcement_tick{}); });
+  return {};
+}
+
+void announcement_service::stop() {
+  if (!state_) return;
+  state_->tick.cancel();
+  state_->listener.reset();
+  state_->inbox.close();
+}
+
+std::uint16_t announcement_service::port() const { return state_->listener ? state_->listener->port() : 0; }
+
+boost::json::value announcement_service::dump() const {
+  boost::json::value dumped = state_->core.dump(timer_service::now());
+  dumped.as_object()["refused"] = state_->refused;
+  dumped.as_object()["pending"] = state_->pending.size();
+  return dumped;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/announcement_service.h
@@ -0,0 +1,41 @@
+/// @file
+/// The service "announcements": the HTTP API of the upstreams on this host.
+///
+///     PUT    /v1/announcement                every 500 ms; see node/announcement_core.h for the body
+///     DELETE /v1/announcement?target=NAME    ends the lease at once; NAME may be left out when it is the only one
+///
+/// Listens on `upstream_listen`. Posts endpoints to "directory", load to "traffic" and connection limits to "pool", as
+/// far as these run in the process.
+#pragma once
+
+#include <memory>
+
+#include "kernel/kernel.h"
+#include "model/settings.h"
+
+namespace heatherdeck {
+
+class announcement_service : public service {
+ public:
+  /// @param s uses upstream_listen.
+  static result<std::unique_ptr<service>> make(const settings& s);
+  ~announcement_service() override;
+
+  std::string_view name() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+  /// @return the port of the API; known after `start`.
+  std::uint16_t port() const;
+
+ private:
+  struct state;
+  explicit announcement_service(const settings& s);
+
+  std::string listen_;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace heatherdeck
--- a/testing/node_proxy.cmake
+++ b/testing/node_proxy.cmake
@@ -1,2 +1,3 @@
 hd_test(proxy_test hd_node)
 hd_test(exchange_core_test hd_node)
+hd_test(announcement_test hd_node)
