--- /dev/null
+++ b/control/rollout_planner.cc
@@ -0,0 +1,110 @@
+// The ramp is share(t) = first * (1 / first) ^ (t / planned time). With equal time for each factor, the share of calls
+// that a fault can hurt before it is found is the same at each factor, which is what bounds the cost of a fault of
+// unknown time of appearance. Invariant: a raise needs calls of the new version since the last step, except for a
+// service that has hardly any calls. Cost: O(1).
+#include "control/rollout_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace heatherdeck {
+namespace {
+
+// Evidence at which no share is raised; a good version reaches it with a probability of at most one tenth, and only
+// waits then.
+constexpr double evidence_of_concern = 10;
+// Calls of the new version that a step must have seen when there is time enough.
+constexpr double calls_for_step = 60;
+constexpr std::chrono::seconds longest_hold{15};
+constexpr std::chrono::seconds shortest_hold{2};
+// With fewer expected calls than this in a step a fault hurts next to nobody, and waiting for them would take for ever.
+constexpr double negligible_calls = 3;
+// An upstream works at half of its capacity at most in a service that can lose an availability zone, so it can take
+// twice its usual part.
+constexpr double headroom = 2;
+
+double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
+
+plan_step wait(std::string reason) { return {.reason = std::move(reason)}; }
+
+basis_points capacity_bound(const plan_facts& facts) {
+  if (facts.warm_new == 0) return 0;
+  if (facts.warm_old == 0) return whole_traffic;
+  const double part = headroom * static_cast<double>(facts.warm_new) / static_cast<double>(facts.warm_old);
+  return static_cast<basis_points>(std::min(1.0, part) * whole_traffic);
+}
+
+duration hold_time(const plan_facts& facts) {
+  const duration tenth = std::chrono::duration_cast<duration>(facts.wanted.finish_within) / 20;
+  return std::clamp<duration>(tenth, shortest_hold, longest_hold);
+}
+
+}  // namespace
+
+double rollout_planner::planned_part() const { return 0.85 - 0.35 * std::clamp(convergence_weight_, 0.0, 1.0); }
+
+plan_step rollout_planner::next(const plan_facts& facts) const {
+  if (facts.status != rollout_status::running && facts.status != rollout_status::watching) return wait("finished");
+  if (facts.evidence >= facts.threshold) {
+    if (facts.warm_old == 0) return wait("the new version is bad, but no upstream of the old version is left");
+    return {plan_action::withdraw, 0, rollout_status::rolled_back, "the new version is worse than the old one"};
+  }
+  return facts.status == rollout_status::running ? running(facts) : watching(facts);
+}
+
+basis_points rollout_planner::ramp(const plan_facts& facts) const {
+  const double first = std::max(1.0, static_cast<double>(facts.wanted.max_first_share)) / whole_traffic;
+  const double planned = seconds(facts.wanted.finish_within) * planned_part();
+  const double part = planned <= 0 ? 1 : std::clamp(seconds(facts.now - facts.started) / planned, 0.0, 1.0);
+  return static_cast<basis_points>(std::lround(std::pow(first, 1 - part) * whole_traffic));
+}
+
+plan_step rollout_planner::running(const plan_facts& facts) const {
+  if (facts.warm_new == 0) return wait("no warm upstream of the new version");
+  if (facts.share == 0) {
+    const basis_points first = std::clamp<basis_points>(facts.wanted.max_first_share, 1, whole_traffic);
+    return {plan_action::set_share, std::min(first, capacity_bound(facts)), rollout_status::running, "first share"};
+  }
+  if (facts.evidence >= evidence_of_concern) return wait("the evidence gives cause for concern");
+  if (facts.cut_recently) return wait("a node has cut the new version off");
+  const duration hold = hold_time(facts);
+  if (facts.now - facts.last_step < hold) return wait("the last step is recent");
+  const double limit = std::min<double>(facts.share * largest_growth, capacity_bound(facts));
+  const auto target = static_cast<basis_points>(std::min<double>(ramp(facts), limit));
+  if (target <= facts.share) return wait(limit <= facts.share ? "too few warm upstreams" : "the plan has no step yet");
+  // A step of less than a quarter is not worth a log entry and a message to every node.
+  if (target < whole_traffic && target < facts.share + facts.share / 4) return wait("the plan has no step yet");
+  const double part = static_cast<double>(facts.share) / whole_traffic;
+  const double expected = part * static_cast<double>(facts.new_calls + facts.old_calls);
+  const double time_left = 1 - seconds(facts.now - facts.started) / std::max(1.0, seconds(facts.wanted.finish_within));
+  const double needed = calls_for_step * std::clamp(2 * time_left, 0.05, 1.0);
+  if (static_cast<double>(facts.new_calls) < needed && expected >= negligible_calls) {
+    return wait(fmt::format("{} of {:.0f} calls since the last step", facts.new_calls, needed));
+  }
+  const bool complete = target >= whole_traffic;
+  return {plan_action::set_share, target, complete ? rollout_status::watching : rollout_status::running,
+          complete ? "all traffic" : "next step"};
+}
+
+plan_step rollout_planner::watching(const plan_facts& facts) const {
+  const duration since_step = facts.now - facts.last_step;
+  if (facts.share < whole_traffic) {
+    if (facts.evidence >= evidence_of_concern || since_step < probe_time) return wait("comparing with the old version");
+    return {plan_action::set_share, whole_traffic, rollout_status::watching, "the suspicion was not confirmed"};
+  }
+  if (facts.suspicious && facts.warm_old > 0) {
+    const double old_part = std::min(
+        1.0 - static_cast<double>(probe_share) / whole_traffic,
+        headroom * static_cast<double>(facts.warm_old) / static_cast<double>(std::max<std::size_t>(1, facts.warm_new)));
+    const auto share = static_cast<basis_points>(std::lround((1 - old_part) * whole_traffic));
+    return {plan_action::set_share, share, rollout_status::watching, "some traffic goes back for a comparison"};
+  }
+  if (facts.now - facts.watching_since >= facts.wanted.watch) {
+    return {plan_action::set_share, whole_traffic, rollout_status::done, "watched without a fault"};
+  }
+  return wait("watching");
+}
+
+}  // namespace heatherdeck
--- a/traffic/version_cutter.cc
+++ b/traffic/version_cutter.cc
@@ -58,7 +58,7 @@
     r.test.add(std::span(&r.window, 1));
     r.window = {};
     if (r.cut_until > now || r.test.evidence() < evidence_to_cut || r.failures < failures_to_cut) continue;
-    r.cut_until = now + first_cut * (1U << std::min(r.cuts, 6U));
+    r.cut_until = now + first_cut * (1U << std::min(r.cuts, 2U));
     ++r.cuts;
     r.test = new_test();
     r.failures = 0;
--- a/traffic/version_cutter.h
+++ b/traffic/version_cutter.h
@@ -9,7 +9,7 @@
 ///     if (cutter.cut("certdesk", "v2", now)) ...
 ///
 /// A cut is local and ends by itself, since one node's view may be that of a fault on the way to the upstreams: the
-/// first lasts 30 s, each further one in the same rollout twice as long. The leader alone withdraws a version.
+/// first lasts 15 s, later ones of the same rollout up to a minute. The leader alone withdraws a version.
 #pragma once
 
 #include <chrono>
@@ -25,7 +25,7 @@
 
 class version_cutter {
  public:
-  static constexpr std::chrono::seconds first_cut{30};
+  static constexpr std::chrono::seconds first_cut{15};
   /// One false cut in 10,000 rollouts of a good version at a node.
   static constexpr double evidence_to_cut = 10'000;
   /// With fewer failed calls nothing is clear, whatever the odds.
