--- a/control/version_judge.cc
+++ b/control/version_judge.cc
@@ -56,11 +56,6 @@
   return usual.size() - 1;
 }
 
-struct event_count {
-  std::uint32_t calls = 0;
-  std::uint32_t events = 0;
-};
-
 }  // namespace
 
 version_judge::version_judge(std::string from, std::string to, judge_options options)
@@ -117,11 +112,7 @@
   }
   std::array<std::size_t, rates> edges{};
   for (std::size_t rate = 1; rate < rates; ++rate) edges[rate] = edge_of(s.usual, slow_parts[rate]);
-  for (auto& [left_out, variant] : s.variants) {
-    for (std::size_t rate = 0; rate < rates; ++rate) {
-      variant.tests[rate].add(strata(s, left_out, rate, edges));
-    }
-  }
+  for (std::size_t rate = 0; rate < rates; ++rate) test(s, rate, edges[rate]);
   follow_drift(s, edges);
   for (double& n : s.usual) n *= histogram_fade;
   for (const auto& [zone, counts] : s.window) {
@@ -130,12 +121,22 @@
   s.window.clear();
 }
 
-std::vector<odds_window> version_judge::strata(const series& s, const std::string& left_out, std::size_t rate,
-                                               const std::array<std::size_t, rates>& edges) const {
-  const auto events = [&](const version_counts& side) {
-    return rate == 0 ? event_count{side.calls, side.failures}
-                     : event_count{calls_in(side.latency), calls_over(side.latency, edges[rate])};
-  };
+odds_window version_judge::window_of(const zone_counts& counts, std::size_t rate, std::size_t edge) const {
+  const version_counts& fresh = counts.fresh;
+  const version_counts& previous = counts.previous;
+  if (rate == 0) return {fresh.calls, fresh.failures, previous.calls, previous.failures};
+  return {calls_in(fresh.latency), calls_over(fresh.latency, edge), calls_in(previous.latency),
+          calls_over(previous.latency, edge)};
+}
+
+bool version_judge::has_both(const series& s, const std::string& zone) const {
+  const zone_presence& seen = s.zones.at(zone);
+  return present(seen.fresh_seen) && present(seen.previous_seen);
+}
+
+// Zones with only the new version need zones with only the old one to be compared with; without such zones all calls
+// form one stratum.
+bool version_judge::pooled(const series& s, const std::string& left_out) const {
   bool lacks_old = false;
   bool lacks_new = false;
   for (const auto& [zone, seen] : s.zones) {
@@ -145,52 +146,62 @@
     lacks_old = lacks_old || (fresh && !previous);
     lacks_new = lacks_new || (previous && !fresh);
   }
-  // Zones with only the new version need zones with only the old one to be compared with; without such zones all calls
-  // form one stratum.
-  const bool pooled = lacks_old && !lacks_new;
-  std::vector<odds_window> windows;
-  odds_window apart;
+  return lacks_old && !lacks_new;
+}
+
+void version_judge::test(series& s, std::size_t rate, std::size_t edge) const {
+  const sequential_odds_test& any = s.variants.begin()->second.tests[rate];
+  std::map<std::string, odds_factors> by_zone;
   for (const auto& [zone, counts] : s.window) {
-    if (zone == left_out) continue;
-    const event_count fresh = events(counts.fresh);
-    const event_count previous = events(counts.previous);
-    const zone_presence& seen = s.zones.at(zone);
-    if (!pooled && present(seen.fresh_seen) && present(seen.previous_seen)) {
-      windows.push_back({fresh.calls, fresh.events, previous.calls, previous.events});
-      continue;
+    if (has_both(s, zone)) by_zone.emplace(zone, any.factors(window_of(counts, rate, edge)));
+  }
+  for (auto& [left_out, variant] : s.variants) {
+    const bool one_stratum = pooled(s, left_out);
+    odds_factors sum{};
+    odds_window apart;
+    const auto add = [&](const odds_factors& logs) {
+      for (std::size_t i = 0; i < odds_bets; ++i) sum[i] += logs[i];
+    };
+    for (const auto& [zone, counts] : s.window) {
+      if (zone == left_out) continue;
+      const auto direct = by_zone.find(zone);
+      if (!one_stratum && direct != by_zone.end()) {
+        add(direct->second);
+        continue;
+      }
+      const odds_window w = window_of(counts, rate, edge);
+      apart.new_calls += w.new_calls;
+      apart.new_events += w.new_events;
+      apart.old_calls += w.old_calls;
+      apart.old_events += w.old_events;
     }
-    apart.new_calls += fresh.calls;
-    apart.new_events += fresh.events;
-    apart.old_calls += previous.calls;
-    apart.old_events += previous.events;
+    add(any.factors(apart));
+    variant.tests[rate].add_factors(sum);
   }
-  windows.push_back(apart);
-  return windows;
 }
 
 void version_judge::follow_drift(series& s, const std::array<std::size_t, rates>& edges) {
   for (std::size_t rate = 0; rate < rates; ++rate) {
-    event_count fresh;
-    event_count previous;
+    odds_window sum;
     for (const auto& [zone, counts] : s.window) {
-      const bool failures = rate == 0;
-      fresh.calls += failures ? counts.fresh.calls : calls_in(counts.fresh.latency);
-      fresh.events += failures ? counts.fresh.failures : calls_over(counts.fresh.latency, edges[rate]);
-      previous.calls += failures ? counts.previous.calls : calls_in(counts.previous.latency);
-      previous.events += failures ? counts.previous.failures : calls_over(counts.previous.latency, edges[rate]);
+      const odds_window w = window_of(counts, rate, edges[rate]);
+      sum.new_calls += w.new_calls;
+      sum.new_events += w.new_events;
+      sum.old_calls += w.old_calls;
+      sum.old_events += w.old_events;
     }
     drift& d = s.drifts[rate];
-    if (previous.calls > 0) {
-      d.calls += previous.calls;
-      d.events += previous.events;
+    if (sum.old_calls > 0) {
+      d.calls += sum.old_calls;
+      d.events += sum.old_events;
       d.excess = 0;
       continue;
     }
-    if (fresh.calls == 0 || d.calls == 0) continue;
+    if (sum.new_calls == 0 || d.calls == 0) continue;
     const double usual = std::clamp((d.events + 1) / (d.calls + 100), 1e-5, 0.9);
     const double raised = std::min(0.95, usual * drift_ratio + drift_offset);
-    const double gain =
-        fresh.events * std::log(raised / usual) + (fresh.calls - fresh.events) * std::log((1 - raised) / (1 - usual));
+    const double gain = sum.new_events * std::log(raised / usual) +
+                        (sum.new_calls - sum.new_events) * std::log((1 - raised) / (1 - usual));
     d.excess = std::max(0.0, d.excess + gain);
   }
 }
--- a/control/version_judge.h
+++ b/control/version_judge.h
@@ -122,8 +122,10 @@
   static void count(series& s, const std::string& zone, const evidence_row& row, bool fresh);
   void close(series& s);
   void follow_drift(series& s, const std::array<std::size_t, rates>& edges);
-  std::vector<odds_window> strata(const series& s, const std::string& left_out, std::size_t rate,
-                                  const std::array<std::size_t, rates>& edges) const;
+  odds_window window_of(const zone_counts& counts, std::size_t rate, std::size_t edge) const;
+  void test(series& s, std::size_t rate, std::size_t edge) const;
+  bool pooled(const series& s, const std::string& left_out) const;
+  bool has_both(const series& s, const std::string& zone) const;
   std::vector<std::string> zones_to_leave_out() const;
   double evidence_without(const std::string& zone) const;
   double evidence_of(const series& s, const std::string& left_out) const;
--- a/model/odds_test.cc
+++ b/model/odds_test.cc
@@ -13,7 +13,7 @@
 
 // Odds ratios that are bet on, as multiples of the tolerated one: from half as many failures again to a version that
 // fails always.
-constexpr std::array<double, 7> bet_ratios{1.6, 2.5, 4, 8, 20, 80, 1000};
+constexpr std::array<double, odds_bets> bet_ratios{1.6, 2.5, 4, 8, 20, 80, 1000};
 // Keeps products finite; far above any threshold.
 constexpr double highest_value = 1e15;
 
@@ -57,23 +57,38 @@
   return std::log(relative_normaliser(window, tolerated)) - std::log(relative_normaliser(window, theta));
 }
 
-sequential_odds_test::sequential_odds_test(odds_test_options options)
-    : options_(options), bets_(bet_ratios.size(), 0) {}
+sequential_odds_test::sequential_odds_test(odds_test_options options) : options_(options) {}
+
+odds_factors sequential_odds_test::factors(const odds_window& stratum) const {
+  odds_factors logs{};
+  const support range = support_of(stratum);
+  if (range.low == range.high) return logs;
+  const double ceiling = std::log(options_.largest_factor);
+  const double base = std::log(relative_normaliser(stratum, options_.tolerated_odds));
+  for (std::size_t i = 0; i < odds_bets; ++i) {
+    const double bet = std::log(relative_normaliser(stratum, options_.tolerated_odds * bet_ratios[i]));
+    logs[i] = std::min(base - bet, ceiling);
+  }
+  return logs;
+}
 
 void sequential_odds_test::add(std::span<const odds_window> strata) {
+  odds_factors sum{};
+  for (const odds_window& stratum : strata) {
+    const odds_factors logs = factors(stratum);
+    for (std::size_t i = 0; i < odds_bets; ++i) sum[i] += logs[i];
+  }
+  add_factors(sum);
+}
+
+void sequential_odds_test::add_factors(const odds_factors& sum) {
   const bool first = unplaced_ == 1;
   const double part =
       first ? options_.weight_at_start : (1 - options_.weight_at_start) / static_cast<double>(options_.windows);
   const double placed = std::min(unplaced_, part);
   unplaced_ -= placed;
-  const double ceiling = std::log(options_.largest_factor);
-  for (std::size_t i = 0; i < bets_.size(); ++i) {
-    double log_factor = 0;
-    for (const odds_window& w : strata) {
-      const double f = log_odds_factor(w, options_.tolerated_odds * bet_ratios[i], options_.tolerated_odds);
-      log_factor += std::min(f, ceiling);
-    }
-    const double value = (bets_[i] + placed / static_cast<double>(bets_.size())) * std::exp(log_factor);
+  for (std::size_t i = 0; i < odds_bets; ++i) {
+    const double value = (bets_[i] + placed / static_cast<double>(odds_bets)) * std::exp(sum[i]);
     bets_[i] = std::min(value, highest_value);
   }
 }
--- a/model/odds_test.h
+++ b/model/odds_test.h
@@ -20,10 +20,10 @@
 /// zone, such as a pause of one upstream, can decide alone.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
-#include <vector>
 
 namespace heatherdeck {
 
@@ -39,6 +39,12 @@
 /// Cost: O(min(K, new_calls, old_calls)).
 double log_odds_factor(const odds_window& window, double theta, double tolerated);
 
+/// How many odds ratios are bet on.
+inline constexpr std::size_t odds_bets = 7;
+
+/// Logarithms of the factors of one window, one for each bet.
+using odds_factors = std::array<double, odds_bets>;
+
 struct odds_test_options {
   double tolerated_odds = 1.0;    ///< an odds ratio up to this is no fault
   double largest_factor = 6.0;    ///< of one stratum in one window
@@ -51,16 +57,22 @@
  public:
   explicit sequential_odds_test(odds_test_options options = {});
 
-  /// Takes in the strata of one window; windows without calls of both versions change nothing.
+  /// Takes in the strata of one window; strata without calls of both versions change nothing.
   void add(std::span<const odds_window> strata);
 
+  /// @return the factors of one stratum. Tests with equal options may share them.
+  odds_factors factors(const odds_window& stratum) const;
+
+  /// Takes in one window as the sum of its strata's factors.
+  void add_factors(const odds_factors& sum);
+
   /// @return the evidence against "the new version is no worse"; starts at 1.
   double evidence() const;
 
  private:
   odds_test_options options_;
-  std::vector<double> bets_;  ///< value of the bets placed, for each theta
-  double unplaced_ = 1;       ///< part of the bets that are still to be placed
+  odds_factors bets_{};  ///< value of the bets placed, for each theta
+  double unplaced_ = 1;  ///< part of the bets that are still to be placed
 };
 
 }  // namespace heatherdeck
--- /dev/null
+++ b/tools/rollout_experiment.cmake
@@ -0,0 +1,2 @@
+add_executable(rollout_experiment rollout_experiment.cc)
+target_link_libraries(rollout_experiment PRIVATE hd_rollout_simulation gflags)
--- a/traffic/version_cutter.cc
+++ b/traffic/version_cutter.cc
@@ -33,17 +33,18 @@
   rollouts_ = std::move(next);
 }
 
-void version_cutter::record(const std::string& service, const std::string& upstream_version, bool failed) {
+void version_cutter::record(const std::string& service, const std::string& upstream_version, bool failed,
+                            std::uint32_t calls) {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) return;
   watched_rollout& r = found->second;
   if (upstream_version == r.to) {
-    ++r.window.new_calls;
-    r.window.new_events += failed ? 1 : 0;
-    r.failures += failed ? 1 : 0;
+    r.window.new_calls += calls;
+    r.window.new_events += failed ? calls : 0;
+    r.failures += failed ? calls : 0;
   } else if (upstream_version == r.from) {
-    ++r.window.old_calls;
-    r.window.old_events += failed ? 1 : 0;
+    r.window.old_calls += calls;
+    r.window.old_events += failed ? calls : 0;
   }
 }
 
--- a/traffic/version_cutter.h
+++ b/traffic/version_cutter.h
@@ -34,8 +34,8 @@
   /// Watches the services whose rollout is running or watching; forgets the others.
   void set_document(const compiled_document& document);
 
-  /// Counts a finished call of this node's own callers.
-  void record(const std::string& service, const std::string& upstream_version, bool failed);
+  /// Counts finished calls of this node's own callers.
+  void record(const std::string& service, const std::string& upstream_version, bool failed, std::uint32_t calls = 1);
 
   /// Compares the counts since the last call; call it several times a second.
   /// @return versions that are cut from now on.
