--- a/traffic/version_cutter.cc
+++ b/traffic/version_cutter.cc
@@ -33,17 +33,18 @@
   rollouts_ = std::move(next);
 }
 
-void version_cutter::record(const std::string& service, const std::string& upstream_version, bool failed) {
+void version_cutter::record(const std::string& service, const std::string& upstream_version, bool failed,
+                            std::uint32_t calls) {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end()) return;
   watched_rollout& r = found->second;
   if (upstream_version == r.to) {
-    ++r.window.new_calls;
-    r.window.new_events += failed ? 1 : 0;
-    r.failures += failed ? 1 : 0;
+    r.window.new_calls += calls;
+    r.window.new_events += failed ? calls : 0;
+    r.failures += failed ? calls : 0;
   } else if (upstream_version == r.from) {
-    ++r.window.old_calls;
-    r.window.old_events += failed ? 1 : 0;
+    r.window.old_calls += calls;
+    r.window.old_events += failed ? calls : 0;
   }
 }
 
@@ -58,7 +59,7 @@
     r.test.add(std::span(&r.window, 1));
     r.window = {};
     if (r.cut_until > now || r.test.evidence() < evidence_to_cut || r.failures < failures_to_cut) continue;
-    r.cut_until = now + first_cut * (1U << std::min(r.cuts, 6U));
+    r.cut_until = now + first_cut * (1U << std::min(r.cuts, 2U));
     ++r.cuts;
     r.test = new_test();
     r.failures = 0;
