--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -2,8 +2,17 @@
 // dependencies. Adding a service means adding a row.
 #include "daemon/service_table.h"
 
+#include "consensus/consensus_service.h"
+#include "control/ledger_service.h"
+#include "control/operators_service.h"
+#include "control/publisher_service.h"
 #include "daemon/admin_service.h"
-#include "model/service_names.h"
+#include "node/announcement_service.h"
+#include "node/pool_service.h"
+#include "node/proxy_service.h"
+#include "node/subscriber_service.h"
+#include "traffic/traffic_service.h"
+#include "wire/mesh_service.h"
 
 namespace heatherdeck {
 namespace {
@@ -13,8 +22,25 @@
   result<std::unique_ptr<service>> (*make)(const settings&);
 };
 
+/// Turns a factory of a concrete service into one of the interface.
+template <class Service>
+result<std::unique_ptr<service>> make_service(const settings& s) {
+  BOOST_LEAF_AUTO(made, Service::make(s));
+  return std::unique_ptr<service>(std::move(made));
+}
+
 constexpr service_row service_rows[] = {
-    {nullptr, &admin_service::make},
+    {nullptr, &make_service<admin_service>},
+    {nullptr, &make_service<mesh_service>},
+    {&settings::control, &make_service<consensus_service>},
+    {&settings::control, &make_service<ledger_service>},
+    {&settings::control, &make_service<publisher_service>},
+    {&settings::control, &make_service<operators_service>},
+    {&settings::node, &make_service<traffic_service>},
+    {&settings::node, &make_service<subscriber_service>},
+    {&settings::node, &make_service<pool_service>},
+    {&settings::node, &make_service<proxy_service>},
+    {&settings::node, &make_service<announcement_service>},
 };
 
 }  // namespace
--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -45,7 +45,7 @@
     co_return co_await std::move(sending);
   }
 
-  awaitable<void> watch_gone() override { return stream_->wait_closed(); }
+  awaitable<void> watch_gone() override { (void)co_await stream_->wait_closed(); }
   void cut() override { stream_->reset(cancel_code); }
 
  private:
