--- a/kernel/mailbox.h
+++ b/kernel/mailbox.h
@@ -27,6 +27,7 @@
 #include <boost/asio/experimental/channel.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kernel/loop_state.h"
 #include "kernel/result.h"
 #include "kernel/timer_service.h"
 
@@ -45,9 +46,11 @@
 /// The queue that a mailbox and its addresses share, with its counters.
 template <class Message>
 struct mailbox_state {
-  mailbox_state(executor_type executor, std::size_t limit) : channel(std::move(executor), limit), capacity(limit) {}
+  mailbox_state(executor_type executor, std::size_t limit)
+      : channel(std::move(executor), limit), loop(loop_state::of(channel.get_executor())), capacity(limit) {}
 
   boost::asio::experimental::channel<void(boost::system::error_code, Message)> channel;
+  const loop_state& loop;
   std::size_t capacity;
   std::size_t depth = 0;
   std::size_t refused = 0;
@@ -63,7 +66,7 @@
 
   /// @return false when the mailbox is full or closed; the message is dropped then.
   bool post(Message message) const {
-    if (!state_ || !state_->channel.is_open()) return false;
+    if (!state_ || state_->loop.ended() || !state_->channel.is_open()) return false;
     if (!state_->channel.try_send(boost::system::error_code{}, std::move(message))) {
       ++state_->refused;
       return false;
@@ -149,7 +152,8 @@
       send(error{error_kind::closed, "the question was dropped without an answer", "the service is stopping", {}});
     }
     void send(outcome<T> answer) {
-      if (const auto target = std::exchange(channel, nullptr)) {
+      const auto target = std::exchange(channel, nullptr);
+      if (target && !loop_state::of(target->get_executor()).ended()) {
         target->try_send(boost::system::error_code{}, std::move(answer));
       }
     }
@@ -166,6 +170,7 @@
 awaitable<outcome<T>> ask(timer_service& timers, executor_type executor, address<Message> target, duration timeout,
                           Make make) {
   auto channel = std::make_shared<typename reply<T>::channel_type>(std::move(executor), 1);
+  loop_state::of(channel->get_executor());
   // The time-out competes for the channel's single slot, so the first of the two to arrive is the answer.
   const subscription limit = timers.after(timeout, [channel] {
     channel->try_send(boost::system::error_code{},
--- a/wire/wake_signal.h
+++ b/wire/wake_signal.h
@@ -10,10 +10,13 @@
 
 class wake_signal {
  public:
-  explicit wake_signal(executor_type executor) : channel_(std::move(executor), 1) {}
+  explicit wake_signal(executor_type executor)
+      : channel_(std::move(executor), 1), loop_(loop_state::of(channel_.get_executor())) {}
 
   /// Wakes the waiting task, or the next one to wait.
-  void set() { channel_.try_send(boost::system::error_code{}); }
+  void set() {
+    if (!loop_.ended()) channel_.try_send(boost::system::error_code{});
+  }
 
   /// Waits for `set`; one task at a time.
   /// @return false once the signal is closed.
@@ -27,6 +30,7 @@
 
  private:
   boost::asio::experimental::channel<void(boost::system::error_code)> channel_;
+  const loop_state& loop_;
 };
 
 }  // namespace heatherdeck
