--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -83,10 +83,11 @@
     s.operators = {{"amina", keys_.public_key, {"services", "shares", "routes.*"}}};
     auto log = std::make_unique<single_host_log>();
     log_ = log.get();
-    auto operators = *capture([&] { return operators_service::make(s); });
+    auto operators = std::move(*capture([&] { return operators_service::make(s); }));
+    auto ledger = std::move(*capture([&] { return ledger_service::make(s); }));
     operators_ = static_cast<operators_service*>(operators.get());
     EXPECT_TRUE(capture([&] { return k_.add(std::move(log)); }));
-    EXPECT_TRUE(capture([&] { return k_.add(*capture([&] { return ledger_service::make(s); })); }));
+    EXPECT_TRUE(capture([&] { return k_.add(std::move(ledger)); }));
     EXPECT_TRUE(capture([&] { return k_.add(std::move(operators)); }));
     const outcome<void> begun = capture([&] { return k_.start(); });
     EXPECT_TRUE(begun) << begun.failure().message();
