cli: heatherdeck, the operators' command-line tool

Cause: operators need to check, submit, read and watch from a terminal and from scripts. Change: table of commands (check, submit, show, status, watch, dump, drain, keygen); submit finds changed sections, signs, follows the leader, sends the same id again after a lost answer and waits until the change is in force.

--- /dev/null
+++ b/cli/check_command.cc
@@ -0,0 +1,71 @@
+// check: reads documents and settings without a control host. A file with the key `sections` is a document.
+#include "cli/command.h"
+#include "cli/files.h"
+#include "model/document_compiler.h"
+#include "model/document_parser.h"
+#include "model/settings.h"
+
+namespace heatherdeck {
+namespace {
+
+struct checked_file {
+  std::string summary;
+  boost::json::object fields;
+};
+
+std::string counted(std::size_t number, const std::string& noun) {
+  return std::to_string(number) + " " + noun + (number == 1 ? "" : "s");
+}
+
+result<checked_file> check_document(const std::string& path, const std::string& text) {
+  BOOST_LEAF_AUTO(parsed, parse_document(text, path));
+  document_state state;
+  for (const auto& [name, section_text] : parsed.sections) state.sections[name] = {name, section_text, {}};
+  document_compiler compiler;
+  BOOST_LEAF_AUTO(compiled, compiler.compile(state, parsed.places));
+  return checked_file{"document ok: " + counted(state.sections.size(), "section") + ", " +
+                          counted(compiled->services.size(), "service") + ", " +
+                          counted(compiled->routes.size(), "route") + ", " +
+                          counted(compiled->rollouts.size(), "rollout"),
+                      {{"kind", "document"},
+                       {"sections", state.sections.size()},
+                       {"services", compiled->services.size()},
+                       {"routes", compiled->routes.size()},
+                       {"rollouts", compiled->rollouts.size()}}};
+}
+
+result<checked_file> check_settings(const std::string& path, const std::string& text) {
+  BOOST_LEAF_AUTO(s, parse_settings(text, path));
+  const std::string roles = s.control && s.node ? "control and node" : s.control ? "control" : "node";
+  return checked_file{"settings ok: role " + roles + ", id " + s.id, {{"kind", "settings"}, {"id", s.id}}};
+}
+
+bool is_document(const std::string& text) {
+  const outcome<yaml_node> root =
+      capture([&] { return read_yaml(text, {.name = "", .max_depth = max_document_depth + 2}); });
+  // A text that cannot be read is reported by the reader of documents, unless it clearly is something else.
+  if (!root) return text.starts_with("sections:") || text.find("\nsections:") != std::string::npos;
+  return root->find("sections") != nullptr;
+}
+
+}  // namespace
+
+awaitable<exit_code> run_check(command_context context) {
+  exit_code worst = exit_code::done;
+  for (const std::string& path : context.arguments) {
+    const outcome<checked_file> checked = capture([&]() -> result<checked_file> {
+      BOOST_LEAF_AUTO(text, read_file(path));
+      return is_document(text) ? check_document(path, text) : check_settings(path, text);
+    });
+    if (!checked) {
+      worst = context.out.refuse(checked.failure());
+      continue;
+    }
+    boost::json::object fields = checked->fields;
+    fields["file"] = path;
+    context.out.tell(path + ": " + checked->summary, fields);
+  }
+  co_return worst == exit_code::done ? worst : exit_code::failed;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/cli/command.h
@@ -0,0 +1,54 @@
+/// @file
+/// The table of commands. Each command is one function; `main` looks it up by name and runs it on an event loop.
+///
+///     const command* found = find_command("submit");
+///     exit_code code = co_await found->run(context);
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cli/printer.h"
+#include "kernel/mailbox.h"
+
+namespace heatherdeck {
+
+/// What a command works with.
+struct command_context {
+  timer_service& timers;
+  executor_type executor;
+  std::vector<std::string> arguments;  ///< words after the command's name that are no flags
+  printer out;
+};
+
+struct command {
+  std::string_view name;
+  std::string_view arguments;  ///< for the help, e.g. "FILE..."
+  std::size_t least;           ///< fewest arguments
+  std::size_t most;            ///< most arguments
+  std::string_view summary;
+  std::string_view help;  ///< what it does, with examples
+  awaitable<exit_code> (*run)(command_context context);
+};
+
+awaitable<exit_code> run_check(command_context context);
+awaitable<exit_code> run_submit(command_context context);
+awaitable<exit_code> run_show(command_context context);
+awaitable<exit_code> run_status(command_context context);
+awaitable<exit_code> run_watch(command_context context);
+awaitable<exit_code> run_dump(command_context context);
+awaitable<exit_code> run_drain(command_context context);
+awaitable<exit_code> run_keygen(command_context context);
+
+/// @return all commands, in the order of the help.
+std::span<const command> all_commands();
+
+/// @return the command, or null.
+const command* find_command(std::string_view name);
+
+/// @return the help of one command, or of the whole tool when `one` is null.
+std::string help_text(const command* one);
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/cli/control_client.cc
@@ -0,0 +1,186 @@
+// One call at a time, except get_all, which runs one child task for each host.
+//
+// Invariant: a submission counts as refused only when a control host has answered so; every loss after the first byte
+// was sent leaves the outcome unknown until a host answers for the id. Cost: one connection per call.
+#include "cli/control_client.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "wire/endpoint.h"
+#include "wire/http_client.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Pause between two attempts; an election takes about 1.5 s, so several attempts fall into it.
+constexpr duration retry_pause = 300ms;
+constexpr duration submit_attempt = 10s;
+
+outcome<boost::json::value> body_of(const http_response& answer) {
+  outcome<boost::json::value> body = capture([&] { return parse_json(answer.body); });
+  if (!body || answer.status < 400) return body;
+  const auto refused = capture([&] { return from_json<submission_result>(*body); });
+  if (refused && !refused->answer.ok()) return refused->answer.refusal;
+  return error{error_kind::bad_message,
+               "the host answered with status " + std::to_string(answer.status),
+               "check that the address is the operator_listen of a control host",
+               {}};
+}
+
+enum class next_action { finish, ask_again, ask_leader };
+
+// How to go on after each kind of refusal; kinds that are not listed are final.
+struct refusal_row {
+  error_kind kind;
+  next_action action;
+};
+
+constexpr refusal_row refusal_table[] = {
+    {error_kind::not_leader, next_action::ask_leader},     {error_kind::no_quorum, next_action::ask_again},
+    {error_kind::overloaded, next_action::ask_again},      {error_kind::unavailable, next_action::ask_again},
+    {error_kind::unknown_outcome, next_action::ask_again}, {error_kind::timeout, next_action::ask_again},
+    {error_kind::stopped, next_action::ask_again},         {error_kind::unreachable, next_action::ask_again},
+    {error_kind::closed, next_action::ask_again},
+};
+
+next_action action_after(error_kind kind) {
+  for (const refusal_row& row : refusal_table) {
+    if (row.kind == kind) return row.action;
+  }
+  return next_action::finish;
+}
+
+bool leaves_outcome_open(error_kind kind) {
+  return kind == error_kind::unknown_outcome || kind == error_kind::timeout || kind == error_kind::closed;
+}
+
+submission_result read_result(const outcome<http_response>& answer) {
+  submission_result result;
+  if (!answer) {
+    result.answer.refusal = answer.failure();
+    return result;
+  }
+  const auto read = capture([&]() -> boost::leaf::result<submission_result> {
+    BOOST_LEAF_AUTO(body, parse_json(answer->body));
+    return from_json<submission_result>(body);
+  });
+  if (read) return *read;
+  result.answer.refusal = read.failure();
+  return result;
+}
+
+awaitable<void> ask_one(timer_service& timers, executor_type executor, std::string host, http_request request,
+                        duration timeout, reply<outcome<boost::json::value>> answer) {
+  const outcome<http_response> response = co_await http_call(timers, executor, host, request, timeout);
+  answer(response ? body_of(*response) : outcome<boost::json::value>(response.failure()));
+}
+
+}  // namespace
+
+result<std::vector<std::string>> control_addresses(const std::string& list) {
+  std::vector<std::string> hosts;
+  for (std::size_t from = 0; from < list.size();) {
+    const std::size_t end = std::min(list.find(',', from), list.size());
+    const std::string host = list.substr(from, end - from);
+    from = end + 1;
+    if (!capture([&] { return parse_endpoint(host); })) {
+      return fail(error_kind::usage, "'" + host + "' is no address", "write --control=ip:port,ip:port,...",
+                  "--control");
+    }
+    hosts.push_back(host);
+  }
+  if (hosts.empty()) {
+    return fail(error_kind::usage, "no control host is named", "add --control=ip:port,ip:port,...", "--control");
+  }
+  return hosts;
+}
+
+awaitable<void> pause(timer_service& timers, executor_type executor, duration time) {
+  const auto channel =
+      std::make_shared<boost::asio::experimental::channel<void(boost::system::error_code)>>(executor, 1);
+  const subscription limit = timers.after(time, [channel] { channel->try_send(boost::system::error_code{}); });
+  auto [ec] = co_await channel->async_receive(use_tuple);
+  (void)ec;
+}
+
+void control_client::prefer(const std::string& host) {
+  const auto found = std::find(hosts_.begin(), hosts_.end(), host);
+  if (found == hosts_.end()) {
+    hosts_.insert(hosts_.begin(), host);
+  } else {
+    std::rotate(hosts_.begin(), found, found + 1);
+  }
+}
+
+void control_client::move_on() { std::rotate(hosts_.begin(), hosts_.begin() + 1, hosts_.end()); }
+
+awaitable<outcome<boost::json::value>> control_client::get(http_request request, duration timeout) {
+  const std::size_t number = hosts_.size();
+  error last;
+  for (std::size_t i = 0; i < number; ++i) {
+    const std::string host = hosts_.front();
+    const outcome<http_response> answer = co_await http_call(timers_, executor_, host, request, timeout);
+    if (answer) co_return body_of(*answer);
+    last = answer.failure();
+    move_on();
+  }
+  co_return error{error_kind::unreachable, "no control host answered; the last error: " + last.text, last.remedy,
+                  last.where};
+}
+
+awaitable<host_answers> control_client::get_all(http_request request, duration timeout) {
+  using channel_type = reply<outcome<boost::json::value>>::channel_type;
+  std::vector<std::shared_ptr<channel_type>> channels;
+  for (const std::string& host : hosts_) {
+    channels.push_back(std::make_shared<channel_type>(executor_, 1));
+    reply<outcome<boost::json::value>> answer(channels.back());
+    boost::asio::co_spawn(executor_, ask_one(timers_, executor_, host, request, timeout, std::move(answer)),
+                          boost::asio::detached);
+  }
+  host_answers answers;
+  const std::vector<std::string> hosts = hosts_;
+  for (std::size_t i = 0; i < channels.size(); ++i) {
+    auto [ec, answer] = co_await channels[i]->async_receive(use_tuple);
+    answers.emplace_back(hosts[i], answer ? std::move(*answer) : outcome<boost::json::value>(answer.failure()));
+  }
+  co_return answers;
+}
+
+awaitable<outcome<submission_result>> control_client::submit(submission change, duration timeout) {
+  const time_point end = timer_service::now() + timeout;
+  http_request request{"POST", "/v1/submissions", {}, {}, boost::json::serialize(to_json(change))};
+  bool open = false;
+  error last{error_kind::unreachable, "no control host was asked", "give a longer --timeout_s", {}};
+  while (timer_service::now() < end) {
+    const duration attempt = std::min<duration>(submit_attempt, end - timer_service::now());
+    const std::string host = hosts_.front();
+    const outcome<http_response> answer = co_await http_call(timers_, executor_, host, request, attempt);
+    submission_result result = read_result(answer);
+    if (result.answer.ok()) co_return result;
+    last = result.answer.refusal;
+    open = open || leaves_outcome_open(last.kind);
+    const next_action action = action_after(last.kind);
+    if (action == next_action::finish) co_return result;
+    if (action == next_action::ask_leader && !result.leader.empty() && result.leader != host) {
+      prefer(result.leader);
+      continue;
+    }
+    move_on();
+    const duration rest = std::min<duration>(retry_pause, end - timer_service::now());
+    co_await pause(timers_, executor_, rest);
+  }
+  if (open) {
+    co_return error{error_kind::unknown_outcome, "it is not known whether the change was accepted: " + last.text,
+                    "send it again with --id=" + change.id + "; the id gets the first answer", last.where};
+  }
+  if (last.kind == error_kind::not_leader) last.kind = error_kind::no_quorum;
+  co_return last;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/cli/process_commands.cc
@@ -0,0 +1,90 @@
+// dump, drain and keygen: commands about one process or one key.
+#include <algorithm>
+#include <cctype>
+
+#include <boost/json/serialize.hpp>
+
+#include "cli/command.h"
+#include "cli/control_client.h"
+#include "cli/files.h"
+#include "cli/flags.h"
+#include "model/operator_signature.h"
+#include "wire/endpoint.h"
+
+namespace heatherdeck {
+namespace {
+
+duration answer_limit() { return std::chrono::seconds(FLAGS_timeout_s); }
+
+outcome<std::vector<std::string>> admin_address(const std::string& address) {
+  if (capture([&] { return parse_endpoint(address); })) return std::vector<std::string>{address};
+  return error{error_kind::usage, "'" + address + "' is no address", "write the admin_listen of a process, ip:port",
+               "ADMIN"};
+}
+
+awaitable<exit_code> call_and_show(command_context context, std::vector<std::string> hosts, http_request request) {
+  control_client client(context.timers, context.executor, std::move(hosts));
+  const duration limit = answer_limit();
+  const outcome<boost::json::value> body = co_await client.get(std::move(request), limit);
+  if (!body) co_return context.out.refuse(body.failure());
+  const boost::json::object shown = body->is_object() ? body->get_object() : boost::json::object{{"state", *body}};
+  context.out.tell(boost::json::serialize(shown), shown);
+  co_return exit_code::done;
+}
+
+// YAML for the operators list of the control hosts' settings.
+std::string settings_lines(const std::string& name, const std::string& public_key) {
+  return "operators:\n  - name: " + name + "\n    public_key: " + public_key + "\n    sections: [\"*\"]";
+}
+
+result<std::string> make_key_file(const std::string& path) {
+  BOOST_LEAF_AUTO(keys, generate_operator_keys());
+  BOOST_LEAF_CHECK(write_file(path, keys.secret + "\n", true));
+  return keys.public_key;
+}
+
+}  // namespace
+
+awaitable<exit_code> run_dump(command_context context) {
+  if (context.arguments.empty()) {
+    auto hosts = capture([] { return control_addresses(FLAGS_control); });
+    if (!hosts) co_return context.out.refuse(hosts.failure());
+    http_request request{"GET", "/v1/dump", {}, {}, {}};
+    awaitable<exit_code> shown = call_and_show(std::move(context), *hosts, std::move(request));
+    co_return co_await std::move(shown);
+  }
+  auto hosts = admin_address(context.arguments.front());
+  if (!hosts) co_return context.out.refuse(hosts.failure());
+  http_request request{"GET", "/dump", {}, {}, {}};
+  awaitable<exit_code> shown = call_and_show(std::move(context), *hosts, std::move(request));
+  co_return co_await std::move(shown);
+}
+
+awaitable<exit_code> run_drain(command_context context) {
+  auto hosts = admin_address(context.arguments.front());
+  if (!hosts) co_return context.out.refuse(hosts.failure());
+  control_client client(context.timers, context.executor, *hosts);
+  http_request request{"POST", "/drain", {}, {}, {}};
+  const duration limit = answer_limit();
+  const outcome<boost::json::value> body = co_await client.get(std::move(request), limit);
+  if (!body) co_return context.out.refuse(body.failure());
+  context.out.tell("the process at " + context.arguments.front() + " finishes its requests and stops",
+                   {{"draining", context.arguments.front()}});
+  co_return exit_code::done;
+}
+
+awaitable<exit_code> run_keygen(command_context context) {
+  if (FLAGS_out.empty()) {
+    co_return context.out.refuse({error_kind::usage, "no file is named for the secret key", "add --out=FILE", "--out"});
+  }
+  const outcome<std::string> made = capture([] { return make_key_file(FLAGS_out); });
+  if (!made) co_return context.out.refuse(made.failure());
+  const std::string name = FLAGS_operator_name.empty() ? "NAME" : FLAGS_operator_name;
+  context.out.tell("secret key: " + FLAGS_out +
+                       " (keep it; it is not shown again)\nadd to every control host's settings:\n" +
+                       settings_lines(name, *made),
+                   {{"secret_key_file", FLAGS_out}, {"operator", name}, {"public_key", *made}});
+  co_return exit_code::done;
+}
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/cli/report.cc
@@ -0,0 +1,54 @@
+// Words for operators. Each line names the node or service first, so that lines can be sorted and searched.
+#include "cli/report.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace heatherdeck {
+
+std::string describe(const rollout_state& state) {
+  std::string text = fmt::format("rollout {} {} -> {}: {}, {}% of traffic", state.service, state.from, state.to,
+                                 to_name(state.status), state.share / 100.0);
+  if (!state.reason.empty()) text += " (" + state.reason + ")";
+  return text;
+}
+
+std::string describe(const rollout_view& view) {
+  std::string text = describe(view.state);
+  if (view.time_left.count() > 0) text += fmt::format(", {} s left", view.time_left.count());
+  if (!view.evidence.empty()) text += "; " + view.evidence;
+  return text;
+}
+
+void fleet_report::add(const control_status& status) {
+  newest_ = std::max(newest_, status.document);
+  for (const subscriber_status& node : status.subscribers) {
+    const auto [known, added] = nodes_.emplace(node.node_id, node);
+    if (!added && known->second.applied < node.applied) known->second = node;
+  }
+}
+
+std::vector<subscriber_status> fleet_report::missing(const version& wanted) const {
+  std::vector<subscriber_status> out;
+  for (const auto& [id, node] : nodes_) {
+    if (node.applied < wanted) out.push_back(node);
+  }
+  return out;
+}
+
+void fleet_report::tell(const printer& out, const version& wanted) const {
+  const std::vector<subscriber_status> late = missing(wanted);
+  out.tell(
+      fmt::format("version {} in force at {} of {} nodes", wanted.text(), nodes_.size() - late.size(), nodes_.size()),
+      {{"version", wanted.text()}, {"in_force", nodes_.size() - late.size()}, {"nodes", nodes_.size()}});
+  for (const subscriber_status& node : late) {
+    std::string line = fmt::format("  {} (zone {}) acts on {} since {:.1f} s", node.node_id, node.availability_zone,
+                                   node.applied.none() ? "no version" : node.applied.text(),
+                                   std::chrono::duration<double>(node.since).count());
+    if (node.refused) line += "; it refused the newest one: " + node.refused->message();
+    out.tell(line, to_json(node));
+  }
+}
+
+}  // namespace heatherdeck
