--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -36,6 +36,8 @@
   const auto lengths = message.count(boost::beast::http::field::content_length);
   const auto codings = message.count(boost::beast::http::field::transfer_encoding);
   if (lengths > 1) return "more than one content-length";
+  const auto length = message[boost::beast::http::field::content_length];
+  if (lengths == 1 && !parse_number({length.data(), length.size()})) return "content-length is not one number";
   if (codings == 0) return {};
   if (lengths != 0) return "both content-length and transfer-encoding";
   if (message.version() == 10) return "transfer-encoding in HTTP/1.0";
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -196,6 +196,7 @@
   context->executor = k.executor();
   context->timers = &k.timers();
   context->node_id = node_id_;
+  context->idle_limit = idle_limit_;
   BOOST_LEAF_ASSIGN(context->traffic, k.find<traffic_message>(to_name(service_name::traffic)));
   BOOST_LEAF_ASSIGN(context->pool, k.find<pool_message>(to_name(service_name::pool)));
   if (k.has(to_name(service_name::mesh))) {
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -31,6 +31,9 @@
   void stop() override;
   boost::json::value dump() const override;
 
+  /// Connections without progress are closed after this time; 60 s unless changed before `start`.
+  void set_idle_limit(duration limit) { idle_limit_ = limit; }
+
   /// @return the port for callers; known after `start`.
   std::uint16_t port() const;
 
@@ -40,6 +43,7 @@
 
   std::string listen_;
   std::string node_id_;
+  duration idle_limit_ = std::chrono::seconds(60);
   std::shared_ptr<state> state_;
 };
 
--- a/testing/proxy_harness.h
+++ b/testing/proxy_harness.h
@@ -15,6 +15,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <gtest/gtest.h>
@@ -79,7 +80,7 @@
 
 class proxy_harness {
  public:
-  explicit proxy_harness(upstream_script script)
+  explicit proxy_harness(upstream_script script, duration idle_limit = std::chrono::seconds(60))
       : upstream_(k.io(), {boost::asio::ip::address_v4::loopback(), 0}), script_(std::move(script)) {
     auto added = std::make_unique<fake_traffic>();
     traffic = added.get();
@@ -102,6 +103,7 @@
     EXPECT_TRUE(k.add(std::move(*pool_service::make(s))));
     auto made = std::move(*proxy_service::make(s));
     proxy = static_cast<proxy_service*>(made.get());
+    proxy->set_idle_limit(idle_limit);
     EXPECT_TRUE(k.add(std::move(made)));
     EXPECT_TRUE(capture([this] { return k.start(); }));
     boost::asio::co_spawn(k.io(), accept(), boost::asio::detached);
@@ -176,6 +178,25 @@
   upstream_script script_;
 };
 
+/// Waits until the condition holds; it is looked at whenever the timer passes, at most for 10 s.
+inline awaitable<bool> eventually(kernel& k, std::function<bool()> condition) {
+  boost::asio::steady_timer timer(k.io());
+  const time_point limit = timer_service::now() + std::chrono::seconds(10);
+  while (!condition() && timer_service::now() < limit) {
+    timer.expires_after(std::chrono::milliseconds(1));
+    (void)co_await timer.async_wait(use_tuple);
+  }
+  co_return condition();
+}
+
+/// Reads a whole request; false when the connection ended first.
+inline awaitable<bool> read_request(h1_stream& stream) {
+  boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+  parser.body_limit(boost::none);
+  auto [ec, size] = co_await boost::beast::http::async_read(stream.socket, stream.buffer, parser, use_tuple);
+  co_return !ec;
+}
+
 /// An upstream that answers every request with its method, target and body.
 inline awaitable<void> echo_upstream(tcp_socket socket) {
   h1_stream stream(std::move(socket));
