--- a/testing/proxy_test.cc
+++ b/testing/proxy_test.cc
@@ -306,16 +306,3 @@
 
 }  // namespace
 }  // namespace heatherdeck
-
-// Placeholders until the h2 implementation is on main.
-namespace heatherdeck {
-class h2_stream_state {};
-h2_stream::~h2_stream() = default;
-awaitable<outcome<void>> h2_stream::send_headers(header_list, bool) { co_return mailbox_closed(); }
-awaitable<outcome<void>> h2_stream::write(std::string, bool) { co_return mailbox_closed(); }
-awaitable<outcome<header_list>> h2_stream::read_headers() { co_return mailbox_closed(); }
-awaitable<outcome<std::string>> h2_stream::read() { co_return mailbox_closed(); }
-awaitable<void> h2_stream::wait_closed() { co_return; }
-void h2_stream::reset(std::uint32_t) {}
-bool h2_stream::may_have_been_sent() const { return true; }
-}  // namespace heatherdeck
