--- /dev/null
+++ b/tools/wait.cmake
@@ -0,0 +1,2 @@
+add_executable(heatherdeck_wait wait_main.cc)
+target_link_libraries(heatherdeck_wait PRIVATE hd_wire gflags)
