log_store: tests with torn tails, flipped bytes, failed operations and a lock

Cause: what a crash or a bad disk leaves must be read exactly or refused. Change: tests on files in memory.

--- /dev/null
+++ b/testing/log_store_test.cc
@@ -0,0 +1,326 @@
+// Guards the durable log: records that survive a restart, torn tails, damage in front of acknowledged data, failed
+// syncs and a full disk. Files are kept in memory, so that what a crash leaves behind is exact.
+#include "consensus/log_store.h"
+
+#include <algorithm>
+#include <map>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "consensus/log_record.h"
+#include "consensus/wire_entry_codec.h"
+
+namespace heatherdeck {
+namespace {
+
+// Files in memory. `durable` is what a crash leaves: content up to the last sync, names up to the last folder sync.
+struct memory_disk {
+  struct file {
+    std::string bytes;
+    std::string durable;
+  };
+  std::map<std::string, std::shared_ptr<file>> names;
+  std::map<std::string, std::shared_ptr<file>> durable_names;
+  int operations_left = -1;  ///< the operation after this many fails; -1: none fails
+  error_kind failure = error_kind::storage;
+
+  result<void> operation() {
+    if (operations_left == 0) return fail(failure, "injected failure", "none", "disk");
+    if (operations_left > 0) --operations_left;
+    return {};
+  }
+  // Loses everything that was not synced; `torn` bytes of each unsynced tail are kept.
+  void crash(std::size_t torn = 0) {
+    names = durable_names;
+    for (auto& [name, f] : names) {
+      const bool extended = f->bytes.size() > f->durable.size() && f->bytes.starts_with(f->durable);
+      f->bytes = extended ? f->bytes.substr(0, std::min(f->bytes.size(), f->durable.size() + torn)) : f->durable;
+      f->durable = f->bytes;
+    }
+    operations_left = -1;
+  }
+};
+
+class memory_file : public open_file {
+ public:
+  memory_file(memory_disk* disk, std::shared_ptr<memory_disk::file> f) : disk_(disk), file_(std::move(f)) {}
+  result<void> write(std::string_view bytes) override {
+    const outcome<void> allowed = capture([&] { return disk_->operation(); });
+    file_->bytes += allowed ? bytes : bytes.substr(0, bytes.size() / 2);  // a full disk takes a part
+    return to_result(allowed);
+  }
+  result<void> truncate(std::uint64_t size) override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    file_->bytes.resize(size);
+    return {};
+  }
+  result<void> sync() override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    file_->durable = file_->bytes;
+    return {};
+  }
+
+ private:
+  memory_disk* disk_;
+  std::shared_ptr<memory_disk::file> file_;
+};
+
+class memory_files : public file_access {
+ public:
+  explicit memory_files(memory_disk* disk) : disk_(disk) {}
+  result<void> make_folder(const std::string&) override { return disk_->operation(); }
+  result<std::vector<std::string>> list(const std::string& folder) override {
+    std::vector<std::string> found;
+    for (const auto& [name, f] : disk_->names) found.push_back(name.substr(folder.size() + 1));
+    return found;
+  }
+  result<std::string> read(const std::string& path) override { return disk_->names.at(path)->bytes; }
+  result<std::unique_ptr<open_file>> open_append(const std::string& path) override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    auto& f = disk_->names[path];
+    if (!f) f = std::make_shared<memory_disk::file>();
+    return std::unique_ptr<open_file>(std::make_unique<memory_file>(disk_, f));
+  }
+  result<void> rename(const std::string& from, const std::string& to) override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    disk_->names[to] = disk_->names.at(from);
+    disk_->names.erase(from);
+    return {};
+  }
+  result<void> remove(const std::string& path) override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    disk_->names.erase(path);
+    return {};
+  }
+  result<void> sync_folder(const std::string&) override {
+    BOOST_LEAF_CHECK(disk_->operation());
+    disk_->durable_names = disk_->names;
+    return {};
+  }
+  result<std::unique_ptr<open_file>> lock(const std::string&) override {
+    return std::unique_ptr<open_file>(std::make_unique<memory_file>(disk_, std::make_shared<memory_disk::file>()));
+  }
+
+ private:
+  memory_disk* disk_;
+};
+
+struct log_store_test : testing::Test {
+  memory_disk disk;
+  memory_files files{&disk};
+  std::uint64_t ticket = 0;
+
+  outcome<log_store> open() {
+    return capture([&] { return log_store::open(files, {"d", wire_entry_codec(), 200}); });
+  }
+  static log_entry entry(std::uint64_t index, std::uint64_t term = 1) {
+    return {term, index, entry_kind::command, fmt::format("payload {}/{}", index, term)};
+  }
+  persist_state entries(std::uint64_t first, std::uint64_t last, std::uint64_t term = 1) {
+    persist_state action;
+    action.ticket = ++ticket;
+    for (std::uint64_t i = first; i <= last; ++i) action.entries.push_back(entry(i, term));
+    return action;
+  }
+  static outcome<void> put(log_store& store, persist_state action) {
+    return capture([&] { return store.persist({std::move(action)}); });
+  }
+  snapshot_ptr image(std::uint64_t index, std::uint64_t term) {
+    return make_snapshot(wire_entry_codec(), index, term, {{"a", "s1", "127.0.0.1:1", false}}, "state");
+  }
+  std::string last_segment() const {
+    std::string name;
+    for (const auto& [path, f] : disk.names) {
+      if (path.starts_with("d/log-")) name = path;
+    }
+    return name;
+  }
+};
+
+// A checksum that differs from the published CRC-32C would make files unreadable for any other reader.
+TEST(log_record_test, crc32c_matches_the_published_check_value) { EXPECT_EQ(crc32c("123456789"), 0xE3069283U); }
+
+// Acknowledged entries, votes and the identity must be there after a crash right behind the acknowledgement.
+TEST_F(log_store_test, acknowledged_state_survives_a_crash) {
+  std::string identity;
+  {
+    auto store = open();
+    ASSERT_TRUE(store) << store.failure().message();
+    identity = store->store_id();
+    persist_state first = entries(1, 30);  // several segments of 200 bytes
+    first.hard = hard_state{7, "b", "s2"};
+    ASSERT_TRUE(put(*store, first));
+    persist_state replaced = entries(11, 12, 2);
+    replaced.truncate_after = 10;
+    ASSERT_TRUE(put(*store, replaced));
+  }
+  disk.crash();
+  auto store = open();
+  ASSERT_TRUE(store) << store.failure().message();
+  const stored_state found = store->take_state();
+  EXPECT_EQ(found.store_id, identity);
+  EXPECT_EQ(found.hard, (hard_state{7, "b", "s2"}));
+  ASSERT_EQ(found.entries.size(), 12U);
+  EXPECT_EQ(found.entries[9], entry(10));
+  EXPECT_EQ(found.entries[11], entry(12, 2));
+}
+
+// A process killed in the middle of a write leaves part of a batch that nobody was told about.
+TEST_F(log_store_test, torn_tail_is_cut_off_and_the_log_continues) {
+  for (std::size_t torn = 1; torn < 90; ++torn) {
+    disk = {};
+    {
+      auto store = open();
+      ASSERT_TRUE(put(*store, entries(1, 2)));
+      disk.operations_left = 1;  // the write succeeds, its sync does not
+      ASSERT_FALSE(put(*store, entries(3, 4)));
+    }
+    disk.crash(torn);
+    auto store = open();
+    ASSERT_TRUE(store) << "torn " << torn << ": " << store.failure().message();
+    const std::size_t found = store->take_state().entries.size();
+    ASSERT_GE(found, 2U) << "torn " << torn;
+    ASSERT_TRUE(put(*store, entries(found + 1, found + 3))) << "torn " << torn;
+    disk.crash();
+    auto again = open();
+    ASSERT_TRUE(again) << "torn " << torn << ": " << again.failure().message();
+    EXPECT_EQ(again->take_state().entries.size(), found + 3) << "torn " << torn;
+  }
+}
+
+// A flipped byte in acknowledged data must never be read as data, nor make the entries behind it vanish silently.
+TEST_F(log_store_test, every_flipped_byte_in_front_of_the_last_batch_is_refused) {
+  std::size_t last_batch = 0;
+  {
+    auto store = open();
+    ASSERT_TRUE(put(*store, entries(1, 2)));
+    last_batch = disk.names[last_segment()]->bytes.size();
+    ASSERT_TRUE(put(*store, entries(3, 3)));
+  }
+  const std::string name = last_segment();
+  const std::string intact = disk.names[name]->bytes;
+  for (std::size_t at = 0; at < intact.size(); ++at) {
+    disk.names[name]->bytes = intact;
+    disk.names[name]->bytes[at] = static_cast<char>(intact[at] ^ 0x10);
+    auto store = open();
+    if (at < last_batch) {
+      ASSERT_FALSE(store) << "flipped byte " << at;
+      EXPECT_EQ(store.failure().kind, error_kind::corrupt);
+      EXPECT_FALSE(store.failure().where.empty());
+    } else {
+      // Not to be told from a torn write: the batch goes as a whole or in part, never with altered content.
+      ASSERT_TRUE(store) << "flipped byte " << at << ": " << store.failure().message();
+      const stored_state found = store->take_state();
+      for (std::size_t i = 0; i < found.entries.size(); ++i) EXPECT_EQ(found.entries[i], entry(i + 1));
+      EXPECT_GE(found.entries.size(), 2U);
+    }
+  }
+}
+
+// Damage in a small file or in an earlier segment, and a missing segment, must stop the start with the file's name.
+TEST_F(log_store_test, damaged_or_missing_files_are_refused) {
+  {
+    auto store = open();
+    persist_state first = entries(1, 30);
+    first.hard = hard_state{3, "a", "s1"};
+    ASSERT_TRUE(put(*store, first));
+    persist_state with_image;
+    with_image.image = image(2, 1);
+    ASSERT_TRUE(put(*store, with_image));
+  }
+  const memory_disk intact = disk;
+  for (const auto& [name, f] : intact.names) {
+    if (name == last_segment()) continue;
+    const std::string bytes = f->bytes;
+    f->bytes[bytes.size() / 2] = static_cast<char>(f->bytes[bytes.size() / 2] ^ 1);
+    auto store = open();
+    ASSERT_FALSE(store) << name;
+    EXPECT_EQ(store.failure().kind, error_kind::corrupt) << name;
+    EXPECT_EQ(store.failure().where, name);
+    f->bytes = bytes;
+    if (!name.starts_with("d/log-")) continue;
+    disk.names.erase(name);
+    ASSERT_FALSE(open()) << "without " << name;
+    disk.names[name] = f;
+  }
+  disk.names.erase("d/store-id");
+  EXPECT_FALSE(open()) << "without store-id";
+}
+
+// After a failed sync the pages may be gone: a later sync that succeeds proves nothing, so the error must be final.
+TEST_F(log_store_test, every_failed_operation_is_final_and_loses_nothing_acknowledged) {
+  for (int allowed = 0; allowed < 60; ++allowed) {
+    disk = {};
+    std::uint64_t acknowledged = 0;
+    std::uint64_t term = 0;
+    {
+      auto store = open();
+      ASSERT_TRUE(store);
+      disk.operations_left = allowed;
+      for (std::uint64_t i = 1; i <= 20; ++i) {
+        persist_state action = entries(i, i);
+        if (i % 4 == 0) action.hard = hard_state{i, "a", "s1"};
+        if (i % 7 == 0) action.image = image(i - 2, 1);
+        const outcome<void> done = put(*store, action);
+        if (done) {
+          acknowledged = i;
+          if (action.hard) term = i;
+          continue;
+        }
+        EXPECT_EQ(done.failure().kind, error_kind::storage);
+        disk.operations_left = -1;
+        EXPECT_FALSE(put(*store, entries(i + 1, i + 1))) << "a store went on after a failure, operation " << allowed;
+        break;
+      }
+    }
+    disk.crash(allowed % 50);
+    auto store = open();
+    ASSERT_TRUE(store) << "operation " << allowed << ": " << store.failure().message();
+    const stored_state found = store->take_state();
+    const std::uint64_t last = found.entries.empty() ? 0 : found.entries.back().index;
+    EXPECT_GE(std::max(last, found.image ? found.image->index : 0), acknowledged) << "operation " << allowed;
+    EXPECT_GE(found.hard.term, term) << "operation " << allowed;
+  }
+}
+
+// A received snapshot replaces the log; a crash in between must not mix the two.
+TEST_F(log_store_test, replaced_log_is_never_mixed_with_the_snapshot) {
+  for (int allowed = 0; allowed < 30; ++allowed) {
+    disk = {};
+    {
+      auto store = open();
+      ASSERT_TRUE(put(*store, entries(1, 30)));
+      persist_state action;
+      action.image = image(20, 5);  // the old entry 20 is of term 1
+      action.replace_log = true;
+      disk.operations_left = allowed;
+      (void)put(*store, action);
+    }
+    disk.crash();
+    auto store = open();
+    ASSERT_TRUE(store) << "operation " << allowed << ": " << store.failure().message();
+    const stored_state found = store->take_state();
+    if (found.image) {
+      EXPECT_TRUE(found.entries.empty()) << "operation " << allowed;
+      EXPECT_TRUE(put(*store, entries(21, 22, 5))) << "operation " << allowed;
+    } else {
+      EXPECT_EQ(found.entries.size(), 30U) << "operation " << allowed;
+    }
+  }
+}
+
+// Two processes on one folder would both append.
+TEST(posix_files_test, second_process_is_refused) {
+  posix_files files;
+  const std::string folder = testing::TempDir() + fmt::format("/hd_lock_{}", ::getpid());
+  auto first = capture([&] { return log_store::open(files, {folder, wire_entry_codec()}); });
+  ASSERT_TRUE(first) << first.failure().message();
+  auto second = capture([&] { return log_store::open(files, {folder, wire_entry_codec()}); });
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.failure().kind, error_kind::storage);
+}
+
+}  // namespace
+}  // namespace heatherdeck
