consensus service: tests over real files and loopback connections

Cause: formation, a killed leader, a restart and a replaced disk were tested only in the simulation. Change: three control hosts, each a kernel on its own thread.

--- a/consensus/consensus_service.cc
+++ b/consensus/consensus_service.cc
@@ -13,13 +13,15 @@
 
 consensus_service::consensus_service(const settings& s) : settings_(s) {}
 
-consensus_service::~consensus_service() = default;
+consensus_service::~consensus_service() {
+  if (task_) task_->stop();
+}
 
-result<std::unique_ptr<service>> consensus_service::make(const settings& s) {
+result<std::unique_ptr<consensus_service>> consensus_service::make(const settings& s) {
   if (s.data_folder.empty()) {
     return fail(error_kind::bad_settings, "a control host needs a data folder", "set data_folder", "data_folder");
   }
-  return std::unique_ptr<service>(new consensus_service(s));
+  return std::unique_ptr<consensus_service>(new consensus_service(s));
 }
 
 std::string_view consensus_service::name() const { return to_name(service_name::consensus); }
--- a/consensus/consensus_service.h
+++ b/consensus/consensus_service.h
@@ -30,7 +30,7 @@
  public:
   /// @param s uses id, mesh_listen, data_folder, control_hosts, heartbeat, election_timeout and seed.
   /// @return `bad_settings` when data_folder is missing.
-  static result<std::unique_ptr<service>> make(const settings& s);
+  static result<std::unique_ptr<consensus_service>> make(const settings& s);
 
   ~consensus_service() override;
   std::string_view name() const override;
--- a/consensus/consensus_task.cc
+++ b/consensus/consensus_task.cc
@@ -90,6 +90,7 @@
 }
 
 void consensus_service::task::stop() {
+  if (stopped_) return;
   stopped_ = true;
   timer_.cancel();
   asked.close();
--- a/testing/consensus.cmake
+++ b/testing/consensus.cmake
@@ -1,3 +1,4 @@
 hd_test(raft_schedule_test hd_consensus)
 target_sources(raft_schedule_test PRIVATE raft_simulation.cc)
 hd_test(log_store_test hd_consensus)
+hd_test(consensus_service_test hd_consensus)
--- /dev/null
+++ b/testing/consensus_service_test.cc
@@ -0,0 +1,255 @@
+// Guards the whole path of the replicated log over real files and loopback connections: formation, a commit that every
+// ledger sees, a killed leader, a restart, and a replaced disk that takes part only after it was admitted.
+#include "consensus/consensus_service.h"
+
+#include <filesystem>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_future.hpp>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "model/ledger_messages.h"
+#include "wire/mesh_service.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Keeps the payloads of all commands; its image is their text.
+class recording_ledger : public service {
+ public:
+  std::string_view name() const override { return "ledger"; }
+  void publish(kernel& k) override {
+    inbox_ = std::make_unique<mailbox<ledger_message>>(k.executor(), 2);  // short, so that deliveries have to wait
+    k.publish("ledger", inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    boost::asio::co_spawn(k.io(), run(), boost::asio::detached);
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return boost::json::string(text_); }
+
+ private:
+  awaitable<void> run() {
+    for (;;) {
+      auto message = co_await inbox_->receive();
+      if (!message) co_return;
+      if (auto* applied = std::get_if<apply_entries>(&*message)) {
+        for (const log_entry& e : applied->entries) {
+          index_ = e.index;
+          if (e.kind == entry_kind::command) text_ += e.payload + ";";
+        }
+      } else if (auto* installed = std::get_if<install_state>(&*message)) {
+        index_ = installed->index;
+        text_ = installed->bytes;
+      } else if (auto* image = std::get_if<take_image>(&*message)) {
+        image->answer(ledger_image{index_, text_});
+      }
+    }
+  }
+  std::unique_ptr<mailbox<ledger_message>> inbox_;
+  std::uint64_t index_ = 0;
+  std::string text_;
+};
+
+// One control host: a kernel on a thread of its own. Everything is asked by posting to that thread.
+class control_process {
+ public:
+  explicit control_process(const settings& s) : kernel_(std::make_unique<kernel>()) {
+    const outcome<void> started = capture([&]() -> result<void> {
+      BOOST_LEAF_AUTO(mesh, mesh_service::make(s));
+      BOOST_LEAF_AUTO(consensus, consensus_service::make(s));
+      BOOST_LEAF_CHECK(kernel_->add(std::move(mesh)));
+      BOOST_LEAF_CHECK(kernel_->add(std::move(consensus)));
+      BOOST_LEAF_CHECK(kernel_->add(std::make_unique<recording_ledger>()));
+      BOOST_LEAF_CHECK(kernel_->start());
+      BOOST_LEAF_ASSIGN(consensus_, kernel_->find<consensus_message>("consensus"));
+      return {};
+    });
+    EXPECT_TRUE(started) << started.failure().message();
+    thread_ = std::thread([this] { kernel_->io().run(); });
+  }
+  // A kill: nothing is drained or stopped in order.
+  ~control_process() {
+    kernel_->io().stop();
+    thread_.join();
+  }
+
+  /// Runs a coroutine on the host's thread and waits for its result.
+  template <class Function>
+  auto on_thread(Function function) {
+    return boost::asio::co_spawn(kernel_->io(), std::move(function), boost::asio::use_future).get();
+  }
+
+  boost::json::object dump(std::string_view name) {
+    return on_thread([this]() -> awaitable<boost::json::value> { co_return kernel_->dump(); })
+        .as_object()["services"]
+        .as_object()[name]
+        .as_object();
+  }
+  std::string text() {
+    auto all = on_thread([this]() -> awaitable<boost::json::value> { co_return kernel_->dump(); });
+    return std::string(all.as_object()["services"].as_object()["ledger"].as_string());
+  }
+  template <class T, class Make>
+  outcome<T> question(Make make) {
+    return on_thread([this, make]() -> awaitable<outcome<T>> {
+      auto answer = co_await ask<T>(kernel_->timers(), kernel_->executor(), consensus_, 3s, make);
+      co_return answer;
+    });
+  }
+  outcome<committed> propose(const std::string& payload) {
+    return question<committed>([payload](reply<committed> r) { return propose_command{payload, std::move(r)}; });
+  }
+  outcome<committed> change(change_voters::action_kind action, const voter& subject) {
+    return question<committed>([=](reply<committed> r) { return change_voters{action, subject, std::move(r)}; });
+  }
+
+ private:
+  std::unique_ptr<kernel> kernel_;
+  address<consensus_message> consensus_;
+  std::thread thread_;
+};
+
+struct consensus_service_test : testing::Test {
+  std::string root = testing::TempDir() + "/hd_consensus_" + std::to_string(::getpid());
+  std::vector<settings> hosts;
+  std::vector<std::unique_ptr<control_process>> processes;
+
+  void set_up(std::size_t count) {
+    // The ports are free now; all are held until the last is known, so that they differ.
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::acceptor> held;
+    std::vector<control_host> members;
+    for (std::size_t i = 0; i < count; ++i) {
+      held.emplace_back(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+      control_host member;
+      member.id = "c" + std::to_string(i);
+      member.mesh_address = "127.0.0.1:" + std::to_string(held.back().local_endpoint().port());
+      members.push_back(member);
+    }
+    for (const control_host& member : members) {
+      settings s;
+      s.id = member.id;
+      s.control = true;
+      s.mesh_listen = member.mesh_address;
+      s.mesh_key = "0123456789abcdef0123456789abcdef";
+      s.data_folder = root + "/" + member.id;
+      s.seed = 17;
+      s.control_hosts = members;
+      hosts.push_back(s);
+    }
+    processes.resize(count);
+  }
+  void TearDown() override {
+    processes.clear();
+    std::filesystem::remove_all(root);
+  }
+  void start(std::size_t i) { processes[i] = std::make_unique<control_process>(hosts[i]); }
+  void start_all() {
+    for (std::size_t i = 0; i < hosts.size(); ++i) start(i);
+  }
+  // Asks again every 10 ms, for 20 s at most.
+  template <class Condition>
+  bool until(Condition condition) {
+    boost::asio::io_context io;
+    boost::asio::steady_timer pause(io);
+    for (int attempt = 0; attempt < 2000; ++attempt) {
+      if (condition()) return true;
+      pause.expires_after(10ms);
+      pause.wait();
+    }
+    return false;
+  }
+  // Proposes at whichever host leads, until one accepts. @return that host.
+  std::size_t commit(const std::string& payload) {
+    std::size_t leader = hosts.size();
+    const bool done = until([&] {
+      for (std::size_t i = 0; i < processes.size(); ++i) {
+        if (processes[i] && processes[i]->propose(payload)) leader = i;
+        if (leader != hosts.size()) return true;
+      }
+      return false;
+    });
+    EXPECT_TRUE(done) << "'" << payload << "' was not committed";
+    return leader;
+  }
+  bool all_hold(const std::string& text) {
+    return until([&] {
+      return std::all_of(processes.begin(), processes.end(), [&](const auto& p) { return !p || p->text() == text; });
+    });
+  }
+};
+
+// A single control host must work without peers, and find its entries again after a kill.
+TEST_F(consensus_service_test, single_voter_commits_and_restarts) {
+  set_up(1);
+  start_all();
+  commit("one");
+  processes[0].reset();
+  start(0);
+  commit("two");
+  EXPECT_TRUE(all_hold("one;two;")) << processes[0]->text();
+}
+
+// A killed leader must be replaced in time, and nothing that was accepted may be missing anywhere afterwards.
+TEST_F(consensus_service_test, three_hosts_survive_a_killed_leader) {
+  set_up(3);
+  start_all();
+  const std::size_t leader = commit("one");
+  ASSERT_LT(leader, hosts.size());
+  ASSERT_TRUE(all_hold("one;"));
+  processes[leader].reset();
+  const auto killed = std::chrono::steady_clock::now();
+  commit("two");
+  const auto taken = (std::chrono::steady_clock::now() - killed) / 1ms;
+  std::cout << "committed again " << taken << " ms after the leader was killed (seed 17)\n";
+  start(leader);
+  commit("three");
+  EXPECT_TRUE(all_hold("one;two;three;"));
+  for (auto& p : processes) {
+    auto confirmed = p->question<std::uint64_t>([](reply<std::uint64_t> r) { return confirm_read{std::move(r)}; });
+    ASSERT_TRUE(confirmed) << confirmed.failure().message();
+    EXPECT_GE(*confirmed, 5U);  // membership, no-op of two terms at least, three commands
+  }
+}
+
+// A host that lost its disk must not count as a voter until an operator admits it, and must then be brought up to date.
+TEST_F(consensus_service_test, replaced_disk_waits_for_admission) {
+  set_up(3);
+  start_all();
+  std::size_t leader = commit("one");
+  ASSERT_LT(leader, hosts.size());
+  ASSERT_TRUE(all_hold("one;"));
+  const std::size_t lost = (leader + 1) % 3;
+  processes[lost].reset();
+  std::filesystem::remove_all(hosts[lost].data_folder);
+  start(lost);
+  ASSERT_TRUE(
+      until([&] { return processes[leader]->dump("consensus")["unadmitted"].as_object().contains(hosts[lost].id); }));
+  EXPECT_EQ(processes[lost]->dump("consensus")["role"].as_string(), "learner");
+  EXPECT_EQ(processes[lost]->text(), "");
+  voter subject;
+  subject.host_id = hosts[lost].id;
+  const auto added = processes[leader]->change(change_voters::action_kind::add_learner, subject);
+  ASSERT_TRUE(added) << added.failure().message();
+  ASSERT_TRUE(until([&] { return processes[lost]->text() == "one;"; }));
+  ASSERT_TRUE(
+      until([&] { return processes[leader]->change(change_voters::action_kind::promote, subject).has_value(); }));
+  // Now the replaced host counts: the third one may go.
+  processes[3 - leader - lost].reset();
+  leader = commit("two");
+  EXPECT_TRUE(all_hold("one;two;"));
+}
+
+}  // namespace
+}  // namespace heatherdeck
