--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -174,7 +174,8 @@
     auto first = co_await pair.requests.receive();
     EXPECT_TRUE(cancelled->may_have_been_sent());
     cancelled.reset();  // the caller has gone
-    auto seen = co_await first->stream->wait_closed();
+    co_await first->stream->wait_closed();
+    auto seen = co_await first->stream->write("too late", true);
     EXPECT_FALSE(seen);
     EXPECT_EQ(seen.failure().kind, error_kind::closed);
 
