cli: golden sessions; operators' tools name the file's line and all control hosts

Cause: the sessions showed that places of a control host's refusal did not lead to the operator's file, that a base version alone sent sections which others had changed, and that nodes of unnamed control hosts were not counted. Change: refusals are placed in the file; a base version with later changes is a conflict; status and submit learn all control hosts; five golden sessions run against a control host in the test.

--- a/cli/control_client.cc
+++ b/cli/control_client.cc
@@ -152,6 +152,16 @@
   co_return answers;
 }
 
+awaitable<void> control_client::learn_hosts(duration timeout) {
+  http_request request{"GET", "/v1/status", {}, {}, {}};
+  const outcome<boost::json::value> body = co_await get(std::move(request), timeout);
+  const outcome<control_status> status = read_body<control_status>(body);
+  if (!status) co_return;
+  for (const std::string& address : status->control_addresses) {
+    if (!address.empty() && std::find(hosts_.begin(), hosts_.end(), address) == hosts_.end()) hosts_.push_back(address);
+  }
+}
+
 awaitable<outcome<submission_result>> control_client::submit(submission change, duration timeout) {
   const time_point end = timer_service::now() + timeout;
   http_request request{"POST", "/v1/submissions", {}, {}, boost::json::serialize(to_json(change))};
--- a/cli/control_client.h
+++ b/cli/control_client.h
@@ -48,7 +48,8 @@
   /// @return the answer, also a refusal; `unknown_outcome` when the change may have been accepted; `unreachable`.
   awaitable<outcome<submission_result>> submit(submission change, duration timeout);
 
-  const std::vector<std::string>& hosts() const { return hosts_; }
+  /// Adds the control hosts that the named ones know, so that the nodes of all of them are counted.
+  awaitable<void> learn_hosts(duration timeout);
 
  private:
   void prefer(const std::string& host);
--- a/cli/document_commands.cc
+++ b/cli/document_commands.cc
@@ -22,6 +22,11 @@
 
 duration answer_limit() { return std::chrono::seconds(FLAGS_timeout_s); }
 
+std::string without_last_newline(std::string text) {
+  if (text.ends_with('\n')) text.pop_back();
+  return text;
+}
+
 outcome<void> save_document(const document_state& state) {
   return capture([&]() -> result<void> {
     BOOST_LEAF_CHECK(write_file(FLAGS_out, render_document(texts_of(state))));
@@ -35,8 +40,9 @@
     return context.out.refuse({error_kind::not_found, "the document has no section '" + wanted + "'",
                                "see the names with 'heatherdeck show'", "section " + wanted});
   }
-  context.out.tell("# " + wanted + ", revision " + found->second.revision.text() + "\n" + found->second.text,
-                   to_json(found->second));
+  context.out.tell(
+      without_last_newline("# " + wanted + ", revision " + found->second.revision.text() + "\n" + found->second.text),
+      to_json(found->second));
   return exit_code::done;
 }
 
@@ -55,7 +61,7 @@
   for (const auto& [key, one] : state.withdrawn) {
     text += "# withdrawn: " + key.first + " " + key.second + " in version " + one.at.text() + ": " + one.reason + "\n";
   }
-  context.out.tell(text + render_document(texts_of(state)), to_json(state));
+  context.out.tell(without_last_newline(text + render_document(texts_of(state))), to_json(state));
   return exit_code::done;
 }
 
@@ -118,8 +124,9 @@
   const auto hosts = capture([] { return control_addresses(FLAGS_control); });
   if (!hosts) co_return context.out.refuse(hosts.failure());
   control_client client(context.timers, context.executor, *hosts);
-  http_request request{"GET", "/v1/status", {}, {}, {}};
   const duration limit = answer_limit();
+  co_await client.learn_hosts(limit);
+  http_request request{"GET", "/v1/status", {}, {}, {}};
   const host_answers answers = co_await client.get_all(std::move(request), limit);
   fleet_report fleet;
   exit_code worst = exit_code::unreachable;
--- a/cli/report.cc
+++ b/cli/report.cc
@@ -38,6 +38,11 @@
 }
 
 void fleet_report::tell(const printer& out, const version& wanted) const {
+  if (nodes_.empty()) {
+    out.tell("version " + wanted.text() + ": no node subscribes to the control hosts that answered",
+             {{"version", wanted.text()}, {"in_force", 0}, {"nodes", 0}});
+    return;
+  }
   const std::vector<subscriber_status> late = missing(wanted);
   out.tell(
       fmt::format("version {} in force at {} of {} nodes", wanted.text(), nodes_.size() - late.size(), nodes_.size()),
--- a/cli/submit_command.cc
+++ b/cli/submit_command.cc
@@ -4,6 +4,7 @@
 // Invariant: one run sends one id, whatever happens on the way, so a change is never submitted twice. Waiting uses
 // calls that the control hosts answer on a change.
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <random>
 
@@ -116,14 +117,48 @@
   co_return read_body<document_state>(body);
 }
 
+// With a base version only, a section that changed since cannot be told from one that the operator changed.
+outcome<std::vector<section_edit>> plan_on_version(const prepared_submission& work, const document_state& current) {
+  std::vector<section_edit> edits = changed_sections(work.document.sections, current, *work.base_version);
+  for (const section_edit& edit : edits) {
+    const auto now = current.sections.find(edit.name);
+    if (now == current.sections.end() || now->second.revision <= *work.base_version) continue;
+    return error{error_kind::conflict,
+                 "section '" + edit.name + "' changed in version " + now->second.revision.text() +
+                     ", after the base version " + work.base_version->text(),
+                 "run 'heatherdeck show --out=FILE', make the change there and submit that file", "--base"};
+  }
+  return edits;
+}
+
 outcome<std::vector<section_edit>> plan(const prepared_submission& work, const document_state& current) {
   if (work.base) return changed_sections(work.document.sections, *work.base);
-  if (work.base_version) return changed_sections(work.document.sections, current, *work.base_version);
+  if (work.base_version) return plan_on_version(work, current);
   if (current.current.none()) return changed_sections(work.document.sections, current);
   return error{error_kind::usage, "the document has a version (" + current.current.text() + ") and no base is given",
                "run 'heatherdeck show --out=" + work.path + "' and edit that file, or give --base=VERSION", "--base"};
 }
 
+// Turns "section NAME:line:column" of a control host's answer into the place in the operator's file.
+error placed_in_file(error e, const section_places& places) {
+  const std::string_view where = e.where;
+  const std::size_t column_at = where.rfind(':');
+  const std::size_t line_at = column_at == std::string_view::npos ? column_at : where.rfind(':', column_at - 1);
+  if (!where.starts_with("section ") || line_at == std::string_view::npos) return e;
+  const auto place = places.find(std::string(where.substr(8, line_at - 8)));
+  const auto number = [](std::string_view text) {
+    std::size_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+  };
+  const std::size_t line = number(where.substr(line_at + 1, column_at - line_at - 1));
+  const std::size_t column = number(where.substr(column_at + 1));
+  if (place == places.end() || line == 0 || column == 0) return e;
+  e.where = fmt::format("{}:{}:{}", place->second.name, line + place->second.line_offset,
+                        column + place->second.column_offset);
+  return e;
+}
+
 void tell_conflict(const printer& out, const std::vector<section_edit>& edits, const command_answer& answer) {
   for (std::size_t i = 0; i < edits.size() && i < answer.current.size(); ++i) {
     if (answer.current[i] == edits[i].base) continue;
@@ -136,6 +171,8 @@
 awaitable<exit_code> wait_in_force(command_context& context, control_client& client, version accepted) {
   const time_point begun = timer_service::now();
   const time_point end = begun + std::chrono::seconds(FLAGS_timeout_s);
+  const duration learn_limit = call_slack;
+  co_await client.learn_hosts(learn_limit);
   for (;;) {
     const time_point asked = timer_service::now();
     const auto left = std::max<duration>(std::min<duration>(status_wait, end - asked), 0s);
@@ -181,6 +218,19 @@
   return rolled_back ? exit_code::rolled_back : exit_code::done;
 }
 
+// A rollout that has been seen and is gone was ended by another submission.
+exit_code tell_ended(const printer& out, const rollouts_status& status, const std::map<std::string, std::string>& told,
+                     exit_code over) {
+  for (const auto& [service, text] : told) {
+    const bool present = std::any_of(status.rollouts.begin(), status.rollouts.end(),
+                                     [&](const rollout_view& view) { return view.state.service == service; });
+    if (present) continue;
+    out.tell("rollout " + service + ": ended by a later submission", {{"service", service}, {"ended", true}});
+    over = over == exit_code::done ? exit_code::failed : over;
+  }
+  return over;
+}
+
 awaitable<exit_code> wait_rollouts(command_context& context, control_client& client, version accepted) {
   std::map<std::string, std::string> told;
   version seen;
@@ -203,7 +253,7 @@
         const std::string text = describe(view.state);
         if (std::exchange(told[view.state.service], text) != text) context.out.tell(describe(view), to_json(view));
       }
-      if (const auto over = rollouts_over(*status, accepted)) co_return *over;
+      if (const auto over = rollouts_over(*status, accepted)) co_return tell_ended(context.out, *status, told, *over);
     } else if (!status && timer_service::now() - last_answer > std::chrono::seconds(FLAGS_timeout_s)) {
       context.out.refuse(status.failure());
       co_return exit_code::unreachable;
@@ -252,8 +302,9 @@
   const outcome<submission_result> sent = co_await client.submit(change, limit);
   if (!sent) co_return context.out.refuse(sent.failure());
   if (!sent->answer.ok()) {
-    const exit_code code = context.out.refuse(sent->answer.refusal);
-    tell_conflict(context.out, *edits, sent->answer);
+    const exit_code code = context.out.refuse(placed_in_file(sent->answer.refusal, work->document.places));
+    // The refusal's text shows both revisions; scripts get them as members.
+    if (context.out.json()) tell_conflict(context.out, *edits, sent->answer);
     co_return code;
   }
   const version accepted = sent->answer.accepted;
--- a/control/operators_service.cc
+++ b/control/operators_service.cc
@@ -255,6 +255,7 @@
   status.subscribers = co_await subscribers(request);
   status.consensus = co_await consensus_state();
   status.leader_address = operator_address_of(status.consensus.leader);
+  for (const control_host& one : settings_.control_hosts) status.control_addresses.push_back(one.operator_address);
   outcome<document_state_ptr> state = co_await document(false);
   if (!state) co_return error_response(state.failure());
   status.document = (*state)->current;
--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -9,8 +9,7 @@
 #include "control/ledger_service.h"
 #include "control/operators_service.h"
 #include "model/operator_signature.h"
-#include "model/service_names.h"
-#include "testing/sample_document.h"
+#include "testing/single_host_control.h"
 #include "wire/http_client.h"
 
 namespace heatherdeck {
@@ -18,60 +17,6 @@
 
 using namespace std::chrono_literals;
 
-enum class commit_mode { commit, commit_without_answer, not_leader };
-
-// Commits every proposal at once on this one host.
-class single_host_log : public service {
- public:
-  std::string_view name() const override { return to_name(service_name::consensus); }
-  void publish(kernel& k) override {
-    inbox_.emplace(k.executor(), 64);
-    k.publish(name(), inbox_->address());
-  }
-  result<void> start(kernel& k) override {
-    BOOST_LEAF_ASSIGN(ledger_, k.find<ledger_message>(to_name(service_name::ledger)));
-    boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
-    return {};
-  }
-  void stop() override { inbox_->close(); }
-  boost::json::value dump() const override { return nullptr; }
-
-  commit_mode mode = commit_mode::commit;
-
- private:
-  awaitable<void> run() {
-    for (;;) {
-      outcome<consensus_message> message = co_await inbox_->receive();
-      if (!message) co_return;
-      std::visit([this](auto&& one) { handle(std::move(one)); }, std::move(*message));
-    }
-  }
-  void handle(propose_command message) {
-    if (mode == commit_mode::not_leader) {
-      message.answer(error{error_kind::not_leader, "this host is not the leader", "ask the leader", {}});
-      return;
-    }
-    ++index_;
-    // The report of the commit and the entry itself may arrive in either order.
-    const bool report_first = index_ % 2 == 0;
-    if (report_first && mode == commit_mode::commit) message.answer(committed{index_, 1});
-    ledger_.post(apply_entries{{{1, index_, entry_kind::command, message.payload}}});
-    if (mode == commit_mode::commit) message.answer(committed{index_, 1});
-  }
-  void handle(confirm_read message) { message.answer(index_); }
-  void handle(get_consensus_status message) {
-    consensus_status status;
-    status.leader = "c2";
-    status.quorum = true;
-    message.answer(status);
-  }
-  void handle(change_voters) {}
-
-  std::optional<mailbox<consensus_message>> inbox_;
-  address<ledger_message> ledger_;
-  std::uint64_t index_ = 0;
-};
-
 class control_service : public testing::Test {
  protected:
   control_service() {
--- a/testing/ledger.cmake
+++ b/testing/ledger.cmake
@@ -3,3 +3,7 @@
 hd_test(operator_signature_test hd_model)
 hd_test(ledger_test hd_control)
 hd_test(control_service_test hd_control)
+hd_test(cli_golden_test hd_control)
+add_dependencies(cli_golden_test heatherdeck)
+target_compile_definitions(cli_golden_test PRIVATE
+  HD_GOLDEN_FOLDER="${CMAKE_CURRENT_SOURCE_DIR}/golden/cli" HD_CLI_PROGRAM="$<TARGET_FILE:heatherdeck>")
--- /dev/null
+++ b/testing/single_host_control.h
@@ -0,0 +1,123 @@
+/// @file
+/// Stand-ins for tests of the control services on one host: a log that commits at once, and a rollout service that ends
+/// every rollout in the way the test chooses.
+///
+///     auto log = std::make_unique<single_host_log>();
+///     log->mode = commit_mode::commit_without_answer;
+#pragma once
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kernel/kernel.h"
+#include "model/ledger_messages.h"
+#include "model/rollout_messages.h"
+#include "model/service_names.h"
+
+namespace heatherdeck {
+
+enum class commit_mode { commit, commit_without_answer, not_leader };
+
+/// Service "consensus": commits every proposal at once on this one host.
+class single_host_log : public service {
+ public:
+  std::string_view name() const override { return to_name(service_name::consensus); }
+  void publish(kernel& k) override {
+    inbox_.emplace(k.executor(), 64);
+    k.publish(name(), inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    BOOST_LEAF_ASSIGN(ledger_, k.find<ledger_message>(to_name(service_name::ledger)));
+    boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return nullptr; }
+
+  commit_mode mode = commit_mode::commit;
+
+ private:
+  awaitable<void> run() {
+    for (;;) {
+      outcome<consensus_message> message = co_await inbox_->receive();
+      if (!message) co_return;
+      std::visit([this](auto&& one) { handle(std::move(one)); }, std::move(*message));
+    }
+  }
+  void handle(propose_command message) {
+    if (mode == commit_mode::not_leader) {
+      message.answer(error{error_kind::not_leader, "this host is not the leader", "ask the leader", {}});
+      return;
+    }
+    ++index_;
+    // The report of the commit and the entry itself may arrive in either order.
+    const bool report_first = index_ % 2 == 0;
+    if (report_first && mode == commit_mode::commit) message.answer(committed{index_, 1});
+    ledger_.post(apply_entries{{{1, index_, entry_kind::command, message.payload}}});
+    if (mode == commit_mode::commit) message.answer(committed{index_, 1});
+  }
+  void handle(confirm_read message) { message.answer(index_); }
+  void handle(get_consensus_status message) {
+    consensus_status status;
+    status.role = raft_role::leader;
+    status.term = 1;
+    status.leader = "c2";
+    status.quorum = true;
+    message.answer(status);
+  }
+  void handle(change_voters) {}
+
+  std::optional<mailbox<consensus_message>> inbox_;
+  address<ledger_message> ledger_;
+  std::uint64_t index_ = 0;
+};
+
+enum class rollout_end { none, done, rolled_back };
+
+/// Service "rollout": ends every running rollout as soon as it sees it.
+class scripted_rollout : public service {
+ public:
+  std::string_view name() const override { return to_name(service_name::rollout); }
+  void publish(kernel& k) override {
+    inbox_.emplace(k.executor(), 64);
+    k.publish(name(), inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    BOOST_LEAF_ASSIGN(ledger_, k.find<ledger_message>(to_name(service_name::ledger)));
+    boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return nullptr; }
+
+  rollout_end end = rollout_end::none;
+
+ private:
+  awaitable<void> run() {
+    for (;;) {
+      outcome<rollout_message> message = co_await inbox_->receive();
+      if (!message) co_return;
+      if (const auto* changed = std::get_if<document_changed>(&*message)) look_at(*changed->state);
+      if (const auto* question = std::get_if<get_rollouts>(&*message)) question->answer(std::vector<rollout_view>());
+    }
+  }
+  void look_at(const document_state& state) {
+    for (const auto& [service, one] : state.rollouts) {
+      if (one.status != rollout_status::running) continue;
+      if (end == rollout_end::done) {
+        ledger_.post(propose_system_command{
+            set_rollout_step{service, one.to, whole_traffic, rollout_status::done, state.current}, {}});
+      } else if (end == rollout_end::rolled_back) {
+        ledger_.post(propose_system_command{withdraw_version{service, one.to, one.to + " failed 9 of 100 calls"}, {}});
+      }
+    }
+  }
+
+  std::optional<mailbox<rollout_message>> inbox_;
+  address<ledger_message> ledger_;
+};
+
+}  // namespace heatherdeck
--- a/wire/operator_api.cc
+++ b/wire/operator_api.cc
@@ -9,6 +9,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/value_from.hpp>
 
 #include "model/operator_signature.h"
 
@@ -210,6 +211,7 @@
           {"leader", value.consensus.leader},
           {"leader_address", value.leader_address},
           {"quorum", value.consensus.quorum},
+          {"control_addresses", json::value_from(value.control_addresses)},
           {"voters", to_array(value.consensus.voters)},
           {"version", value.document.text()},
           {"subscribers", to_array(value.subscribers)}};
@@ -313,6 +315,12 @@
   BOOST_LEAF_ASSIGN(out.consensus.quorum, in.flag("quorum"));
   BOOST_LEAF_ASSIGN(out.leader_address, in.text("leader_address"));
   BOOST_LEAF_ASSIGN(out.document, in.version_of("version"));
+  const json::value* addresses = in.find("control_addresses");
+  if (addresses != nullptr && addresses->is_array()) {
+    for (const json::value& item : addresses->get_array()) {
+      if (item.is_string()) out.control_addresses.emplace_back(item.get_string());
+    }
+  }
   BOOST_LEAF_CHECK(in.each("voters", [&](const object_reader& item) -> result<void> {
     voter one;
     BOOST_LEAF_ASSIGN(one.host_id, item.text("host"));
--- a/wire/operator_api.h
+++ b/wire/operator_api.h
@@ -46,6 +46,7 @@
   std::string availability_zone;
   consensus_status consensus;
   std::string leader_address;
+  std::vector<std::string> control_addresses;  ///< operator addresses of all control hosts in this host's settings
   version document;
   std::vector<subscriber_status> subscribers;
 };
