--- /dev/null
+++ b/testing/proxy_fault_test.cc
@@ -0,0 +1,299 @@
+// Guards the proxy against upstreams and callers that fail: nothing runs twice, no claim is false, nobody gets
+// another's answer, and a planned stop cuts nothing.
+#include <map>
+
+#include "testing/proxy_harness.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+enum class kill_step { on_accept, after_head, in_body, in_answer_head, in_answer_body };
+constexpr auto kill_steps = std::to_array({kill_step::on_accept, kill_step::after_head, kill_step::in_body,
+                                           kill_step::in_answer_head, kill_step::in_answer_body});
+
+// Closes the connection at one step; counts requests of which it has seen the head.
+awaitable<void> dying_upstream(tcp_socket socket, kill_step step, bool reset, int& runs) {
+  h1_stream stream(std::move(socket));
+  if (step != kill_step::on_accept) {
+    h1_reader<true> reader(stream);
+    (void)co_await reader.read_head();
+    ++runs;
+    if (step != kill_step::after_head) (void)co_await reader.read_body();
+    if (step == kill_step::in_answer_head) co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Le");
+    if (step == kill_step::in_answer_body) {
+      co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    }
+  }
+  boost::system::error_code ignored;
+  if (reset) stream.socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  stream.close();
+}
+
+// A booking that is lost must say so, and must not be made twice; a lookup is tried once more.
+TEST(proxy_fault, upstream_that_dies_at_any_step_runs_nothing_twice) {
+  for (const kill_step step : kill_steps) {
+    for (const bool reset : {false, true}) {
+      for (const bool post : {false, true}) {
+        SCOPED_TRACE(std::to_string(static_cast<int>(step)) + (reset ? " reset" : " closed") +
+                     (post ? " post" : " get"));
+        int runs = 0;
+        proxy_harness h([&](tcp_socket s) { return dying_upstream(std::move(s), step, reset, runs); });
+        h.run([&]() -> awaitable<void> {
+          const std::string length = post ? "Content-Length: 3\r\n\r\nabc" : "\r\n";
+          auto answer = co_await h.call((post ? "POST" : "GET") + std::string(" / HTTP/1.1\r\nHost: a\r\n") + length);
+          if (step == kill_step::in_answer_body) {
+            EXPECT_EQ(answer.result_int(), 0U) << "a cut answer must look cut";
+          } else {
+            const bool not_run = answer["hd-outcome"] == "not-run";
+            EXPECT_EQ(answer.result_int(), not_run ? 503U : 502U);
+            EXPECT_TRUE(not_run || answer["hd-outcome"] == "unknown");
+            EXPECT_TRUE(!not_run || runs == 0);
+          }
+        });
+        EXPECT_LE(runs, post ? 1 : 2);
+        const bool retried = !post && step != kill_step::on_accept && step != kill_step::in_answer_body;
+        EXPECT_TRUE(!retried || runs == 2) << runs;
+        EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::connection_failed);
+      }
+    }
+  }
+}
+
+TEST(proxy_fault, refused_connection_is_truly_not_run) {
+  proxy_harness h(echo_upstream);
+  h.close_upstream();
+  h.run([&]() -> awaitable<void> {
+    auto answer = co_await h.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer["hd-outcome"], "not-run");
+  });
+  EXPECT_EQ(h.traffic->asked.size(), max_attempts) << "a request that has not run is tried elsewhere";
+  EXPECT_EQ(h.traffic->asked[1].avoid_target, "certdesk-1");
+  EXPECT_EQ(h.traffic->asked[1].attempt, 1U);
+}
+
+// An answer that comes after its request was given up must reach nobody, least of all the next caller.
+TEST(proxy_fault, late_answers_are_discarded) {
+  std::vector<std::unique_ptr<h1_stream>> held;
+  proxy_harness h([&](tcp_socket s) -> awaitable<void> {
+    auto stream = std::make_unique<h1_stream>(std::move(s));
+    h1_reader<true> reader(*stream);
+    (void)co_await reader.read_head();
+    if (reader.message().target() == "/late") {
+      held.push_back(std::move(stream));
+      co_return;
+    }
+    for (auto& old : held) {
+      co_await proxy_harness::send(*old, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+    }
+    co_await proxy_harness::send(*stream, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+  });
+  h.choice.timeout = 30ms;
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await h.send(*caller, "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    auto late = co_await h.read_answer(*caller);
+    EXPECT_EQ(late.result_int(), 504U);
+    EXPECT_EQ(late["hd-outcome"], "unknown");
+    co_await h.send(*caller, "GET /own HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto own = co_await h.read_answer(*caller);
+    EXPECT_EQ(own.body(), "own");
+  });
+  EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::timeout);
+}
+
+// Many calls at once with answers in another order than the requests.
+TEST(proxy_fault, crossed_answers_reach_their_own_callers) {
+  constexpr int callers = 60;
+  constexpr int calls = 20;
+  proxy_harness h([&h](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    boost::asio::steady_timer timer(h.k.io());
+    while (true) {
+      h1_reader<true> reader(stream);
+      const auto ec = co_await reader.read_head();
+      if (ec) co_return;
+      const std::string body(reader.message().target());
+      timer.expires_after(std::chrono::microseconds(std::hash<std::string>()(body) % 3000));
+      (void)co_await timer.async_wait(use_tuple);
+      co_await proxy_harness::send(
+          stream, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+  });
+  int right = 0;
+  int ended = 0;
+  h.run([&]() -> awaitable<void> {
+    for (int c = 0; c < callers; ++c) {
+      boost::asio::co_spawn(
+          h.k.io(),
+          [&, c]() -> awaitable<void> {
+            auto caller = co_await h.connect();
+            for (int i = 0; i < calls; ++i) {
+              const std::string path = "/" + std::to_string(c) + "/" + std::to_string(i);
+              co_await h.send(*caller, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+              auto answer = co_await h.read_answer(*caller);
+              right += answer.body() == path ? 1 : 0;
+            }
+            ++ended;
+          },
+          boost::asio::detached);
+    }
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return ended == callers; }));
+  });
+  EXPECT_EQ(right, callers * calls);
+}
+
+// Work for a caller that has gone is wasted; a caller that ends its sending half counts as gone.
+TEST(proxy_fault, caller_that_disconnects_closes_the_upstream_connection) {
+  for (const bool half : {false, true}) {
+    bool upstream_closed = false;
+    bool started = false;
+    proxy_harness h([&](tcp_socket s) -> awaitable<void> {
+      h1_stream stream(std::move(s));
+      (void)co_await read_request(stream);
+      started = true;
+      char byte = 0;
+      auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
+      upstream_closed = bool(ec);
+    });
+    h.run([&]() -> awaitable<void> {
+      auto caller = co_await h.connect();
+      co_await h.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
+      EXPECT_TRUE(co_await eventually(h.k, [&] { return started; }));
+      boost::system::error_code ignored;
+      if (half) {
+        caller->socket.shutdown(tcp_socket::shutdown_send, ignored);
+      } else {
+        caller->close();
+      }
+      EXPECT_TRUE(co_await eventually(h.k, [&] { return upstream_closed; }));
+    });
+    EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::cancelled);
+  }
+}
+
+// A caller that goes in the middle of its body must not leave a request that looks whole.
+TEST(proxy_fault, caller_that_disconnects_in_its_body_leaves_no_whole_request) {
+  bool whole = true;
+  bool ended = false;
+  proxy_harness h([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    whole = co_await read_request(stream);
+    ended = true;
+  });
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await h.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return h.upstream_connections == 1; }));
+    caller->close();
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return ended; }));
+  });
+  EXPECT_FALSE(whole);
+}
+
+// A reader that takes nothing must not hold memory and a slot for ever.
+TEST(proxy_fault, stalled_reader_and_silent_caller_are_closed) {
+  proxy_harness h(
+      [](tcp_socket s) -> awaitable<void> {
+        h1_stream stream(std::move(s));
+        (void)co_await read_request(stream);
+        co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n");
+        co_await proxy_harness::send(stream, std::string(64 * 1024 * 1024, 'x'));
+      },
+      200ms);
+  h.run([&]() -> awaitable<void> {
+    auto silent = co_await h.connect();
+    auto stalled = co_await h.connect();
+    co_await h.send(*stalled, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return h.traffic->finished.size() == 1; }));
+    auto told = co_await h.read_answer(*silent);
+    EXPECT_EQ(told.result_int(), 408U);
+    EXPECT_EQ(told["hd-outcome"], "not-run");
+  });
+  EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::timeout);
+}
+
+// An upstream that closes each connection after its answer without saying so must not cost a booking.
+TEST(proxy_fault, stale_pooled_connections_lose_no_request) {
+  int runs = 0;
+  proxy_harness h([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    if (!co_await read_request(stream)) co_return;
+    ++runs;
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    for (int i = 0; i < 200; ++i) {
+      co_await h.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+      auto answer = co_await h.read_answer(*caller);
+      EXPECT_EQ(answer.result_int(), 200U) << i;
+      // Lets the upstream's close arrive, as it does between calls of one caller.
+      (void)co_await eventually(h.k, [turn = 0]() mutable { return ++turn > 1; });
+    }
+  });
+  EXPECT_EQ(runs, 200);
+}
+
+// A planned stop under load: every request gets its whole answer, also those that arrive while the stop begins.
+TEST(proxy_fault, graceful_stop_under_load_cuts_nothing) {
+  constexpr int callers = 40;
+  proxy_harness h([&h](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    boost::asio::steady_timer timer(h.k.io());
+    while (co_await read_request(stream)) {
+      timer.expires_after(2ms);
+      (void)co_await timer.async_wait(use_tuple);
+      co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+  });
+  int answered = 0;
+  int lost = 0;
+  int running = callers;
+  bool drained = false;
+  h.run([&]() -> awaitable<void> {
+    auto idle = co_await h.connect();
+    for (int c = 0; c < callers; ++c) {
+      boost::asio::co_spawn(
+          h.k.io(),
+          [&]() -> awaitable<void> {
+            auto caller = co_await h.connect();
+            while (true) {
+              co_await h.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+              auto answer = co_await h.read_answer(*caller);
+              (answer.result_int() == 200U ? answered : lost) += 1;
+              if (answer.result_int() != 200U || !answer.keep_alive()) break;
+            }
+            --running;
+          },
+          boost::asio::detached);
+    }
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return answered > 200; }));
+    auto waiting = co_await h.connect();  // accepted or in the backlog when the drain begins
+    boost::asio::co_spawn(
+        h.k.io(),
+        [&]() -> awaitable<void> {
+          co_await h.proxy->drain();
+          drained = true;
+        },
+        boost::asio::detached);
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return running == 0; }));
+    co_await h.send(*waiting, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto late = co_await h.read_answer(*waiting);
+    EXPECT_EQ(late.result_int(), 200U) << "a request on an idle connection is answered during the drain";
+    EXPECT_FALSE(late.keep_alive());
+    waiting->close();
+    auto told = co_await h.read_answer(*idle);
+    EXPECT_EQ(told.result_int(), 408U) << "an idle connection is told that nothing has run";
+    idle->close();
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return drained; }));
+  });
+  EXPECT_EQ(lost, 0);
+  EXPECT_GT(answered, 200);
+  EXPECT_TRUE(h.traffic->stopped_new_work);
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- a/testing/proxy_harness.h
+++ b/testing/proxy_harness.h
@@ -25,6 +25,7 @@
 #include "node/h1_stream.h"
 #include "node/pool_service.h"
 #include "node/proxy_service.h"
+#include "wire/mesh_service.h"
 
 namespace heatherdeck {
 
@@ -80,7 +81,8 @@
 
 class proxy_harness {
  public:
-  explicit proxy_harness(upstream_script script, duration idle_limit = std::chrono::seconds(60))
+  /// @param with_mesh runs the real mesh service too; its port is in `mesh->port()`.
+  explicit proxy_harness(upstream_script script, duration idle_limit = std::chrono::seconds(60), bool with_mesh = false)
       : upstream_(k.io(), {boost::asio::ip::address_v4::loopback(), 0}), script_(std::move(script)) {
     auto added = std::make_unique<fake_traffic>();
     traffic = added.get();
@@ -100,6 +102,13 @@
     settings s;
     s.id = "dar-1-01";
     s.caller_listen = "127.0.0.1:0";
+    s.mesh_listen = "127.0.0.1:0";
+    s.mesh_key = "key of the test";
+    if (with_mesh) {
+      auto meshed = std::move(*mesh_service::make(s));
+      mesh = meshed.get();
+      EXPECT_TRUE(k.add(std::move(meshed)));
+    }
     EXPECT_TRUE(k.add(std::move(*pool_service::make(s))));
     auto made = std::move(*proxy_service::make(s));
     proxy = static_cast<proxy_service*>(made.get());
@@ -159,6 +168,7 @@
   kernel k;
   fake_traffic* traffic = nullptr;
   proxy_service* proxy = nullptr;
+  mesh_service* mesh = nullptr;
   upstream_choice choice;
   std::uint64_t upstream_connections = 0;
 
