--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -15,6 +15,10 @@
 // Evidence at which no share is raised; a good version reaches it with a probability of at most one tenth, and only
 // waits then.
 constexpr double evidence_of_concern = 10;
+// Evidence above which a comparison goes on; it is below 1 for most good versions.
+constexpr double evidence_to_go_on = 2;
+// A fault that shows within this time after a raise may depend on the load.
+constexpr std::chrono::seconds recent_raise{30};
 // Calls of the new version that a step must have seen when there is time enough.
 constexpr double calls_for_step = 60;
 constexpr std::chrono::seconds longest_hold{15};
@@ -43,7 +47,7 @@
 
 }  // namespace
 
-double rollout_planner::planned_part() const { return 0.85 - 0.35 * std::clamp(convergence_weight_, 0.0, 1.0); }
+double rollout_planner::planned_part() const { return 0.95 - 0.3 * std::clamp(convergence_weight_, 0.0, 1.0); }
 
 plan_step rollout_planner::next(const plan_facts& facts) const {
   if (facts.status != rollout_status::running && facts.status != rollout_status::watching) return wait("finished");
@@ -54,6 +58,18 @@
   return facts.status == rollout_status::running ? running(facts) : watching(facts);
 }
 
+std::optional<plan_step> rollout_planner::probe(const plan_facts& facts) const {
+  if (!facts.suspicious || facts.warm_old == 0) return std::nullopt;
+  const bool after_raise = facts.now - facts.last_step < recent_raise;
+  const basis_points probe = facts.probes > 0 || after_raise ? loaded_probe_share : even_probe_share;
+  const auto fresh = static_cast<double>(std::max<std::size_t>(1, facts.warm_new));
+  const double capacity = headroom * static_cast<double>(facts.warm_old) / fresh;
+  const double old_part = std::min(1 - static_cast<double>(probe) / whole_traffic, capacity);
+  const auto share = static_cast<basis_points>(std::lround((1 - old_part) * whole_traffic));
+  if (share >= facts.share) return std::nullopt;
+  return plan_step{plan_action::set_share, share, facts.status, "some traffic goes back for a comparison"};
+}
+
 basis_points rollout_planner::ramp(const plan_facts& facts) const {
   const double first = std::max(1.0, static_cast<double>(facts.wanted.max_first_share)) / whole_traffic;
   const double planned = seconds(facts.wanted.finish_within) * planned_part();
@@ -67,15 +83,18 @@
     const basis_points first = std::clamp<basis_points>(facts.wanted.max_first_share, 1, whole_traffic);
     return {plan_action::set_share, std::min(first, capacity_bound(facts)), rollout_status::running, "first share"};
   }
+  if (const auto step = probe(facts)) return *step;
   if (facts.evidence >= evidence_of_concern) return wait("the evidence gives cause for concern");
   if (facts.cut_recently) return wait("a node has cut the new version off");
   const duration hold = hold_time(facts);
   if (facts.now - facts.last_step < hold) return wait("the last step is recent");
-  const double limit = std::min<double>(facts.share * largest_growth, capacity_bound(facts));
+  const double growth =
+      facts.share < nearly_all ? std::min<double>(facts.share * largest_growth, last_share_before_all) : whole_traffic;
+  const double limit = std::min<double>(growth, capacity_bound(facts));
   const auto target = static_cast<basis_points>(std::min<double>(ramp(facts), limit));
   if (target <= facts.share) return wait(limit <= facts.share ? "too few warm upstreams" : "the plan has no step yet");
   // A step of less than a quarter is not worth a log entry and a message to every node.
-  if (target < whole_traffic && target < facts.share + facts.share / 4) return wait("the plan has no step yet");
+  if (target < last_share_before_all && target < facts.share + facts.share / 4) return wait("the plan has no step yet");
   const double part = static_cast<double>(facts.share) / whole_traffic;
   const double expected = part * static_cast<double>(facts.new_calls + facts.old_calls);
   const double time_left = 1 - seconds(facts.now - facts.started) / std::max(1.0, seconds(facts.wanted.finish_within));
@@ -91,16 +110,11 @@
 plan_step rollout_planner::watching(const plan_facts& facts) const {
   const duration since_step = facts.now - facts.last_step;
   if (facts.share < whole_traffic) {
-    if (facts.evidence >= evidence_of_concern || since_step < probe_time) return wait("comparing with the old version");
+    const bool open = facts.evidence >= evidence_to_go_on || facts.cut_recently;
+    if (open || since_step < probe_time) return wait("comparing with the old version");
     return {plan_action::set_share, whole_traffic, rollout_status::watching, "the suspicion was not confirmed"};
   }
-  if (facts.suspicious && facts.warm_old > 0) {
-    const double old_part = std::min(
-        1.0 - static_cast<double>(probe_share) / whole_traffic,
-        headroom * static_cast<double>(facts.warm_old) / static_cast<double>(std::max<std::size_t>(1, facts.warm_new)));
-    const auto share = static_cast<basis_points>(std::lround((1 - old_part) * whole_traffic));
-    return {plan_action::set_share, share, rollout_status::watching, "some traffic goes back for a comparison"};
-  }
+  if (const auto step = probe(facts)) return *step;
   if (facts.now - facts.watching_since >= facts.wanted.watch) {
     return {plan_action::set_share, whole_traffic, rollout_status::done, "watched without a fault"};
   }
--- a/control/rollout_planner.h
+++ b/control/rollout_planner.h
@@ -8,7 +8,8 @@
 ///
 /// The planner keeps no state: everything is in the facts, so a new leader plans on. Its rules, in order:
 /// 1. evidence at or above the threshold: withdraw, as long as old upstreams run;
-/// 2. no raise while evidence or local cuts give cause for concern;
+/// 2. no raise while evidence or local cuts give cause for concern; when the old version has few calls left and the new
+///    one has become worse than the old one was, some traffic is given back to compare the two;
 /// 3. the share follows a geometric ramp that ends some time before the finish time: a fault of any size then meets a
 ///    share in proportion to the time spent so far, and every step shows the load of the next one at least in part;
 /// 4. a step is at most `largest_growth` times the share before, is held for a least time, needs calls of the new
@@ -16,6 +17,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "kernel/enum_names.h"
@@ -51,6 +53,7 @@
   std::uint64_t old_calls = 0;
   double evidence = 1;
   double threshold = 200;
+  std::uint32_t probes = 0;   ///< how often traffic was given back for a comparison
   bool suspicious = false;    ///< see version_judge::suspicious
   bool cut_recently = false;  ///< a node has cut the version off in the last seconds
 };
@@ -65,9 +68,15 @@
 class rollout_planner {
  public:
   static constexpr double largest_growth = 3.0;
-  /// Share of the new version while a suspicion in the watch time is examined.
-  static constexpr basis_points probe_share = 5'000;
-  static constexpr std::chrono::seconds probe_time{20};
+  /// Share of the new version while a suspicion is examined: one that shows most in the least time; and one at which a
+  /// fault that needs nearly all traffic still shows, used right after a raise and when the first confirmed nothing.
+  static constexpr basis_points even_probe_share = 5'000;
+  static constexpr basis_points loaded_probe_share = 9'000;
+  /// The last step starts from at least nearly_all, so that a fault which needs nearly all traffic meets a share that
+  /// still leaves calls of the old version to compare with.
+  static constexpr basis_points nearly_all = 9'000;
+  static constexpr basis_points last_share_before_all = 9'500;
+  static constexpr std::chrono::seconds probe_time{25};
 
   /// @param convergence_weight 1 favours an early finish, 0 uses nearly all of the time for evidence.
   explicit rollout_planner(double convergence_weight = 0.5) : convergence_weight_(convergence_weight) {}
@@ -80,6 +89,7 @@
  private:
   plan_step running(const plan_facts& facts) const;
   plan_step watching(const plan_facts& facts) const;
+  std::optional<plan_step> probe(const plan_facts& facts) const;
   basis_points ramp(const plan_facts& facts) const;
 
   double convergence_weight_;
--- a/control/version_judge.h
+++ b/control/version_judge.h
@@ -16,6 +16,9 @@
 /// one of them lacks the old version). When it is in one zone only, and the old one is not there, the two causes cannot
 /// be told apart; the version is blamed then, since its callers are hurt either way.
 ///
+/// Sparse series: a window with few calls is carried on for up to twenty seconds. When it still holds only a few calls
+/// for each zone, the zones are pooled, and higher odds are tolerated because the zones' rates may differ.
+///
 /// Error rate: `evidence()` is a weighted average of e-processes (model/odds_test.h) over series and rates. By Ville's
 /// inequality a version that is no worse than tolerated is ever judged bad, over all looks, routes and rates together,
 /// with a probability of at most `false_rollback`. A test of fixed size with the same nominal rate, looked at each
@@ -66,8 +69,8 @@
   double threshold() const { return 1 / options_.false_rollback; }
 
   /// @return true when the new version shows more failures or slow calls than the old one did earlier, at a time when
-  /// the old one has no calls to compare with. It has no stated error rate: a shared cause looks the same. The answer
-  /// is to give some traffic back to the old version, which makes the comparison possible.
+  /// the old one has few or no calls to compare with. It has no stated error rate: a shared cause looks the same. The
+  /// answer is to give some traffic back to the old version, which makes the comparison possible.
   bool suspicious() const;
 
   /// Forgets the suspicion and takes what both versions show at present as usual.
@@ -76,8 +79,9 @@
   /// @return the calls since the last begin_step.
   const judged_calls& since_step() const { return since_step_; }
 
-  /// The share has changed: counts for the next step start anew. The evidence is kept.
-  void begin_step() { since_step_ = {}; }
+  /// The share has changed: counts for the next step start anew, and calls before and after it never share a window.
+  /// The evidence is kept.
+  void begin_step();
 
   /// @return the evidence in words, e.g. "v2 failed 9 of 120 calls, v1 2 of 4000; evidence 31 of 200 (route lookup)".
   std::string words() const;
@@ -95,7 +99,7 @@
     version_counts fresh;     ///< new version
     version_counts previous;  ///< old version
   };
-  /// Rates of the old version, and how far the new one is above them while the old one has no calls.
+  /// Rates of the old version, and how far the new one is above them while the old one has few calls.
   struct drift {
     double calls = 0;
     double events = 0;
@@ -111,6 +115,8 @@
   };
   struct series {
     std::map<std::string, zone_counts> window;  ///< by zone
+    std::size_t window_age = 0;                 ///< seconds that the window covers
+    zone_counts second;                         ///< of the current second, all zones
     std::map<std::string, zone_presence> zones;
     std::map<std::string, test_variant> variants;  ///< by the zone left out; "" leaves out none
     histogram usual{};                             ///< of the old version, older windows fading
@@ -120,7 +126,8 @@
 
   series make_series(double weight) const;
   static void count(series& s, const std::string& zone, const evidence_row& row, bool fresh);
-  void close(series& s);
+  void close(series& s, bool at_once);
+  bool sparse(const series& s) const;
   void follow_drift(series& s, const std::array<std::size_t, rates>& edges);
   odds_window window_of(const zone_counts& counts, std::size_t rate, std::size_t edge) const;
   void test(series& s, std::size_t rate, std::size_t edge) const;
--- a/testing/rollout_simulation.cc
+++ b/testing/rollout_simulation.cc
@@ -95,7 +95,8 @@
       return {0, rollout_status::rolled_back, step.reason + ": " + judge_.words()};
     if (step.status == rollout_status::watching && view.status == rollout_status::running)
       facts_.watching_since = view.now;
-    if (view.status == rollout_status::watching && step.share == whole_traffic) judge_.clear_suspicion();
+    if (step.share < view.share) ++facts_.probes;
+    if (step.share > view.share) judge_.clear_suspicion();
     facts_.last_step = view.now;
     judge_.begin_step();
     return {step.share, step.status, step.reason};
@@ -359,7 +360,9 @@
     {fault_kind::later,
      [](rollout_case& c, random_source& random) {
        c.fault_failure = std::pow(10, -1.3 + 1.3 * random.fraction());
-       c.fault_from_s = static_cast<double>((c.finish + c.watch).count()) * 0.75 * random.fraction();
+       // The watch begins at two thirds of the finish time at the earliest; a fault after it can be found by nobody.
+       const double latest = 0.6 * static_cast<double>(c.finish.count()) + 0.75 * static_cast<double>(c.watch.count());
+       c.fault_from_s = latest * random.fraction();
      }},
     {fault_kind::under_load,
      [](rollout_case& c, random_source& random) {
--- a/traffic/version_cutter.h
+++ b/traffic/version_cutter.h
@@ -9,7 +9,8 @@
 ///     if (cutter.cut("certdesk", "v2", now)) ...
 ///
 /// A cut is local and ends by itself, since one node's view may be that of a fault on the way to the upstreams: the
-/// first lasts 15 s, later ones of the same rollout up to a minute. The leader alone withdraws a version.
+/// first lasts 4 s, later ones of the same rollout up to 16 s. It is short because the leader, who alone withdraws a
+/// version, learns nothing while all nodes have cut it; a bad version costs a node a few calls each time.
 #pragma once
 
 #include <chrono>
@@ -25,7 +26,7 @@
 
 class version_cutter {
  public:
-  static constexpr std::chrono::seconds first_cut{15};
+  static constexpr std::chrono::seconds first_cut{4};
   /// One false cut in 10,000 rollouts of a good version at a node.
   static constexpr double evidence_to_cut = 10'000;
   /// With fewer failed calls nothing is clear, whatever the odds.
