Rollout service: decides on the leader, forwards evidence elsewhere

A rollout needs one decider with a quorum behind it. rollout_core follows rollouts, members and evidence on every control host; rollout_service asks consensus before each proposal. The ledger now accepts a share below 100% while a rollout is watching, because a fault after completion can only be judged with some calls of the old version beside it.

--- /dev/null
+++ b/control/evidence_link.cc
@@ -0,0 +1,107 @@
+// One task holds the stream to the leader and opens another one when the leader changes or a write fails. Invariant: at
+// most one batch waits besides the one being written, so a slow leader costs a bounded amount of memory. Cost: one
+// stream; two frames for each availability zone and second.
+#include "control/evidence_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kernel/log.h"
+#include "wire/codec.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t waiting_batches = 1;
+constexpr milliseconds open_limit = 1000ms;
+constexpr milliseconds write_limit = 1000ms;
+constexpr std::uint32_t h2_cancel = 8;
+constexpr std::size_t longest_zone_name = 256;
+
+awaitable<void> read_reports(incoming_stream incoming, address<rollout_message> to) {
+  header_list headers{{":status", "200"}};
+  auto begun = co_await incoming.stream->send_headers(std::move(headers), false);
+  if (!begun) co_return;
+  for (;;) {
+    auto zone = co_await incoming.stream->read_frame();
+    if (!zone || zone->size() > longest_zone_name) co_return;
+    auto frame = co_await incoming.stream->read_frame();
+    if (!frame) co_return;
+    outcome<evidence_report> report = capture([&] { return decode<evidence_report>(*frame); });
+    if (!report) {
+      log_error("evidence_refused", report.failure(), {{"peer", incoming.peer_id}});
+      co_return;
+    }
+    // Evidence beyond the mailbox's room is dropped, as the next second brings more.
+    to.post(evidence_received{incoming.peer_id, std::move(*zone), std::move(*report)});
+  }
+}
+
+}  // namespace
+
+struct evidence_link::task : std::enable_shared_from_this<evidence_link::task> {
+  task(timer_service& t, executor_type e, address<mesh_message> m)
+      : timers(t), executor(e), mesh(std::move(m)), inbox(e, waiting_batches) {}
+
+  awaitable<void> run() {
+    const auto self = shared_from_this();
+    for (;;) {
+      auto batch = co_await inbox.receive();
+      if (!batch) co_return;
+      if (batch->leader_address != connected_to) stream.reset();
+      std::string leader = batch->leader_address;
+      if (!stream) co_await open(std::move(leader));
+      if (!stream) continue;
+      evidence_batch sent = std::move(*batch);
+      co_await write(std::move(sent));
+    }
+  }
+
+  awaitable<void> open(std::string leader) {
+    auto make = [leader](reply<std::shared_ptr<h2_stream>> answer) {
+      return open_stream{leader, stream_kind::evidence, {}, false, std::move(answer)};
+    };
+    auto opened = co_await ask<std::shared_ptr<h2_stream>>(timers, executor, mesh, open_limit, make);
+    if (!opened || !*opened) co_return;
+    stream = std::move(*opened);
+    connected_to = std::move(leader);
+  }
+
+  awaitable<void> write(evidence_batch batch) {
+    const auto writing = stream;
+    const subscription limit = timers.after(write_limit, [writing] { writing->reset(h2_cancel); });
+    for (auto& [zone, report] : batch.by_zone) {
+      std::string bytes = encode(report);
+      auto named = co_await writing->write_frame(std::move(zone));
+      if (named) named = co_await writing->write_frame(std::move(bytes));
+      if (named) continue;
+      stream.reset();
+      co_return;
+    }
+  }
+
+  timer_service& timers;
+  executor_type executor;
+  address<mesh_message> mesh;
+  mailbox<evidence_batch> inbox;
+  std::shared_ptr<h2_stream> stream;
+  std::string connected_to;
+};
+
+evidence_link::evidence_link(timer_service& timers, executor_type executor, address<mesh_message> mesh)
+    : task_(std::make_shared<task>(timers, executor, std::move(mesh))) {
+  boost::asio::co_spawn(
+      executor, [t = task_]() -> awaitable<void> { co_await t->run(); }, boost::asio::detached);
+}
+
+evidence_link::~evidence_link() { task_->inbox.close(); }
+
+bool evidence_link::post(evidence_batch batch) { return task_->inbox.address().post(std::move(batch)); }
+
+void read_evidence(executor_type executor, incoming_stream incoming, address<rollout_message> to) {
+  boost::asio::co_spawn(executor, read_reports(std::move(incoming), std::move(to)), boost::asio::detached);
+}
+
+}  // namespace heatherdeck
--- a/control/ledger.cc
+++ b/control/ledger.cc
@@ -81,10 +81,13 @@
   if (now.status == rollout_status::watching && step.status == rollout_status::running) {
     return refuse("the rollout to '" + now.to + "' already has all traffic", "go on watching or withdraw the version");
   }
-  if (step.share > whole_traffic || (is_finished(step.status) && step.share != whole_traffic)) {
+  // While it watches, the leader may give some traffic back to the old version to compare the two.
+  const bool begins_watch = step.status == rollout_status::watching && now.status == rollout_status::running;
+  const bool needs_all = begins_watch || step.status == rollout_status::done;
+  if (step.share > whole_traffic || (needs_all && step.share != whole_traffic)) {
     return refuse("a share of " + std::to_string(step.share) + " does not go with the status " +
                       std::string(to_name(step.status)),
-                  "use 0 to 10,000, and 10,000 when the rollout is watching or done");
+                  "use 0 to 10,000, and 10,000 when the watch begins or the rollout is done");
   }
   return {};
 }
--- /dev/null
+++ b/control/rollout_core.cc
@@ -0,0 +1,169 @@
+// Each followed rollout has a judge and the times that the planner needs; those times are this host's own, as steady
+// clocks of different hosts cannot be compared. Invariants: no proposal outside a term of leadership; every proposal
+// carries the document version it was decided on, so that the ledger refuses it when the rollout has changed since.
+// Cost for each second: the judges' windows.
+#include "control/rollout_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace heatherdeck {
+
+bool rollout_core::is_active(const rollout_state& state) {
+  return state.status == rollout_status::running || state.status == rollout_status::watching;
+}
+
+bool rollout_core::active() const {
+  return std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& r) { return is_active(r.second.state); });
+}
+
+version_judge rollout_core::new_judge(const rollout_spec& spec) const {
+  const auto seconds = static_cast<std::size_t>(std::max<std::int64_t>(60, (spec.finish_within + spec.watch).count()));
+  return {spec.from, spec.to, {.windows = seconds}};
+}
+
+void rollout_core::begin(const rollout_state& state, const rollout_spec& spec, time_point now) {
+  followed_rollout r{.spec = spec, .state = state, .judge = new_judge(spec)};
+  // A host that restarts in the middle of a rollout takes the time that the plan needs for the share reached.
+  r.first_seen = planner_.started_from(spec, state.share, now);
+  r.last_step = now;
+  r.watching_since = now;
+  rollouts_.insert_or_assign(state.service, std::move(r));
+}
+
+void rollout_core::follow_state(followed_rollout& r, const rollout_state& state, const rollout_spec& spec,
+                                time_point now) {
+  if (state.share != r.state.share) {
+    if (state.share > r.state.share) r.judge.clear_suspicion();
+    if (state.share < r.state.share) ++r.probes;
+    r.judge.begin_step();
+    r.last_step = now;
+  }
+  if (state.status == rollout_status::watching && r.state.status == rollout_status::running) r.watching_since = now;
+  r.state = state;
+  r.spec = spec;
+}
+
+void rollout_core::use_document(const document_state& state, const compiled_document& compiled, time_point now) {
+  current_ = state.current;
+  std::erase_if(rollouts_, [&](const auto& r) { return !state.rollouts.contains(r.first); });
+  for (const auto& [service, next] : state.rollouts) {
+    rollout_spec spec{.service = service, .from = next.from, .to = next.to};
+    const auto wanted = compiled.rollouts.find(service);
+    if (wanted != compiled.rollouts.end()) spec = wanted->second;
+    const auto known = rollouts_.find(service);
+    const bool same = known != rollouts_.end() && known->second.state.to == next.to &&
+                      known->second.state.from == next.from && known->second.state.started == next.started;
+    if (same) {
+      follow_state(known->second, next, spec, now);
+    } else {
+      begin(next, spec, now);
+    }
+  }
+}
+
+void rollout_core::use_members(const std::vector<member_record>& members, time_point now) {
+  std::map<std::string, known_upstream> ready;
+  for (const member_record& member : members) {
+    if (member.state != member_state::alive || member.draining) continue;
+    for (const endpoint_record& endpoint : member.endpoints) {
+      if (endpoint.state != upstream_state::ready) continue;
+      const std::string key = member.node_id + "/" + endpoint.target;
+      const auto known = ready_upstreams_.find(key);
+      const bool same = known != ready_upstreams_.end() && known->second.service == endpoint.service &&
+                        known->second.upstream_version == endpoint.upstream_version;
+      // Upstreams of the first view were ready before this host was.
+      const time_point since = same ? known->second.ready_since : members_known_ ? now : now - warm_after;
+      ready.emplace(key, known_upstream{endpoint.service, endpoint.upstream_version, since});
+    }
+  }
+  ready_upstreams_ = std::move(ready);
+  members_known_ = members_known_ || !members.empty();
+}
+
+std::size_t rollout_core::warm(const std::string& service, const std::string& upstream_version, time_point now) const {
+  return static_cast<std::size_t>(std::count_if(ready_upstreams_.begin(), ready_upstreams_.end(), [&](const auto& u) {
+    return u.second.service == service && u.second.upstream_version == upstream_version &&
+           now - u.second.ready_since >= warm_after;
+  }));
+}
+
+void rollout_core::lead(time_point now) {
+  leading_ = true;
+  for (auto& [service, r] : rollouts_) {
+    r.judge = new_judge(r.spec);
+    r.last_step = now;
+    r.last_cut = {};
+  }
+}
+
+void rollout_core::add_evidence(const std::string& availability_zone, const evidence_report& report, time_point now) {
+  for (const evidence_row& row : report.rows) {
+    const auto found = rollouts_.find(row.service);
+    if (found != rollouts_.end() && is_active(found->second.state)) found->second.judge.add(availability_zone, row);
+  }
+  for (const auto& [service, upstream_version] : report.cut_locally) {
+    const auto found = rollouts_.find(service);
+    if (found != rollouts_.end() && found->second.state.to == upstream_version) found->second.last_cut = now;
+  }
+}
+
+plan_facts rollout_core::facts_of(const followed_rollout& r, time_point now) const {
+  return {.now = now,
+          .wanted = r.spec,
+          .share = r.state.share,
+          .status = r.state.status,
+          .started = r.first_seen,
+          .last_step = r.last_step,
+          .watching_since = r.watching_since,
+          .warm_new = warm(r.state.service, r.state.to, now),
+          .warm_old = warm(r.state.service, r.state.from, now),
+          .new_calls = r.judge.since_step().new_calls,
+          .old_calls = r.judge.since_step().old_calls,
+          .evidence = r.judge.evidence(),
+          .threshold = r.judge.threshold(),
+          .probes = r.probes,
+          .suspicious = r.judge.suspicious(),
+          .cut_recently = r.last_cut != time_point{} && now - r.last_cut < cut_concern};
+}
+
+std::vector<rollout_proposal> rollout_core::second(time_point now) {
+  std::vector<rollout_proposal> proposals;
+  if (!leading_) return proposals;
+  for (auto& [service, r] : rollouts_) {
+    if (!is_active(r.state)) continue;
+    r.judge.close_window();
+    const plan_step step = planner_.next(facts_of(r, now));
+    r.reason = step.reason;
+    if (step.action == plan_action::withdraw) {
+      const std::string reason = r.judge.words();
+      proposals.push_back({service, withdraw_version{service, r.state.to, reason}, reason});
+    } else if (step.action == plan_action::set_share) {
+      proposals.push_back(
+          {service, set_rollout_step{service, r.state.to, step.share, step.status, current_}, step.reason});
+    }
+  }
+  return proposals;
+}
+
+std::vector<rollout_view> rollout_core::views(time_point now) const {
+  std::vector<rollout_view> rows;
+  for (const auto& [service, r] : rollouts_) {
+    rollout_view row{.state = r.state};
+    const auto since = r.state.status == rollout_status::watching ? r.watching_since : r.first_seen;
+    const auto length = r.state.status == rollout_status::watching ? r.spec.watch : r.spec.finish_within;
+    const auto left = std::chrono::duration_cast<std::chrono::seconds>(length - (now - since));
+    if (is_active(r.state)) row.time_left = std::max(left, std::chrono::seconds(0));
+    row.evidence = leading_ ? r.judge.words() : "evidence is held by the leader";
+    if (leading_ && is_active(r.state)) {
+      row.evidence += fmt::format("; {} warm upstreams of {}, {} of {}; {}", warm(service, r.state.to, now), r.state.to,
+                                  warm(service, r.state.from, now), r.state.from, r.reason);
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+}  // namespace heatherdeck
--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -49,6 +49,15 @@
 
 double rollout_planner::planned_part() const { return 0.95 - 0.3 * std::clamp(convergence_weight_, 0.0, 1.0); }
 
+time_point rollout_planner::started_from(const rollout_spec& wanted, basis_points share, time_point now) const {
+  const double first = std::clamp(static_cast<double>(wanted.max_first_share) / whole_traffic, 1e-4, 1.0);
+  if (share == 0 || first >= 1) return now;
+  const double reached = static_cast<double>(share) / whole_traffic;
+  const double part = std::clamp(1 - std::log(reached) / std::log(first), 0.0, 1.0);
+  const auto elapsed = std::chrono::duration<double>(part * planned_part() * seconds(wanted.finish_within));
+  return now - std::chrono::duration_cast<duration>(elapsed);
+}
+
 plan_step rollout_planner::next(const plan_facts& facts) const {
   if (facts.status != rollout_status::running && facts.status != rollout_status::watching) return wait("finished");
   if (facts.evidence >= facts.threshold) {
--- a/control/rollout_planner.h
+++ b/control/rollout_planner.h
@@ -83,6 +83,9 @@
 
   plan_step next(const plan_facts& facts) const;
 
+  /// @return when a rollout that has reached this share would have started by the plan; `now` for share 0.
+  time_point started_from(const rollout_spec& wanted, basis_points share, time_point now) const;
+
   /// @return the part of the finish time in which the ramp is planned to end.
   double planned_part() const;
 
--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -6,6 +6,7 @@
 #include "control/ledger_service.h"
 #include "control/operators_service.h"
 #include "control/publisher_service.h"
+#include "control/rollout_service.h"
 #include "daemon/admin_service.h"
 #include "node/announcement_service.h"
 #include "node/pool_service.h"
@@ -35,6 +36,7 @@
     {&settings::control, &make_service<consensus_service>},
     {&settings::control, &make_service<ledger_service>},
     {&settings::control, &make_service<publisher_service>},
+    {&settings::control, &make_service<rollout_service>},
     {&settings::control, &make_service<operators_service>},
     {&settings::node, &make_service<traffic_service>},
     {&settings::node, &make_service<subscriber_service>},
--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -2,3 +2,4 @@
 target_link_libraries(hd_rollout_simulation PUBLIC hd_control hd_traffic fmt::fmt)
 
 hd_test(traffic_core_test hd_traffic)
+hd_test(rollout_core_test hd_control)
