--- a/testing/ledger_test.cc
+++ b/testing/ledger_test.cc
@@ -102,8 +102,11 @@
   const set_rollout_step late{"certdesk", "v2", 5000, rollout_status::running, before};
   EXPECT_EQ(h.apply(late).refusal.kind, error_kind::conflict) << "a step decided before the last one is refused";
   EXPECT_FALSE(h.step(5000, rollout_status::done).ok()) << "done means all traffic";
+  EXPECT_FALSE(h.step(5000, rollout_status::watching).ok()) << "the watch begins with all traffic";
   EXPECT_TRUE(h.step(whole_traffic, rollout_status::watching).ok());
   EXPECT_FALSE(h.step(5000, rollout_status::running).ok());
+  EXPECT_TRUE(h.step(5000, rollout_status::watching).ok()) << "a suspicion is examined with both versions in use";
+  EXPECT_FALSE(h.step(5000, rollout_status::done).ok());
   EXPECT_TRUE(h.step(whole_traffic, rollout_status::done).ok());
   EXPECT_EQ(h.shares(), "v2=10000");
   EXPECT_FALSE(h.step(0, rollout_status::running).ok());
--- /dev/null
+++ b/tools/overload_experiment.cmake
@@ -0,0 +1,2 @@
+add_executable(overload_experiment overload_experiment.cc)
+target_link_libraries(overload_experiment PRIVATE hd_call_simulation gflags)
--- a/traffic/concurrency_limiter.h
+++ b/traffic/concurrency_limiter.h
@@ -57,10 +57,13 @@
 
  private:
   void close_window(time_point now);
+  void follow_usual(double measured_ms);
 
   double limit_ = 100;
   double ceiling_ = highest_limit;
-  double usual_ms_ = 0;  ///< latency without queueing; 0 when unknown
+  double usual_ms_ = 0;   ///< latency without queueing; 0 when unknown
+  double lowest_ms_ = 0;  ///< follows the lowest window, rises over about ten minutes
+  bool window_refused_ = false;
   double window_sum_ms_ = 0;
   std::uint32_t window_calls_ = 0;
   std::uint32_t window_failures_ = 0;
