--- /dev/null
+++ b/testing/mesh_test.cc
@@ -0,0 +1,246 @@
+// Guards the mesh service: the proof of the mesh key, dispatch of streams, refusal while draining and lost peers.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "model/service_names.h"
+#include "wire/mesh_handshake.h"
+#include "wire/mesh_service.h"
+
+namespace heatherdeck {
+namespace {
+
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+// Stands in for a service that takes incoming streams.
+class stream_taker : public service {
+ public:
+  explicit stream_taker(std::string_view name) : name_(name) {}
+  std::string_view name() const override { return name_; }
+  void publish(kernel& k) override {
+    inbox = std::make_unique<mailbox<incoming_stream>>(k.executor(), 2);
+    k.publish(name_, inbox->address());
+  }
+  result<void> start(kernel&) override { return {}; }
+  void stop() override {}
+  boost::json::value dump() const override { return nullptr; }
+
+  std::unique_ptr<mailbox<incoming_stream>> inbox;
+
+ private:
+  std::string_view name_;
+};
+
+// Several processes of the mesh in one event loop's turn: each has a kernel of its own, run in alternation.
+struct process {
+  kernel k;
+  stream_taker* proxy = nullptr;
+  mesh_service* mesh = nullptr;
+  address<mesh_message> mesh_address;
+
+  explicit process(const std::string& id, const std::string& key = "secret") {
+    settings s;
+    s.id = id;
+    s.mesh_key = key;
+    s.mesh_listen = "127.0.0.1:0";
+    auto made = capture([&] { return mesh_service::make(s); });
+    EXPECT_TRUE(made);
+    mesh = made->get();
+    auto taker = std::make_unique<stream_taker>(to_name(service_name::proxy));
+    proxy = taker.get();
+    EXPECT_TRUE(k.add(std::move(*made)));
+    EXPECT_TRUE(k.add(std::move(taker)));
+    EXPECT_TRUE(capture([&] { return k.start(); }));
+    mesh_address = *capture([&] { return k.find<mesh_message>("mesh"); });
+  }
+  std::string address_text() const { return "127.0.0.1:" + std::to_string(mesh->port()); }
+};
+
+void run(std::vector<process*> processes, std::function<awaitable<void>()> body) {
+  bool finished = false;
+  boost::asio::co_spawn(processes.front()->k.io(), std::move(body), [&](std::exception_ptr failure) {
+    if (failure) std::rethrow_exception(failure);
+    finished = true;
+  });
+  const time_point limit = timer_service::now() + 20s;
+  while (!finished && timer_service::now() < limit) {
+    for (process* p : processes) p->k.io().run_one_for(1ms);
+  }
+  EXPECT_TRUE(finished);
+}
+
+awaitable<outcome<std::shared_ptr<h2_stream>>> open_call(process& from, std::string to, stream_kind kind) {
+  return open_mesh_stream(from.k.timers(), from.k.executor(), from.mesh_address, std::move(to), kind,
+                          {{"hd-request-id", "7"}}, true);
+}
+
+TEST(mesh, delivers_streams_to_the_service_of_their_kind) {
+  process a("a");
+  process b("b");
+  run({&a, &b}, [&]() -> awaitable<void> {
+    for (int i = 0; i < 3; ++i) {
+      auto stream = co_await open_call(a, b.address_text(), stream_kind::call);
+      EXPECT_TRUE(stream) << stream.failure().message();
+      if (!stream) co_return;
+      auto arrived = co_await b.proxy->inbox->receive();
+      EXPECT_EQ(arrived->peer_id, "a");
+      EXPECT_EQ(arrived->headers.back(), (std::pair<std::string, std::string>("hd-request-id", "7")));
+      const header_list headers = {{":status", "204"}};
+      (void)co_await arrived->stream->send_headers(headers, true);
+      auto answer = co_await (*stream)->read_headers();
+      EXPECT_TRUE(answer);
+    }
+  });
+  EXPECT_EQ(a.k.dump().at("services").at("mesh").at("outgoing_connections").to_number<int>(), 1);
+}
+
+// A stream that no service takes, or for which there is no room, must be known not to have run.
+TEST(mesh, refuses_streams_without_a_taker_as_not_processed) {
+  process a("a");
+  process b("b");
+  run({&a, &b}, [&]() -> awaitable<void> {
+    auto raft = co_await open_call(a, b.address_text(), stream_kind::raft);
+    auto answer = co_await (*raft)->read_headers();
+    EXPECT_EQ(answer.failure().kind, error_kind::not_processed);
+    std::vector<std::shared_ptr<h2_stream>> calls;
+    for (int i = 0; i < 3; ++i) calls.push_back(*co_await open_call(a, b.address_text(), stream_kind::call));
+    auto third = co_await calls.back()->read_headers();  // the mailbox of two is full
+    EXPECT_EQ(third.failure().kind, error_kind::not_processed);
+  });
+}
+
+TEST(mesh, unreachable_address_means_that_nothing_was_sent) {
+  process a("a");
+  run({&a}, [&]() -> awaitable<void> {
+    auto stream = co_await open_call(a, "127.0.0.1:1", stream_kind::call);
+    EXPECT_EQ(stream.failure().kind, error_kind::unreachable);
+  });
+}
+
+TEST(mesh, wrong_key_is_refused_on_both_sides) {
+  process a("a", "secret");
+  process b("b", "other");
+  run({&a, &b}, [&]() -> awaitable<void> {
+    auto stream = co_await open_call(a, b.address_text(), stream_kind::call);
+    EXPECT_FALSE(stream);
+    EXPECT_EQ(stream.failure().kind, error_kind::unauthorised);
+  });
+  EXPECT_EQ(b.proxy->inbox->depth(), 0U);
+}
+
+// A drain must let the call in flight finish, and tell others that their calls have not run.
+TEST(mesh, drain_finishes_calls_and_refuses_new_ones) {
+  process a("a");
+  process b("b");
+  run({&a, &b}, [&]() -> awaitable<void> {
+    auto stream = co_await open_call(a, b.address_text(), stream_kind::call);
+    auto arrived = co_await b.proxy->inbox->receive();
+    bool drained = false;
+    boost::asio::co_spawn(
+        b.k.io(),
+        [&]() -> awaitable<void> {
+          co_await b.mesh->drain();
+          drained = true;
+        },
+        boost::asio::detached);
+    error_kind late_kind = error_kind::internal;
+    while (late_kind == error_kind::internal) {  // until the GOAWAY is out
+      auto late = co_await open_call(a, b.address_text(), stream_kind::call);
+      if (!late) {
+        late_kind = late.failure().kind;
+        break;
+      }
+      auto answer = co_await (*late)->read_headers();
+      if (!answer) late_kind = answer.failure().kind;
+    }
+    EXPECT_TRUE(late_kind == error_kind::not_processed || late_kind == error_kind::unreachable);
+    EXPECT_FALSE(drained);
+    const header_list headers = {{":status", "200"}};
+    (void)co_await arrived->stream->send_headers(headers, true);
+    auto answer = co_await (*stream)->read_headers();
+    EXPECT_TRUE(answer);
+    wake_signal pause(a.k.executor());
+    while (!drained) {
+      const subscription soon = a.k.timers().after(1ms, [&] { pause.set(); });
+      co_await pause.wait();
+    }
+  });
+}
+
+// Runs a client against a server and gives the bytes that the client sent to `tamper`.
+struct handshake_pair {
+  kernel k;
+  tcp::socket client{k.executor()};
+  tcp::socket server{k.executor()};
+  handshake_pair() {
+    tcp::acceptor acceptor(k.executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    client.connect(acceptor.local_endpoint());
+    server = acceptor.accept();
+  }
+};
+
+// A recorded handshake must be worthless in a new connection: the nonce of the server differs.
+TEST(handshake, replayed_messages_are_refused) {
+  std::string recorded;
+  {
+    handshake_pair pair;
+    boost::asio::co_spawn(
+        pair.k.io(), [&] { return handshake_as_client(pair.client, pair.k.timers(), "secret", "a"); },
+        [](std::exception_ptr, outcome<std::string>) {});
+    handshake_pair other;  // relays the bytes of the client to a real server and keeps a copy
+    outcome<std::string> peer;
+    boost::asio::co_spawn(
+        pair.k.io(),
+        [&]() -> awaitable<void> { peer = co_await handshake_as_server(pair.server, pair.k.timers(), "secret", "b"); },
+        boost::asio::detached);
+    pair.k.io().run();
+    EXPECT_TRUE(peer);
+  }
+  // The client's first message with a fresh server, then a proof from another exchange.
+  for (const std::size_t proof_size : {0UL, 32UL, 400UL}) {
+    handshake_pair pair;
+    outcome<std::string> peer = std::string();
+    boost::asio::co_spawn(
+        pair.k.io(),
+        [&]() -> awaitable<void> { peer = co_await handshake_as_server(pair.server, pair.k.timers(), "secret", "b"); },
+        boost::asio::detached);
+    std::string hello = "\x08\x01\x12\x20" + std::string(32, 'n') + "\x1a\x01" + "a";
+    std::string proof =
+        proof_size == 0 ? "" : "\x22" + std::string(1, static_cast<char>(proof_size)) + std::string(proof_size, 'p');
+    for (const std::string& message : {hello, proof}) {
+      const std::string framed =
+          std::string(1, static_cast<char>(message.size() >> 8)) + static_cast<char>(message.size() & 0xFF) + message;
+      boost::asio::write(pair.client, boost::asio::buffer(framed));
+    }
+    pair.k.io().run_for(5s);
+    EXPECT_FALSE(peer);
+  }
+}
+
+TEST(handshake, silent_and_oversized_peers_are_cut_off) {
+  handshake_pair silent;
+  outcome<std::string> peer = std::string();
+  const time_point begun = timer_service::now();
+  boost::asio::co_spawn(
+      silent.k.io(),
+      [&]() -> awaitable<void> { peer = co_await handshake_as_server(silent.server, silent.k.timers(), "s", "b"); },
+      boost::asio::detached);
+  silent.k.io().run_for(10s);
+  EXPECT_EQ(peer.failure().kind, error_kind::timeout);
+  EXPECT_LT(timer_service::now() - begun, handshake_limit + 1s);
+
+  handshake_pair large;
+  boost::asio::write(large.client, boost::asio::buffer(std::string("\xff\xff")));
+  boost::asio::co_spawn(
+      large.k.io(),
+      [&]() -> awaitable<void> { peer = co_await handshake_as_server(large.server, large.k.timers(), "s", "b"); },
+      boost::asio::detached);
+  large.k.io().run_for(10s);
+  EXPECT_EQ(peer.failure().kind, error_kind::bad_message);
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -74,14 +74,13 @@
   /// Waits for one whole message; `closed` at the end of the stream, `bad_message` beyond max_frame_bytes.
   awaitable<outcome<std::string>> read_frame();
 
+  /// Waits until nobody waits for this stream's answer any more: the peer has reset the stream, the connection has
+  /// failed, or both directions have ended. Does not consume body bytes. One task at a time.
+  awaitable<void> wait_closed();
+
   /// Ends both directions at once with an h2 error code (8 is CANCEL, 7 is REFUSED_STREAM).
   void reset(std::uint32_t code);
 
-  /// Waits until the stream is over; lets a server notice a cancelled request while it works on the answer. One task at
-  /// a time.
-  /// @return success when both directions have ended, else the failure.
-  awaitable<outcome<void>> wait_closed();
-
   /// @return true once any byte of this stream's request may have left the process.
   bool may_have_been_sent() const;
 
