--- a/wire/codec.h
+++ b/wire/codec.h
@@ -14,6 +14,7 @@
 #include "kernel/result.h"
 #include "model/directory_messages.h"
 #include "model/distribution_messages.h"
+#include "model/gossip_messages.h"
 #include "model/ledger_messages.h"
 #include "model/raft_messages.h"
 
@@ -33,6 +34,7 @@
 std::string encode(const document_delta& delta);
 std::string encode(const std::vector<member_record>& records);
 std::string encode(const evidence_report& report);
+std::string encode(const gossip_message& message);
 
 /// Defined for every type that `encode` takes.
 template <class Message>
@@ -60,5 +62,7 @@
 result<std::vector<member_record>> decode<std::vector<member_record>>(std::string_view bytes);
 template <>
 result<evidence_report> decode<evidence_report>(std::string_view bytes);
+template <>
+result<gossip_message> decode<gossip_message>(std::string_view bytes);
 
 }  // namespace heatherdeck
--- /dev/null
+++ b/wire/codec_gossip.cc
@@ -0,0 +1,69 @@
+// Codec of the directory's gossip.
+// Invariant: a decoded message has a sender and whole pairs of keys. Cost: one allocation for each record.
+#include "wire/codec.h"
+#include "wire/codec_parts.h"
+
+namespace heatherdeck::codec {
+
+void write(const gossip_message& from, pb::Gossip& to) {
+  to.set_kind(enum_number(from.kind));
+  to.set_from(from.from);
+  to.set_nonce(from.nonce);
+  to.set_summary(from.summary);
+  to.set_subject(from.subject);
+  to.mutable_buckets()->Add(from.buckets.begin(), from.buckets.end());
+  to.set_bucket_count(from.bucket_count);
+  to.mutable_bucket_numbers()->Add(from.bucket_numbers.begin(), from.bucket_numbers.end());
+  for (const member_key& key : from.keys) {
+    to.add_keys(key.id_hash);
+    to.add_keys(key.version_hash);
+  }
+  to.mutable_wanted()->Add(from.wanted.begin(), from.wanted.end());
+  for (const member_record_ptr& record : from.records) write(*record, *to.add_records());
+  for (const member_status& status : from.statuses) {
+    auto& added = *to.add_statuses();
+    added.set_node_id(status.node_id);
+    added.set_incarnation(status.incarnation);
+    added.set_sequence(status.sequence);
+    added.set_state(enum_number(status.state));
+  }
+  to.set_recent(from.recent);
+}
+
+void read(const pb::Gossip& from, gossip_message& to, decode_check& check) {
+  to.kind = read_enum<gossip_kind>(from.kind(), check);
+  to.from = from.from();
+  if (to.from.empty()) check.refuse("the gossip has no sender");
+  to.nonce = from.nonce();
+  to.summary = from.summary();
+  to.subject = from.subject();
+  to.buckets.assign(from.buckets().begin(), from.buckets().end());
+  to.bucket_count = from.bucket_count();
+  to.bucket_numbers.assign(from.bucket_numbers().begin(), from.bucket_numbers().end());
+  if (from.keys_size() % 2 != 0) return check.refuse("the gossip has half a key");
+  for (int i = 0; i < from.keys_size(); i += 2) to.keys.push_back({from.keys(i), from.keys(i + 1)});
+  to.wanted.assign(from.wanted().begin(), from.wanted().end());
+  for (const auto& item : from.records()) {
+    auto record = std::make_shared<member_record>();
+    read(item, *record, check);
+    to.records.push_back(std::move(record));
+  }
+  for (const auto& item : from.statuses()) {
+    to.statuses.push_back(
+        {item.node_id(), item.incarnation(), item.sequence(), read_enum<member_state>(item.state(), check)});
+  }
+  to.recent = from.recent();
+}
+
+}  // namespace heatherdeck::codec
+
+namespace heatherdeck {
+
+std::string encode(const gossip_message& message) { return codec::encode_as<pb::Gossip>(message); }
+
+template <>
+result<gossip_message> decode<gossip_message>(std::string_view bytes) {
+  return codec::decode_as<gossip_message, pb::Gossip>(bytes, "gossip");
+}
+
+}  // namespace heatherdeck
--- a/wire/codec_parts.h
+++ b/wire/codec_parts.h
@@ -17,6 +17,7 @@
 #include "kernel/result.h"
 #include "model/directory_messages.h"
 #include "model/distribution_messages.h"
+#include "model/gossip_messages.h"
 #include "model/ledger_messages.h"
 #include "model/raft_messages.h"
 #include "wire/messages.pb.h"
@@ -91,6 +92,7 @@
 void write(const command_answer& from, pb::CommandAnswer& to);
 void write(const node_message& from, pb::NodeMessage& to);
 void write(const control_message& from, pb::ControlMessage& to);
+void write(const gossip_message& from, pb::Gossip& to);
 
 digest read_digest(const pb::Digest& from);
 void read(const pb::Error& from, error& to, decode_check& check);
@@ -109,6 +111,7 @@
 void read(const pb::CommandAnswer& from, command_answer& to, decode_check& check);
 void read(const pb::NodeMessage& from, node_message& to, decode_check& check);
 void read(const pb::ControlMessage& from, control_message& to, decode_check& check);
+void read(const pb::Gossip& from, gossip_message& to, decode_check& check);
 
 /// Converts a repeated field; the element type is deduced from the struct's vector.
 template <class Repeated, class Vector>
