Directory: a doubted member is probed, not only told

A region that probes far members rarely kept a dead member for minutes when the others had already removed it, because their suspicion had expired there (schedule seeds 104 and 109 did not converge within 90 s). Whoever hears the doubt now probes the member itself.

--- a/node/directory_core.cc
+++ b/node/directory_core.cc
@@ -324,13 +324,17 @@
       answer_doubt(now, status, out);
       continue;
     }
-    // Passed on to the member in question, once: it is asked directly there.
+    // Passed on to the member in question: it is asked directly there.
     const member_record_ptr known = table_.find(status.node_id);
     if (!known || known->mesh_address == self_.mesh_address) continue;
     if (std::pair(known->incarnation, known->sequence) > std::pair(status.incarnation, status.sequence)) continue;
     gossip_message passed = make(gossip_kind::doubt);
     passed.statuses = {status};
     out.datagrams.push_back({known->mesh_address, std::move(passed)});
+    // It may be that the others are right and only this region has not noticed, because it probes far members rarely.
+    const bool pending = std::any_of(probes_.begin(), probes_.end(),
+                                     [&](const auto& item) { return item.second.node_id == status.node_id; });
+    if (!pending) send_probe(now, known->mesh_address, known->node_id, out);
   }
 }
 
