--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -76,7 +76,8 @@
 
   /// Waits until nobody waits for this stream's answer any more: the peer has reset the stream, the connection has
   /// failed, or both directions have ended. Does not consume body bytes. One task at a time.
-  awaitable<void> wait_closed();
+  /// @return success when both directions have ended, else the failure.
+  awaitable<outcome<void>> wait_closed();
 
   /// Ends both directions at once with an h2 error code (8 is CANCEL, 7 is REFUSED_STREAM).
   void reset(std::uint32_t code);
