--- /dev/null
+++ b/node/directory_service.cc
@@ -0,0 +1,227 @@
+// Connects directory_core with the world: datagrams and messages in, datagrams and views out. All decisions are the
+// core's. Invariants: the core is touched by this task's coroutines only; a view is posted at most once in view_pause,
+// and always after the last change. Cost: one timer callback each directory_period, one copy of all records a view.
+#include "node/directory_service.h"
+
+#include <chrono>
+#include <random>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "kernel/log.h"
+#include "model/service_names.h"
+#include "model/traffic_messages.h"
+#include "node/directory_core.h"
+#include "wire/codec.h"
+#include "wire/datagram_socket.h"
+#include "wire/endpoint.h"
+#include "wire/mesh_messages.h"
+
+namespace heatherdeck {
+
+namespace {
+
+constexpr std::size_t inbox_capacity = 1'024;
+// A burst of changes, such as the restart of a zone, becomes a few views.
+constexpr duration view_pause = milliseconds(50);
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+std::uint64_t wall_clock_milliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+directory_options options_of(const settings& s) {
+  directory_options options;
+  options.self.node_id = s.id;
+  options.self.availability_zone = s.availability_zone;
+  options.self.region = s.region;
+  options.self.mesh_address = s.mesh_listen;
+  options.self.role = s.node ? process_role::node : process_role::control;
+  // The wall clock orders the starts of one process; a clock that went back is corrected when others know more.
+  options.self.incarnation = wall_clock_milliseconds();
+  for (const control_host& host : s.control_hosts) options.seeds.push_back(host.mesh_address);
+  options.seeds.insert(options.seeds.end(), s.seeds.begin(), s.seeds.end());
+  options.random_seed = s.seed != 0 ? s.seed ^ directory_table::id_hash(s.id) : std::random_device{}();
+  return options;
+}
+
+}  // namespace
+
+class directory_task : public std::enable_shared_from_this<directory_task> {
+ public:
+  directory_task(kernel& k, const settings& s, std::unique_ptr<datagram_socket> socket)
+      : kernel_(k), socket_(std::move(socket)), core_(options_of(s)) {}
+
+  result<void> start(std::shared_ptr<mailbox<directory_message>> inbox) {
+    if (kernel_.has(to_name(service_name::traffic))) {
+      BOOST_LEAF_ASSIGN(traffic_, kernel_.find<traffic_message>(to_name(service_name::traffic)));
+    }
+    if (kernel_.has(to_name(service_name::mesh))) {
+      BOOST_LEAF_ASSIGN(mesh_, kernel_.find<mesh_message>(to_name(service_name::mesh)));
+    }
+    const auto self = shared_from_this();
+    boost::asio::co_spawn(
+        kernel_.executor(), [self, inbox] { return self->serve(inbox); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        kernel_.executor(), [self] { return self->listen(); }, boost::asio::detached);
+    tick_ = kernel_.timers().every(directory_period, [to = inbox->address()] { to.post(directory_tick{}); });
+    carry_out(core_.start(timer_service::now()));
+    return {};
+  }
+
+  void leave() { carry_out(core_.leave(timer_service::now())); }
+
+  void stop() {
+    tick_.cancel();
+    view_timer_.cancel();
+    socket_->close();
+  }
+
+  boost::json::value dump() const {
+    boost::json::array members;
+    for (const auto& [id, record] : core_.table().members()) {
+      members.push_back({{"node_id", id},
+                         {"availability_zone", record->availability_zone},
+                         {"mesh_address", record->mesh_address},
+                         {"role", to_name(record->role)},
+                         {"state", to_name(record->state)},
+                         {"draining", record->draining},
+                         {"incarnation", record->incarnation},
+                         {"sequence", record->sequence},
+                         {"endpoints", record->endpoints.size()}});
+    }
+    const auto& counts = socket_->counts();
+    return boost::json::object{{"members", std::move(members)},
+                               {"removed", core_.table().removed().size()},
+                               {"recent_records", core_.recent_records()},
+                               {"datagrams_sent", counts.sent},
+                               {"datagram_bytes_sent", counts.sent_bytes},
+                               {"datagrams_received", counts.received},
+                               {"datagrams_refused", counts.refused},
+                               {"datagrams_dropped", counts.dropped},
+                               {"messages_malformed", malformed_}};
+  }
+
+ private:
+  awaitable<void> serve(std::shared_ptr<mailbox<directory_message>> inbox) {
+    const auto self = shared_from_this();
+    while (true) {
+      auto message = co_await inbox->receive();
+      if (!message) co_return;
+      const time_point now = timer_service::now();
+      std::visit(overloaded{[&](directory_tick&) { carry_out(core_.tick(now)); },
+                            [&](local_endpoint_changed& m) { carry_out(core_.set_endpoint(now, m.endpoint)); },
+                            [&](local_draining&) { carry_out(core_.set_draining(now)); },
+                            [&](get_members& m) { m.answer(core_.view()); }},
+                 *message);
+    }
+  }
+
+  awaitable<void> listen() {
+    const auto self = shared_from_this();
+    while (true) {
+      auto got = co_await socket_->receive();
+      if (!got) co_return;
+      auto message = capture([&] { return decode<gossip_message>(got->payload); });
+      if (!message) {
+        ++malformed_;
+        log_error("gossip_refused", message.failure(), {{"from", got->from}});
+        continue;
+      }
+      carry_out(core_.receive(timer_service::now(), got->from, *message));
+    }
+  }
+
+  void carry_out(const directory_output& out) {
+    for (const outgoing_gossip& item : out.datagrams) socket_->send(item.to, encode(item.message));
+    if (!out.view_changed || view_due_) return;
+    const duration since = timer_service::now() - last_view_;
+    if (since >= view_pause) return post_view();
+    view_due_ = true;
+    view_timer_ = kernel_.timers().after(view_pause - since, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->post_view();
+    });
+  }
+
+  void post_view() {
+    view_due_ = false;
+    last_view_ = timer_service::now();
+    const directory_view_ptr view = core_.view();
+    // A full mailbox must not leave `traffic` with old members: the view is posted again after the pause.
+    if (traffic_ && !traffic_.post(directory_view{view})) {
+      view_due_ = true;
+      view_timer_ = kernel_.timers().after(view_pause, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->post_view();
+      });
+    }
+    std::set<std::string> addresses;
+    for (const member_record& member : *view) addresses.insert(member.mesh_address);
+    for (const std::string& known : addresses_) {
+      if (mesh_ && !addresses.contains(known)) mesh_.post(forget_peer{known});
+    }
+    addresses_ = std::move(addresses);
+  }
+
+  kernel& kernel_;
+  std::unique_ptr<datagram_socket> socket_;
+  directory_core core_;
+  address<traffic_message> traffic_;
+  address<mesh_message> mesh_;
+  subscription tick_;
+  subscription view_timer_;
+  time_point last_view_{};
+  bool view_due_ = false;
+  std::set<std::string> addresses_;
+  std::uint64_t malformed_ = 0;
+};
+
+directory_service::directory_service(const settings& s) : settings_(s) {}
+
+directory_service::~directory_service() = default;
+
+result<std::unique_ptr<directory_service>> directory_service::make(const settings& s) {
+  BOOST_LEAF_CHECK(parse_endpoint(s.mesh_listen));
+  if (s.mesh_key.empty()) {
+    return fail(error_kind::bad_settings, "mesh_key is empty", "set the same secret in all processes of the mesh",
+                "mesh_key");
+  }
+  return std::unique_ptr<directory_service>(new directory_service(s));
+}
+
+std::string_view directory_service::name() const { return to_name(service_name::directory); }
+
+void directory_service::publish(kernel& k) {
+  inbox_ = std::make_shared<mailbox<directory_message>>(k.executor(), inbox_capacity);
+  k.publish(name(), inbox_->address());
+}
+
+result<void> directory_service::start(kernel& k) {
+  BOOST_LEAF_AUTO(socket, datagram_socket::make(k.executor(), settings_.mesh_listen, settings_.mesh_key));
+  task_ = std::make_shared<directory_task>(k, settings_, std::move(socket));
+  return task_->start(inbox_);
+}
+
+awaitable<void> directory_service::drain() {
+  task_->leave();
+  co_return;
+}
+
+void directory_service::stop() {
+  inbox_->close();
+  task_->stop();
+}
+
+boost::json::value directory_service::dump() const { return task_ ? task_->dump() : boost::json::object{}; }
+
+}  // namespace heatherdeck
--- /dev/null
+++ b/node/directory_service.h
@@ -0,0 +1,45 @@
+/// @file
+/// The service "directory": feeds directory_core from a UDP socket on the mesh port, the timers and its mailbox.
+///
+/// It runs on nodes and control hosts. When `traffic` runs in the same process it gets a `directory_view` after each
+/// change, at most every 50 ms; others ask with `get_members`.
+///
+///     BOOST_LEAF_AUTO(directory, k.find<directory_message>(to_name(service_name::directory)));
+///     directory.post(local_endpoint_changed{endpoint});
+///     auto members = co_await ask<directory_view_ptr>(k.timers(), k.executor(), directory, 1s,
+///                                                     [](auto r) { return get_members{std::move(r)}; });
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "kernel/kernel.h"
+#include "model/directory_messages.h"
+#include "model/settings.h"
+
+namespace heatherdeck {
+
+class directory_task;
+
+class directory_service : public service {
+ public:
+  /// @return the service, or `bad_settings` when mesh_listen or mesh_key cannot be used.
+  static result<std::unique_ptr<directory_service>> make(const settings& s);
+  ~directory_service() override;
+
+  std::string_view name() const override;
+  void publish(kernel& k) override;
+  result<void> start(kernel& k) override;
+  /// Tells some members that this process leaves.
+  awaitable<void> drain() override;
+  void stop() override;
+  boost::json::value dump() const override;
+
+ private:
+  explicit directory_service(const settings& s);
+  settings settings_;
+  std::shared_ptr<mailbox<directory_message>> inbox_;
+  std::shared_ptr<directory_task> task_;
+};
+
+}  // namespace heatherdeck
