--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -9,6 +9,7 @@
 #include "control/rollout_service.h"
 #include "daemon/admin_service.h"
 #include "node/announcement_service.h"
+#include "node/directory_service.h"
 #include "node/pool_service.h"
 #include "node/proxy_service.h"
 #include "node/subscriber_service.h"
@@ -43,6 +44,7 @@
     {&settings::node, &make_service<pool_service>},
     {&settings::node, &make_service<proxy_service>},
     {&settings::node, &make_service<announcement_service>},
+    {nullptr, &make_service<directory_service>},
 };
 
 }  // namespace
