--- a/tools/load_service.cc
+++ b/tools/load_service.cc
@@ -3,6 +3,8 @@
 // call.
 #include "tools/load_service.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -47,6 +49,17 @@
   return {value.data(), value.size()};
 }
 
+/// The upstream version in an answer: from the proxy's hd-served-by ("target; version=v2; ..."), or from the upstream's
+/// own header on a direct call.
+std::string version_of(const http::response<http::string_body>& answer) {
+  constexpr std::string_view key = "version=";
+  const std::string served_by = text_of(answer, "hd-served-by");
+  const std::size_t begin = served_by.find(key);
+  if (begin == std::string::npos) return text_of(answer, "hd-upstream-version");
+  const std::size_t end = std::min(served_by.find(';', begin), served_by.size());
+  return served_by.substr(begin + key.size(), end - begin - key.size());
+}
+
 awaitable<call_result> one_call(beast::tcp_stream& stream, beast::flat_buffer& buffer, const connection_parts& c,
                                 const load_call& call) {
   call_result result;
@@ -75,7 +88,7 @@
   }
   result.status = parser.get().result_int();
   result.outcome = text_of(parser.get(), "hd-outcome");
-  result.upstream_version = text_of(parser.get(), "hd-upstream-version");
+  result.upstream_version = version_of(parser.get());
   if (!parser.get().keep_alive()) stream.close();
   co_return result;
 }
