Proxy: no cancelled channel receives

Boost 1.81 leaves a channel in its waiting state when the only waiting receive is cancelled; the next send then takes the front of an empty queue.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -5,16 +5,17 @@
 // gets 408 with hd-outcome: not-run, so a request that crosses it on the wire has a true answer.
 #include "node/caller_session.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include "node/exchange.h"
 #include "node/time_guard.h"
+#include "wire/wake_signal.h"
 
 namespace heatherdeck {
 namespace {
 
-using boost::asio::experimental::awaitable_operators::operator||;
 using request_reader = h1_reader<true>;
 
 // A caller that goes on sending after the last answer is read for this time.
@@ -78,8 +79,9 @@
 
 class h1_caller : public caller_link {
  public:
-  h1_caller(h1_stream& stream, request_reader& reader, const mailbox<session_message>& inbox, bool draining)
-      : stream_(&stream), reader_(&reader), inbox_(&inbox), draining_(draining) {}
+  /// @param draining of the session; may turn true while the exchange runs.
+  h1_caller(h1_stream& stream, request_reader& reader, const bool& draining)
+      : stream_(&stream), reader_(&reader), draining_(&draining) {}
 
   void describe(const request_head& head) {
     http_1_0_ = head.http_1_0;
@@ -108,7 +110,7 @@
     chunked_ = head.body == body_kind::streamed && !http_1_0_;
     const bool endless = head.body == body_kind::streamed && http_1_0_;
     // A body that has not been read must not be taken for the next request.
-    keep_alive_ = keep_alive_ && !http_1_0_ && !endless && body_done() && !draining_ && inbox_->depth() == 0;
+    keep_alive_ = keep_alive_ && !http_1_0_ && !endless && body_done() && !*draining_;
     if (head_request_ && !end) {
       head.announced_length = head.content_length;
       head.body = body_kind::none;
@@ -141,8 +143,9 @@
       if (ec && ec != boost::asio::error::would_block) co_return;
     }
     const auto executor = co_await boost::asio::this_coro::executor;
-    boost::asio::experimental::channel<void(boost::system::error_code)> never(executor);
-    (void)co_await never.async_receive(use_tuple);
+    wake_signal never(executor);
+    auto waiting = never.wait();
+    (void)co_await std::move(waiting);
   }
 
   void cut() override {
@@ -156,9 +159,8 @@
  private:
   h1_stream* stream_;
   request_reader* reader_;
-  const mailbox<session_message>* inbox_;
+  const bool* draining_;
   std::string text_;
-  bool draining_ = false;
   bool http_1_0_ = false;
   bool keep_alive_ = false;
   bool expects_continue_ = false;
@@ -167,7 +169,7 @@
   bool answered_ = false;
 };
 
-class caller_session {
+class caller_session : public std::enable_shared_from_this<caller_session> {
  public:
   caller_session(proxy_context_ptr context, tcp_socket socket, std::shared_ptr<mailbox<session_message>> inbox,
                  std::string name)
@@ -182,6 +184,7 @@
   awaitable<session_counts> run();
 
  private:
+  static awaitable<void> listen(std::shared_ptr<caller_session> self);
   awaitable<bool> wait_for_request();
   awaitable<bool> serve();
   awaitable<void> refuse(request_reader& reader, unsigned status, std::string text);
@@ -195,30 +198,35 @@
   session_counts counts_;
   bool draining_ = false;
   bool expired_ = false;
+  bool idle_ = false;
 };
 
+// Receives what the service says, until the session closes its mailbox. It is a child task so that no receive needs to
+// be cancelled.
+awaitable<void> caller_session::listen(std::shared_ptr<caller_session> self) {
+  while (true) {
+    auto receiving = self->inbox_->receive();
+    const auto message = co_await std::move(receiving);
+    if (!message) co_return;
+    self->draining_ = true;
+    if (self->idle_) self->limit_->set(timer_service::now() + std::min(drain_grace, self->context_->idle_limit));
+  }
+}
+
 // @return false when the connection is to be closed.
 awaitable<bool> caller_session::wait_for_request() {
   const duration allowed = draining_ ? std::min(drain_grace, context_->idle_limit) : context_->idle_limit;
   limit_->set(timer_service::now() + allowed);
-  while (stream_.buffer.size() == 0) {
-    auto readable = stream_.socket.async_wait(boost::asio::socket_base::wait_read, use_tuple);
-    auto message = inbox_->receive();
-    auto either = std::move(readable) || std::move(message);
-    auto first = co_await std::move(either);
-    if (first.index() == 1) {
-      draining_ = true;
-      limit_->set(timer_service::now() + std::min(drain_grace, context_->idle_limit));
-      continue;
-    }
-    if (!expired_) co_return !std::get<0>(std::get<0>(first));
-    co_return false;
-  }
-  co_return true;
+  if (stream_.buffer.size() != 0) co_return true;
+  idle_ = true;
+  auto [ec] = co_await stream_.socket.async_wait(boost::asio::socket_base::wait_read, use_tuple);
+  idle_ = false;
+  co_return !ec && !expired_;
 }
 
 awaitable<void> caller_session::refuse(request_reader& reader, unsigned status, std::string text) {
-  h1_caller caller(stream_, reader, *inbox_, true);
+  static constexpr bool last = true;
+  h1_caller caller(stream_, reader, last);
   auto refusing = send_refusal(caller, status, run_claim::not_run, {}, std::move(text), {});
   co_await std::move(refusing);
 }
@@ -247,7 +255,7 @@
   request_head head = std::move(std::get<request_head>(converted));
   ++counts_.requests;
   if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
-  h1_caller caller(stream_, reader, *inbox_, draining_);
+  h1_caller caller(stream_, reader, draining_);
   caller.describe(head);
   auto exchanging = run_exchange(context_, caller, std::move(head));
   const exchange_end end = co_await std::move(exchanging);
@@ -272,6 +280,7 @@
 awaitable<session_counts> caller_session::run() {
   boost::system::error_code ec;
   stream_.socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+  boost::asio::co_spawn(context_->executor, listen(shared_from_this()), boost::asio::detached);
   bool more = true;
   while (more) {
     auto waiting = wait_for_request();
@@ -289,6 +298,7 @@
   }
   auto closing = close_gently();
   co_await std::move(closing);
+  inbox_->close();
   co_return counts_;
 }
 
@@ -296,8 +306,9 @@
 
 awaitable<session_counts> run_caller_session(proxy_context_ptr context, tcp_socket socket,
                                              std::shared_ptr<mailbox<session_message>> inbox, std::string name) {
-  caller_session session(std::move(context), std::move(socket), std::move(inbox), std::move(name));
-  auto running = session.run();
+  const auto session =
+      std::make_shared<caller_session>(std::move(context), std::move(socket), std::move(inbox), std::move(name));
+  auto running = session->run();
   co_return co_await std::move(running);
 }
 
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -13,6 +13,7 @@
 #include "node/mesh_upstream.h"
 #include "node/pick_ticket.h"
 #include "node/time_guard.h"
+#include "wire/wake_signal.h"
 
 namespace heatherdeck {
 namespace {
@@ -26,8 +27,6 @@
   exchange_failure failure = exchange_failure::closed;
 };
 
-using signal_channel = boost::asio::experimental::channel<void(boost::system::error_code)>;
-
 exchange_failure failure_of(error_kind kind) {
   switch (kind) {
     case error_kind::unreachable:
@@ -79,13 +78,14 @@
   pick_ticket next_ticket_;
   upstream_link_ptr link_;
   std::shared_ptr<time_guard> limit_;
-  std::shared_ptr<signal_channel> limit_passed_;
+  std::shared_ptr<wake_signal> limit_passed_;
   time_point sent_at_{};
   duration latency_{};
   std::string avoid_target_;
   std::string replay_;
   std::size_t replayed_ = 0;
   bool replayable_ = true;
+  bool upload_done_ = false;
   bool over_ = false;  // the attempt has been decided: `upload` must not write any more
 };
 
@@ -108,9 +108,11 @@
   co_return co_await std::move(taking);
 }
 
-// Called by each branch as its last step: from then on no other branch writes to the upstream.
+// Called by each branch as its last step: from then on no other branch writes to the upstream. A cancellation reaches
+// only an operation that is waiting at that moment, so the link is ended here too, unless it can be used again.
 attempt_result exchange::decide(attempt_result result) {
-  over_ = true;
+  if (std::exchange(over_, true)) return result;
+  if (result.end != attempt_end::answered || !upload_done_) link_->abandon();
   return result;
 }
 
@@ -191,7 +193,6 @@
 }
 
 awaitable<attempt_result> exchange::upload() {
-  co_await boost::asio::this_coro::throw_if_cancelled(false);
   bool last = head_.body == body_kind::none;
   bool broken = false;
   std::string piece;
@@ -209,6 +210,7 @@
     auto sending = link_->send(std::move(piece), last);
     const auto sent = co_await std::move(sending);
     broken = !sent;
+    upload_done_ = last && !broken;
     if (broken || last || over_) break;
     auto reading = next_piece();
     auto next = co_await std::move(reading);
@@ -221,10 +223,11 @@
     note_progress();
   }
   // After a failed write the upstream's answer may still be on its way; `drive` decides.
-  if (broken && !caller_->body_done()) {
+  if (broken && !caller_->body_done() && !over_) {
     const auto executor = co_await boost::asio::this_coro::executor;
-    signal_channel never(executor);
-    (void)co_await never.async_receive(use_tuple);
+    wake_signal never(executor);
+    auto waiting = never.wait();
+    (void)co_await std::move(waiting);
   }
   if (!over_) {
     auto watching = caller_->watch_gone();
@@ -235,12 +238,12 @@
 
 awaitable<attempt_result> exchange::guard() {
   const auto passed = limit_passed_;
-  (void)co_await passed->async_receive(use_tuple);
+  auto waiting = passed->wait();
+  (void)co_await std::move(waiting);
   co_return decide({attempt_end::timeout});
 }
 
 awaitable<attempt_result> exchange::drive() {
-  co_await boost::asio::this_coro::throw_if_cancelled(false);
   auto reading = link_->read_head();
   auto head = co_await std::move(reading);
   if (over_) co_return decide({attempt_end::failed});
@@ -276,9 +279,11 @@
     auto reading = link_->read_body();
     auto piece = co_await std::move(reading);
     if (!piece) co_return decide({attempt_end::failed, failure_of(piece.failure().kind)});
+    if (over_) co_return decide({attempt_end::failed});
     const bool last = link_->answer_done();
     auto sending = caller_->send_body(std::move(*piece), last);
     sent = co_await std::move(sending);
+    if (over_) co_return decide({attempt_end::failed});
     note_progress();
     if (last) break;
   }
@@ -290,14 +295,15 @@
 awaitable<attempt_result> exchange::attempt() {
   sent_at_ = timer_service::now();
   over_ = false;
+  upload_done_ = false;
   replayed_ = 0;
   auto opening = open_link();
   auto opened = co_await std::move(opening);
   if (!opened) co_return attempt_result{attempt_end::failed, failure_of(opened.failure().kind)};
   link_ = std::move(*opened);
-  const auto passed = std::make_shared<signal_channel>(context_->executor, 1);
+  const auto passed = std::make_shared<wake_signal>(context_->executor);
   limit_passed_ = passed;
-  limit_ = time_guard::make(*context_->timers, [passed] { passed->try_send(boost::system::error_code{}); });
+  limit_ = time_guard::make(*context_->timers, [passed] { passed->set(); });
   limit_->set(core_.deadline().value_or(timer_service::now() + context_->idle_limit));
   auto driving = drive();
   auto uploading = upload();
--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -45,15 +45,8 @@
     co_return co_await std::move(sending);
   }
 
-  awaitable<void> watch_gone() override {
-    auto closing = stream_->wait_closed();
-    const auto closed = co_await std::move(closing);
-    if (!closed) co_return;
-    // Both directions have ended in good order: the exchange is about to end by itself.
-    const auto executor = co_await boost::asio::this_coro::executor;
-    boost::asio::experimental::channel<void(boost::system::error_code)> never(executor);
-    (void)co_await never.async_receive(use_tuple);
-  }
+  // It also completes when both directions have ended, which follows the end of the exchange itself.
+  awaitable<void> watch_gone() override { return stream_->wait_closed(); }
   void cut() override { stream_->reset(cancel_code); }
 
  private:
--- a/node/pick_ticket.cc
+++ b/node/pick_ticket.cc
@@ -1,37 +1,50 @@
-// The answer's channel belongs to a small guard that outlives a cancelled asker: it hands a late choice back.
-// Invariant: for each choice that the traffic service has made, exactly one finish_call is sent. Cost: one mailbox
-// message each way and no timer, because the traffic service always answers or drops the question.
+// The wait for the answer takes no cancellation: the traffic service always answers or drops the question, within one
+// turn of the loop. Invariant: for each choice that the traffic service has made, exactly one finish_call is sent.
+// Cost: one mailbox message each way and no timer.
 #include "node/pick_ticket.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "wire/wake_signal.h"
+
 namespace heatherdeck {
 namespace {
 
 using answer_channel = reply<pick_answer>::channel_type;
 
-// The ticket's destructor reports the choice as cancelled.
-void hand_back(const proxy_context_ptr& context, const std::shared_ptr<answer_channel>& channel) {
-  channel->async_receive([context, channel](boost::system::error_code ec, outcome<pick_answer> answer) {
-    if (!ec && answer) const pick_ticket late(context, std::move(*answer));
-  });
-}
+/// Shared by the callback and the asking task.
+struct pending_pick {
+  explicit pending_pick(proxy_context_ptr c) : context(std::move(c)), arrived(context->executor) {}
 
-struct unclaimed_answer {
   proxy_context_ptr context;
-  std::shared_ptr<answer_channel> channel;
-  bool claimed = false;
+  wake_signal arrived;
+  std::optional<outcome<pick_answer>> answer;
+  bool abandoned = false;  // the asker has been cancelled
 
-  unclaimed_answer(proxy_context_ptr c, std::shared_ptr<answer_channel> a)
-      : context(std::move(c)), channel(std::move(a)) {}
-  unclaimed_answer(const unclaimed_answer&) = delete;
-  unclaimed_answer& operator=(const unclaimed_answer&) = delete;
-  ~unclaimed_answer() {
-    if (!claimed) hand_back(context, channel);
+  void receive(outcome<pick_answer> received) {
+    // The ticket's destructor reports the choice as cancelled.
+    if (abandoned && received) const pick_ticket late(context, std::move(*received));
+    if (abandoned) return;
+    answer = std::move(received);
+    arrived.set();
+  }
+  void abandon() {
+    abandoned = true;
+    if (answer && *answer) const pick_ticket late(context, std::move(**answer));
+    answer.reset();
   }
 };
 
+/// Abandons the question when the asking task is left early.
+struct pick_guard {
+  explicit pick_guard(std::shared_ptr<pending_pick> p) : pick(std::move(p)) {}
+  pick_guard(const pick_guard&) = delete;
+  pick_guard& operator=(const pick_guard&) = delete;
+  ~pick_guard() { pick->abandon(); }
+  std::shared_ptr<pending_pick> pick;
+};
+
 awaitable<void> send_late(address<traffic_message> traffic, traffic_message message) {
   auto sending = traffic.send(std::move(message));
   (void)co_await std::move(sending);
@@ -51,17 +64,22 @@
 
 awaitable<pick_ticket> pick_ticket::take(proxy_context_ptr context, request_facts facts) {
   auto channel = std::make_shared<answer_channel>(context->executor, 1);
-  unclaimed_answer guard(context, channel);
   if (!context->traffic.post(pick_upstream{std::move(facts), reply<pick_answer>(channel)})) {
-    guard.claimed = true;
     co_return pick_ticket(std::move(context), refusal{refusal_reason::overloaded});
   }
-  auto [ec, answer] = co_await channel->async_receive(use_tuple);
-  if (ec) co_return pick_ticket(std::move(context), refusal{refusal_reason::overloaded});
-  guard.claimed = true;
+  const pick_guard guard(std::make_shared<pending_pick>(context));
+  channel->async_receive([channel, pick = guard.pick](boost::system::error_code ec, outcome<pick_answer> answer) {
+    pick->receive(ec ? outcome<pick_answer>(mailbox_closed()) : std::move(answer));
+  });
+  auto waiting = guard.pick->arrived.wait();
+  (void)co_await std::move(waiting);
   // A question dropped without an answer means that the service is stopping.
-  if (!answer) co_return pick_ticket(std::move(context), refusal{refusal_reason::draining});
-  co_return pick_ticket(std::move(context), std::move(*answer));
+  if (!guard.pick->answer || !*guard.pick->answer) {
+    co_return pick_ticket(std::move(context), refusal{refusal_reason::draining});
+  }
+  pick_answer picked = std::move(**guard.pick->answer);
+  guard.pick->answer.reset();
+  co_return pick_ticket(std::move(context), std::move(picked));
 }
 
 void pick_ticket::finish(call_outcome outcome, duration latency, std::optional<load_report> load) {
--- a/node/pick_ticket.h
+++ b/node/pick_ticket.h
@@ -5,8 +5,7 @@
 ///     if (!picked) ...                                    // the refusal's reason is in picked.refused()
 ///     picked.finish(call_outcome::ok, latency, load);
 ///
-/// A ticket that is destroyed unfinished, or whose answer arrives after its asker has been cancelled, is finished as
-/// cancelled, so that no slot stays reserved.
+/// A ticket that is destroyed unfinished is finished as cancelled, so that no slot stays reserved.
 #pragma once
 
 #include <optional>
--- a/wire/wake_signal.h
+++ b/wire/wake_signal.h
@@ -2,8 +2,16 @@
 /// A wake-up between two tasks of one thread: any number of `set` calls before a `wait` count as one.
 ///
 ///     while (co_await signal.wait()) take_everything_that_is_queued();
+///
+/// A wait may be cancelled (for example by `||` of two awaitables), and `set` may follow at any time. A channel is not
+/// fit for that: in Boost 1.81, sending to a channel whose only waiting receiver was cancelled takes the front of an
+/// empty queue. The signal therefore waits on a timer that never expires.
 #pragma once
 
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
 #include "kernel/mailbox.h"
 
 namespace heatherdeck {
@@ -11,26 +19,32 @@
 class wake_signal {
  public:
   explicit wake_signal(executor_type executor)
-      : channel_(std::move(executor), 1), loop_(loop_state::of(channel_.get_executor())) {}
+      : timer_(std::move(executor), time_point::max()), loop_(loop_state::of(timer_.get_executor())) {}
 
   /// Wakes the waiting task, or the next one to wait.
   void set() {
-    if (!loop_.ended()) channel_.try_send(boost::system::error_code{});
+    set_ = true;
+    if (!loop_.ended()) timer_.cancel();
   }
 
   /// Waits for `set`; one task at a time.
-  /// @return false once the signal is closed.
+  /// @return false once the signal is closed, or when the wait was cancelled.
   awaitable<bool> wait() {
-    auto [ec] = co_await channel_.async_receive(use_tuple);
-    co_return !ec;
+    if (!set_ && !closed_) (void)co_await timer_.async_wait(use_tuple);
+    co_return std::exchange(set_, false) && !closed_;
   }
 
   /// Ends a wait and all later ones.
-  void close() { channel_.close(); }
+  void close() {
+    closed_ = true;
+    if (!loop_.ended()) timer_.cancel();
+  }
 
  private:
-  boost::asio::experimental::channel<void(boost::system::error_code)> channel_;
+  boost::asio::steady_timer timer_;
   const loop_state& loop_;
+  bool set_ = false;
+  bool closed_ = false;
 };
 
 }  // namespace heatherdeck
