--- a/consensus/raft_core.cc
+++ b/consensus/raft_core.cc
@@ -39,6 +39,7 @@
     core.log_.append(std::move(entry), voters);
   }
   core.durable_ = core.log_.last_index();
+  if (core.log_.last_term() > core.hard_.term) core.hard_ = {core.log_.last_term(), {}, {}};  // see form_log
   core.heard_leader_ = now - 2 * core.config_.election_timeout;
   core.draw_election_deadline();
   // A blank founder asks at once, and the only voter need not wait for a leader.
--- a/consensus/raft_election.cc
+++ b/consensus/raft_election.cc
@@ -71,7 +71,8 @@
 }
 
 // All founders have untouched stores, so nothing can have been committed. The membership is entry 1 of term 1, made
-// durable here before anyone else sees it; every leader is elected in term 2 or later.
+// durable here before anyone else sees it; every leader is elected in term 2 or later. Term 1 itself is not written: a
+// kill between the two writes would leave a store that is neither untouched nor a member.
 void raft_core::form_log() {
   std::vector<voter> voters = config_.founders;
   for (voter& member : voters) {
@@ -79,7 +80,6 @@
     member.learner = false;
   }
   hard_ = {1, {}, {}};
-  unsaved_.hard = hard_;
   append_entry({1, 1, entry_kind::membership, config_.codec.write_voters(voters)}, voters);
   start_pre_vote();
 }
--- a/consensus/raft_types.h
+++ b/consensus/raft_types.h
@@ -76,13 +76,13 @@
   std::chrono::milliseconds election_timeout{600};  ///< least value; the drawn value is at most twice this
   std::chrono::milliseconds lease{500};             ///< must be shorter than election_timeout
   std::uint64_t seed = 1;
-  std::size_t append_bytes = 512 * 1024;  ///< entries in one message; must stay well below max_frame_bytes
-  std::size_t payload_bytes = 6 << 20;    ///< largest command: one entry must fit into a frame of 8 MiB
-  std::size_t chunk_bytes = 256 * 1024;   ///< snapshot bytes in one message
-  std::uint64_t window = 1024;            ///< entries sent to a peer before it acknowledges
-  std::size_t max_pending = 4096;         ///< proposals that wait for their commit
-  std::uint64_t trailing_entries = 256;   ///< kept behind a snapshot, so that a short absence needs no snapshot
-  std::uint64_t catch_up_distance = 16;   ///< a learner this close to the commit index may be promoted
+  std::size_t append_bytes = std::size_t{512} * 1024;  ///< entries in one message; must stay well below max_frame_bytes
+  std::size_t payload_bytes = std::size_t{6} << 20U;   ///< largest command: one entry must fit into a frame of 8 MiB
+  std::size_t chunk_bytes = std::size_t{256} * 1024;   ///< snapshot bytes in one message
+  std::uint64_t window = 1024;                         ///< entries sent to a peer before it acknowledges
+  std::size_t max_pending = 4096;                      ///< proposals that wait for their commit
+  std::uint64_t trailing_entries = 256;  ///< kept behind a snapshot, so that a short absence needs no snapshot
+  std::uint64_t catch_up_distance = 16;  ///< a learner this close to the commit index may be promoted
   entry_codec codec;
 };
 
--- a/testing/raft_simulation.cc
+++ b/testing/raft_simulation.cc
@@ -196,6 +196,12 @@
   if (auto* write = std::get_if<persist_state>(&action)) {
     h.writing.push_back(*write);
     const duration delay = draw(90) ? std::chrono::microseconds(200 + random_() % 3000) : draw_ms(1, 120);
+    // Kills while something is being written show what was promised too early.
+    if (has(fault::kill) && draw(write->hard ? 10 : 2)) {
+      at(std::chrono::microseconds(random_() % 3000), [this, index, generation = h.generation] {
+        if (hosts_[index].generation == generation) kill(hosts_[index], false);
+      });
+    }
     at(delay, [this, index, generation = h.generation, ticket = write->ticket] {
       host& target = hosts_[index];
       if (target.generation != generation) return;
@@ -282,9 +288,7 @@
 
 void raft_simulation::check_host(host& h) {
   const raft_core& core = *h.core;
-  for (const voter& member : core.log().voters()) {
-    if (member_stores_.insert(member.store_id).second && !member.learner) figures_.promoted += 0;
-  }
+  for (const voter& member : core.log().voters()) member_stores_.insert(member.store_id);
   if (h.applied >= h.image_at + entries_per_image) {
     h.image_at = h.applied;
     at(draw_ms(0, 30), [this, index = index_of(h.id), generation = h.generation, taken = h.applied, hash = h.hash] {
@@ -305,13 +309,17 @@
 
 // --- what happens to the group -------------------------------------------------------------------------------------
 
-// A quorum of the stores must survive: the next disk may be lost only when every member votes with an intact store.
+// A quorum of the stores must survive: the next disk may be lost only when every member of the committed
+// membership votes with an intact store.
 bool raft_simulation::may_lose_disk(const host& h) const {
-  const std::vector<voter>* voters = nullptr;
+  const raft_core* leader = nullptr;
   for (const host& other : hosts_) {
-    if (other.core && other.core->role() == raft_role::leader) voters = &other.core->log().voters();
+    if (!other.core || other.core->role() != raft_role::leader) continue;
+    if (leader == nullptr || other.core->term() > leader->term()) leader = &*other.core;
   }
-  if (voters == nullptr) return committed_.empty() && !disk_lost_before_formation_;
+  if (leader == nullptr) return committed_.empty() && !disk_lost_before_formation_;
+  if (leader->log().voters_index() > leader->commit()) return false;
+  const std::vector<voter>* voters = &leader->log().voters();
   return std::all_of(hosts_.begin(), hosts_.end(),
                      [&](const host& other) { return is_voter(*voters, other.id, other.disk.store_id); }) &&
          h.core.has_value();
@@ -325,7 +333,9 @@
   const std::size_t b = (a + 1 + random_() % (hosts_.size() - 1)) % hosts_.size();
   switch (plan_.faults[random_() % plan_.faults.size()]) {
     case fault::kill:
-      return kill(h, false);
+      if (!draw(15)) return kill(h, false);
+      for (host& every : hosts_) kill(every, false);
+      return;
     case fault::lost_disk:
       if (may_lose_disk(h)) kill(h, true);
       return;
