--- a/control/rollout_service.cc
+++ b/control/rollout_service.cc
@@ -102,7 +102,7 @@
       co_await tick();
       continue;
     }
-    std::visit([this](auto&& m) { handle(std::move(m)); }, std::move(*message));
+    std::visit([this](auto&& m) { handle(std::forward<decltype(m)>(m)); }, std::move(*message));
   }
 }
 
--- a/testing/rollout_experiment_test.cc
+++ b/testing/rollout_experiment_test.cc
@@ -23,6 +23,7 @@
 
 TEST(rollout_experiment, goals_hold_for_bad_and_good_versions) {
   std::vector<std::future<rollout_summary>> runs;
+  runs.reserve(enum_table<fault_kind>::entries.size());
   for (const auto& kind : enum_table<fault_kind>::entries) {
     runs.push_back(std::async(std::launch::async, run_rollouts, kind.value, policy_kind::planned, first_seed,
                               rollouts_of_each_kind));
--- a/testing/rollout_simulation.cc
+++ b/testing/rollout_simulation.cc
@@ -200,7 +200,7 @@
 
  private:
   void tick() {
-    const time_point now = now_();
+    const time_point now = virtual_now();
     if (pending_ticks_ > 0 && --pending_ticks_ == 0) effective_share_ = decided_share_;
     std::poisson_distribution<int> arrivals(case_.calls_per_s * tick_s);
     const int calls = arrivals(engine_);
@@ -245,7 +245,7 @@
 
   void second() {
     const policy_decision decision =
-        policy_->decide({now_(), decided_share_, status_, elapsed_ - last_cut_s_ < 20, &rows_});
+        policy_->decide({virtual_now(), decided_share_, status_, elapsed_ - last_cut_s_ < 20, &rows_});
     for (auto& zone : rows_) {
       for (auto& side : zone) {
         for (evidence_row& row : side) row.calls = row.failures = 0, row.latency = {};
@@ -300,7 +300,7 @@
     while (!present[zone]) zone = random_.below(simulated_zones);
     return zone;
   }
-  time_point now_() const {
+  time_point virtual_now() const {
     return time_point{} + 1h + std::chrono::duration_cast<duration>(std::chrono::duration<double>(elapsed_));
   }
 
--- a/testing/route_table_test.cc
+++ b/testing/route_table_test.cc
@@ -69,7 +69,8 @@
     for (const auto& first : parts) {
       for (const auto& second : parts) {
         if (first.empty() && !second.empty()) continue;
-        rules.push_back({.name = host + first + second, .host = host, .path_prefix = first + second + "/"});
+        const std::string prefix = std::string(first).append(second).append("/");
+        rules.push_back({.name = host + prefix, .host = host, .path_prefix = prefix});
       }
     }
   }
@@ -78,7 +79,7 @@
   for (const auto& host : {"h1", "h2", "h3"}) {
     for (const auto& first : parts) {
       for (const auto& second : parts) {
-        const std::string path = first + second + "/x";
+        const std::string path = std::string(first).append(second).append("/x");
         const auto scan = std::find_if(rules.begin(), rules.end(), [&](const route_rule& r) {
           return (r.host.empty() || r.host == host) && path.starts_with(r.path_prefix);
         });
--- a/testing/upstream_choice_test.cc
+++ b/testing/upstream_choice_test.cc
@@ -21,6 +21,7 @@
   for (load_estimate& load : loads) load.report({5, 0}, start_time);
   loads[2].report({4, 0}, start_time);
   std::vector<balance_candidate> candidates;
+  candidates.reserve(loads.size());
   for (const load_estimate& load : loads) candidates.push_back({.load = &load});
   balancer choose(seed);
   std::vector<int> chosen(6);
