--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -191,7 +191,11 @@
 directory_service::~directory_service() = default;
 
 result<std::unique_ptr<directory_service>> directory_service::make(const settings& s) {
-  BOOST_LEAF_CHECK(parse_endpoint(s.mesh_listen));
+  BOOST_LEAF_AUTO(parts, parse_endpoint(s.mesh_listen));
+  if (parts.ip.is_unspecified()) {
+    return fail(error_kind::bad_settings, "mesh_listen is not an address that others can reach",
+                "give the address of this host, because the directory tells it to all members", "mesh_listen");
+  }
   if (s.mesh_key.empty()) {
     return fail(error_kind::bad_settings, "mesh_key is empty", "set the same secret in all processes of the mesh",
                 "mesh_key");
