--- /dev/null
+++ b/testing/fleet.cmake
@@ -0,0 +1,17 @@
+# Processes of a small mesh, for scenarios (testing/) and measurements (tools/).
+add_library(hd_fleet STATIC process.cc fleet.cc)
+target_link_libraries(hd_fleet PUBLIC hd_wire)
+add_executable(heatherdeck_scenario scenario_main.cc scenario.cc)
+target_link_libraries(heatherdeck_scenario PRIVATE hd_fleet hd_model gflags)
+
+# Each scenario file is one test against real processes, with ports of its own.
+file(GLOB scenario_files CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/scenarios/*.yaml)
+set(scenario_port 24000)
+foreach(scenario_file ${scenario_files})
+  get_filename_component(scenario_name ${scenario_file} NAME_WE)
+  add_test(NAME scenario_${scenario_name}
+    COMMAND heatherdeck_scenario --bin=${CMAKE_BINARY_DIR} --base_port=${scenario_port}
+      --golden=${CMAKE_CURRENT_SOURCE_DIR}/golden/scenario_${scenario_name}.txt ${scenario_file})
+  set_tests_properties(scenario_${scenario_name} PROPERTIES TIMEOUT 300)
+  math(EXPR scenario_port "${scenario_port} + 400")
+endforeach()
--- /dev/null
+++ b/testing/process.cc
@@ -0,0 +1,95 @@
+// posix_spawn with the child's output redirected to a file. Invariant: every started process is waited for exactly
+// once.
+#include "testing/process.h"
+
+#include <array>
+#include <cstring>
+#include <utility>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace heatherdeck {
+namespace {
+
+std::vector<char*> argument_list(const std::vector<std::string>& command) {
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (const std::string& argument : command) arguments.push_back(const_cast<char*>(argument.c_str()));
+  arguments.push_back(nullptr);
+  return arguments;
+}
+
+int exit_code_of(int status) { return WIFSIGNALED(status) ? 128 + WTERMSIG(status) : WEXITSTATUS(status); }
+
+}  // namespace
+
+result<process> process::start(const std::vector<std::string>& command, const std::string& log_file) {
+  std::vector<char*> arguments = argument_list(command);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  pid_t pid = -1;
+  const int failed = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) return fail(error_kind::usage, std::strerror(failed), "build the program first", command[0]);
+  return process(pid);
+}
+
+process::process(process&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
+
+process& process::operator=(process&& other) noexcept {
+  std::swap(pid_, other.pid_);
+  return *this;
+}
+
+process::~process() {
+  if (!running()) return;
+  send_signal(SIGKILL);
+  wait();
+}
+
+void process::send_signal(int number) const {
+  if (running()) ::kill(pid_, number);
+}
+
+int process::wait() {
+  int status = 0;
+  if (!running()) return -1;
+  ::waitpid(std::exchange(pid_, -1), &status, 0);
+  return exit_code_of(status);
+}
+
+finished_command run_command(const std::vector<std::string>& command) {
+  std::array<int, 2> ends{};
+  finished_command finished;
+  if (::pipe2(ends.data(), O_CLOEXEC) != 0) return finished;
+  std::vector<char*> arguments = argument_list(command);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+  pid_t pid = -1;
+  const int failed = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  ::close(ends[1]);
+  std::array<char, 4096> buffer{};
+  for (ssize_t size = 0; failed == 0 && (size = ::read(ends[0], buffer.data(), buffer.size())) > 0;) {
+    finished.output.append(buffer.data(), static_cast<std::size_t>(size));
+  }
+  ::close(ends[0]);
+  int status = 0;
+  if (failed == 0) {
+    ::waitpid(pid, &status, 0);
+    finished.exit_code = exit_code_of(status);
+  }
+  return finished;
+}
+
+}  // namespace heatherdeck
--- a/wire/datagram_socket.cc
+++ b/wire/datagram_socket.cc
@@ -11,6 +11,7 @@
 #include "model/gossip_messages.h"
 #include "wire/endpoint.h"
 #include "wire/mesh_key.h"
+#include "wire/metrics.h"
 
 namespace heatherdeck {
 
@@ -20,6 +21,13 @@
 
 constexpr std::string_view label = "mesh datagram 1";
 // A sync of a joining member arrives as a burst.
+prometheus::Counter& sent_bytes() {
+  static prometheus::Counter& c =
+      counter("heatherdeck_gossip_bytes_total", "Bytes of gossip datagrams, without UDP and IP headers",
+              {{"direction", "sent"}});
+  return c;
+}
+
 constexpr int receive_buffer_bytes = 1 << 20;
 
 std::string proof_of(const std::string& key, std::string_view payload) {
@@ -78,6 +86,7 @@
   }
   ++state_->counts.sent;
   state_->counts.sent_bytes += sent;
+  sent_bytes().Increment(static_cast<double>(sent));
 }
 
 awaitable<outcome<datagram>> datagram_socket::receive() {
--- a/wire/h2_connection.cc
+++ b/wire/h2_connection.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/write.hpp>
 
 #include "kernel/log.h"
+#include "wire/metrics.h"
 
 namespace heatherdeck {
 
@@ -21,6 +22,19 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t read_buffer_bytes = 16UL * 1024;
+constexpr const char* bytes_name = "heatherdeck_mesh_bytes_total";
+constexpr const char* bytes_help = "Bytes on connections between processes, without TCP and IP headers";
+
+prometheus::Counter& sent_bytes() {
+  static prometheus::Counter& c = counter(bytes_name, bytes_help, {{"direction", "sent"}});
+  return c;
+}
+
+prometheus::Counter& received_bytes() {
+  static prometheus::Counter& c = counter(bytes_name, bytes_help, {{"direction", "received"}});
+  return c;
+}
+
 constexpr std::size_t kept_out_bytes = 16UL * 1024;
 constexpr duration check_period = milliseconds(250);
 // Counted in checks, not in time: a process that was frozen itself finds one check due when it wakes, and the answer
@@ -81,6 +95,7 @@
         co_return;
       }
       last_received_ = timer_service::now();
+      received_bytes().Increment(static_cast<double>(size));
       const std::string_view received(bytes.data(), size);
       const outcome<void> taken = capture([&] { return session_->receive(received); });
       if (!taken) {
@@ -113,6 +128,7 @@
           close({error_kind::closed, "the connection has ended: " + ec.message(), "send the request again", {}});
           co_return;
         }
+        sent_bytes().Increment(static_cast<double>(out.size()));
         out.clear();
       }
       if (out.capacity() > kept_out_bytes) std::string().swap(out);
