consensus service: reaches control hosts at the address of the settings

Cause: the membership keeps the address of the time of admission; a host that moved could not be reached. Change: the settings' address goes first. Result: consensus_service_test, 4 tests passed.

--- a/consensus/consensus_task.cc
+++ b/consensus/consensus_task.cc
@@ -59,7 +59,7 @@
   store_id_ = stored.store_id;
   raft_config config;
   config.host_id = s.id;
-  config.founders = founders_of(s);
+  config.founders = founders_ = founders_of(s);
   config.heartbeat = s.heartbeat;
   config.election_timeout = s.election_timeout;
   config.lease = s.election_timeout * 5 / 6;  // the design's 500 ms of 600 ms
@@ -277,7 +277,9 @@
 }
 
 peer_link* consensus_service::task::link_to(const std::string& host_id) {
-  const voter* host = find_member(core_->known_hosts(), host_id);
+  // The settings go before the membership, so that a host that moved is reached at its present address.
+  const voter* host = find_member(founders_, host_id);
+  if (host == nullptr) host = find_member(core_->known_hosts(), host_id);
   const auto found = links_.find(host_id);
   if (host == nullptr) return found == links_.end() ? nullptr : found->second.get();
   if (found != links_.end() && found->second->mesh_address() == host->mesh_address) return found->second.get();
--- a/consensus/consensus_task.h
+++ b/consensus/consensus_task.h
@@ -100,6 +100,7 @@
   surroundings around_;
   std::string host_id_;
   std::uint64_t seed_ = 1;
+  std::vector<voter> founders_;  ///< control hosts of the settings
   mailbox<consensus_input> inbox_;
   std::optional<raft_core> core_;
   posix_files files_;
