--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -46,7 +46,10 @@
   }
 
   // It also completes when both directions have ended, which follows the end of the exchange itself.
-  awaitable<void> watch_gone() override { return stream_->wait_closed(); }
+  awaitable<void> watch_gone() override {
+    auto closing = stream_->wait_closed();
+    (void)co_await std::move(closing);
+  }
   void cut() override { stream_->reset(cancel_code); }
 
  private:
