Ledger service refuses what the codec cannot read back; watch waits from the first answer

Cause: a signed submission above the codec's limits would have been committed and would then have stopped every control host at each start; watch asked once a second while no document had been accepted. Change: the encoded command is read back before it is proposed; watch sends its version after the first answer.

--- a/cli/document_commands.cc
+++ b/cli/document_commands.cc
@@ -78,6 +78,7 @@
 
 // What a watcher has been told so far.
 struct watched_state {
+  bool has_answer = false;  // false: the next call is answered at once with what is in force
   document_state document;
   std::map<std::string, std::string> rollouts;  // by service: the last description
 };
@@ -151,7 +152,7 @@
   watched_state known;
   for (;;) {
     http_request request{"GET", "/v1/document", {}, {}, {}};
-    if (!known.document.current.none()) {
+    if (known.has_answer) {
       request.query["after"] = known.document.current.text();
       request.query["wait_ms"] = std::to_string(std::chrono::milliseconds(watch_wait).count());
     }
@@ -161,6 +162,9 @@
     const outcome<document_state> state = read_body<document_state>(body);
     if (!state) {
       context.out.refuse(state.failure());
+    } else if (!std::exchange(known.has_answer, true) && state->current.none()) {
+      context.out.tell("no document has been accepted yet", {{"version", state->current.text()}});
+      continue;
     } else if (state->current > known.document.current) {
       tell_changes(context, known, *state);
       continue;
--- a/control/ledger_service.cc
+++ b/control/ledger_service.cc
@@ -143,11 +143,21 @@
     asker.answer(error{error_kind::overloaded, "too many commands wait for agreement", "try again later", {}});
     return;
   }
+  std::string payload = encode(command);
+  // An entry that the codec refuses would stop every control host once it is committed, so it is refused before.
+  const auto readable = capture([&] { return decode<ledger_command>(payload); });
+  if (!readable) {
+    asker.answer(error{error_kind::limit,
+                       "the command is not accepted: " + readable.failure().text,
+                       "keep a section under 64 KiB and a submission under 4 MiB",
+                       {}});
+    return;
+  }
   const std::uint64_t ticket = next_ticket_++;
   proposed_.emplace(ticket, std::move(asker));
   boost::asio::co_spawn(
       kernel_->executor(),
-      propose_task(kernel_->timers(), kernel_->executor(), consensus_, inbox_->address(), encode(command), ticket),
+      propose_task(kernel_->timers(), kernel_->executor(), consensus_, inbox_->address(), std::move(payload), ticket),
       boost::asio::detached);
 }
 
--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -132,6 +132,25 @@
   });
 }
 
+// An entry that the codec cannot read back would stop every control host, again after each restart.
+TEST_F(control_service, oversized_submission_never_reaches_the_log) {
+  run([this]() -> awaitable<void> {
+    submission big = change("id-1", {services_edit, {"shares", std::string(max_section_bytes + 1, '#') + "\n", {}}});
+    submission_result answer = co_await post(big);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::limit) << answer.answer.refusal.message();
+    std::vector<section_edit> many;
+    for (int i = 0; i < 100; ++i) {
+      many.push_back({"routes.r" + std::to_string(i), std::string(max_section_bytes - 8, '#') + "\n", {}});
+    }
+    submission long_one = change("id-2", many);
+    answer = co_await post(long_one);
+    EXPECT_EQ(answer.answer.refusal.kind, error_kind::limit) << answer.answer.refusal.message();
+    submission good = change("id-3", {services_edit, shares_edit});
+    answer = co_await post(good);
+    EXPECT_EQ(answer.answer.accepted, (version{1, 1})) << answer.answer.refusal.message();
+  });
+}
+
 // An operator whose answer was lost must find out by the id what happened.
 TEST_F(control_service, lost_answer_is_found_by_id) {
   run([this]() -> awaitable<void> {
