--- a/node/h1_stream.h
+++ b/node/h1_stream.h
@@ -29,7 +29,7 @@
 
 using tcp_socket = boost::asio::ip::tcp::socket;
 
-inline constexpr std::size_t piece_bytes = 16 * 1024;
+inline constexpr std::size_t piece_bytes = 16UL * 1024;
 
 struct h1_stream {
   explicit h1_stream(tcp_socket s) : socket(std::move(s)), buffer(stream_buffer_bytes) {}
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -22,7 +22,7 @@
 
 namespace heatherdeck {
 
-inline constexpr std::size_t max_header_bytes = 16 * 1024;
+inline constexpr std::size_t max_header_bytes = 16UL * 1024;
 inline constexpr std::size_t max_header_fields = 100;
 
 /// How a body's end is known.
--- /dev/null
+++ b/testing/proxy_peer_test.cc
@@ -0,0 +1,195 @@
+// Guards a call over two nodes with the real mesh between them: bodies, limits that travel, true claims, cancellation.
+#include <atomic>
+#include <thread>
+
+#include "testing/proxy_harness.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The second node runs on a thread of its own; its state is read after `join`.
+class second_node {
+ public:
+  explicit second_node(upstream_script script) : harness(std::move(script), 60s, true) {
+    thread_ = std::thread([this] { harness.k.io().run(); });
+  }
+  second_node(const second_node&) = delete;
+  second_node& operator=(const second_node&) = delete;
+  ~second_node() { join(); }
+
+  void post(std::function<void()> function) { boost::asio::post(harness.k.io(), std::move(function)); }
+  void join() {
+    if (!thread_.joinable()) return;
+    // Ends after the last choice has been finished, which follows the answer.
+    auto settle = [this]() -> awaitable<void> {
+      (void)co_await eventually(harness.k, [this] { return harness.traffic->open_tickets == 0; });
+      harness.k.io().stop();
+    };
+    boost::asio::co_spawn(harness.k.io(), settle, boost::asio::detached);
+    thread_.join();
+  }
+
+  proxy_harness harness;
+
+ private:
+  std::thread thread_;
+};
+
+// Makes the first node choose the upstream behind the second.
+void send_to(proxy_harness& first, const second_node& second) {
+  first.choice.local = false;
+  first.choice.mesh_address = "127.0.0.1:" + std::to_string(second.harness.mesh->port());
+  first.choice.reason = choice_reason::zone;
+}
+
+TEST(proxy_peer, bodies_and_limits_pass_two_nodes) {
+  second_node second(echo_upstream);
+  second.harness.choice.target_load = load_report{7, 2};
+  {
+    proxy_harness first(echo_upstream, 60s, true);
+    send_to(first, second);
+    first.run([&]() -> awaitable<void> {
+      auto caller = co_await first.connect();
+      const std::string big(3'000'000, 'b');
+      const std::pair<std::string, std::string> cases[] = {
+          {"GET /a HTTP/1.1\r\nHost: h\r\nX-Team: ferry\r\nhd-deadline-ms: 4000\r\n\r\n", "GET /a "},
+          {"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "POST /b abc"},
+          {"PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+           "PUT /c abc"},
+          {"POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n" + big, "POST /d " + big}};
+      for (const auto& [request, body] : cases) {
+        co_await first.send(*caller, request);
+        auto answer = co_await first.read_answer(*caller);
+        EXPECT_EQ(answer.result_int(), 200U) << body.substr(0, 10);
+        EXPECT_TRUE(answer.body() == body) << body.substr(0, 10);
+        EXPECT_EQ(answer["hd-served-by"], "certdesk-1; version=v1; zone=dar-1; reason=zone");
+        EXPECT_EQ(answer.count("hd-load"), 0U);
+      }
+    });
+    ASSERT_EQ(first.traffic->finished.size(), 4U);
+    ASSERT_TRUE(first.traffic->finished[0].load) << "load travels on the answer";
+    EXPECT_EQ(first.traffic->finished[0].load->in_flight, 7U);
+  }
+  second.join();
+  const request_facts& asked = second.harness.traffic->asked.at(0);
+  EXPECT_TRUE(asked.from_peer);
+  EXPECT_EQ(asked.service, "certdesk");
+  EXPECT_EQ(asked.upstream_version, "v1");
+  EXPECT_EQ(asked.host, "h");
+  EXPECT_EQ(asked.headers.at("x-team"), "ferry");
+  EXPECT_LE(asked.deadline, 4000ms);
+  EXPECT_EQ(second.harness.traffic->open_tickets, 0U);
+}
+
+// A leaving node's refusal must be true, must be tried elsewhere, and must reach the caller as "not run".
+TEST(proxy_peer, refusal_of_the_second_node_is_tried_again_and_passed_on) {
+  second_node second(echo_upstream);
+  second.post(
+      [&] { second.harness.traffic->pick = [](const request_facts&) { return refusal{refusal_reason::draining}; }; });
+  proxy_harness first(echo_upstream, 60s, true);
+  send_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    auto answer = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer["hd-outcome"], "not-run");
+    EXPECT_EQ(answer["hd-refused"], "draining");
+  });
+  EXPECT_EQ(first.traffic->asked.size(), max_attempts);
+  EXPECT_EQ(first.traffic->finished[0].outcome, call_outcome::not_run);
+  // When another upstream can be chosen, the kept body is sent again.
+  first.traffic->pick = [&first](const request_facts& facts) {
+    upstream_choice picked = first.choice;
+    picked.local = facts.attempt > 0;
+    return picked;
+  };
+  first.run([&]() -> awaitable<void> {
+    auto answer = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+    EXPECT_EQ(answer.body(), "POST / abc");
+  });
+}
+
+TEST(proxy_peer, death_behind_or_of_the_second_node_is_unknown_and_runs_once) {
+  for (const bool node_dies : {false, true}) {
+    std::atomic<int> runs = 0;
+    second_node* node = nullptr;
+    second_node second([&](tcp_socket s) -> awaitable<void> {
+      h1_stream stream(std::move(s));
+      (void)co_await read_request(stream);
+      ++runs;
+      if (node_dies) node->harness.mesh->stop();
+    });
+    node = &second;
+    proxy_harness first(echo_upstream, 60s, true);
+    send_to(first, second);
+    first.run([&]() -> awaitable<void> {
+      auto answer = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+      EXPECT_EQ(answer.result_int(), 502U);
+      EXPECT_EQ(answer["hd-outcome"], "unknown");
+    });
+    EXPECT_EQ(runs, 1);
+  }
+}
+
+TEST(proxy_peer, unreachable_second_node_is_not_run) {
+  proxy_harness first(echo_upstream, 60s, true);
+  boost::asio::ip::tcp::acceptor unused(first.k.io(), {boost::asio::ip::address_v4::loopback(), 0});
+  first.choice.local = false;
+  first.choice.mesh_address = "127.0.0.1:" + std::to_string(unused.local_endpoint().port());
+  unused.close();
+  first.run([&]() -> awaitable<void> {
+    auto answer = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(answer["hd-outcome"], "not-run");
+  });
+}
+
+// A caller that gives up must free the upstream two nodes away.
+TEST(proxy_peer, cancellation_reaches_the_upstream_behind_the_second_node) {
+  std::atomic<bool> started = false;
+  std::atomic<bool> closed = false;
+  second_node second([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_request(stream);
+    started = true;
+    char byte = 0;
+    auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
+    closed = bool(ec);
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  send_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    auto caller = co_await first.connect();
+    co_await first.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_TRUE(co_await eventually(first.k, [&] { return started.load(); }));
+    caller->close();
+    EXPECT_TRUE(co_await eventually(first.k, [&] { return closed.load(); }));
+  });
+}
+
+// A deadline that passes while the second node works: the caller is told "unknown", and the work is cancelled.
+TEST(proxy_peer, deadline_is_kept_over_two_nodes) {
+  std::atomic<bool> closed = false;
+  second_node second([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_request(stream);
+    char byte = 0;
+    auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
+    closed = bool(ec);
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  send_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    const time_point start = timer_service::now();
+    auto answer =
+        co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nhd-deadline-ms: 100\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_EQ(answer.result_int(), 504U);
+    EXPECT_EQ(answer["hd-outcome"], "unknown");
+    EXPECT_LT(timer_service::now() - start, 2s);
+    EXPECT_TRUE(co_await eventually(first.k, [&] { return closed.load(); }));
+  });
+}
+
+}  // namespace
+}  // namespace heatherdeck
