--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -139,6 +139,7 @@
     submission_result answer = co_await post(big);
     EXPECT_EQ(answer.answer.refusal.kind, error_kind::limit) << answer.answer.refusal.message();
     std::vector<section_edit> many;
+    many.reserve(100);
     for (int i = 0; i < 100; ++i) {
       many.push_back({"routes.r" + std::to_string(i), std::string(max_section_bytes - 8, '#') + "\n", {}});
     }
