--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -238,8 +238,13 @@
 
 awaitable<attempt_result> exchange::guard() {
   const auto passed = limit_passed_;
-  auto waiting = passed->wait();
-  (void)co_await std::move(waiting);
+  const auto limit = limit_;
+  bool fired = true;
+  // An answer that began in the same turn of the loop as the deadline passed has moved the limit on.
+  do {
+    auto waiting = passed->wait();
+    fired = co_await std::move(waiting);
+  } while (fired && timer_service::now() < limit->due());
   co_return decide({attempt_end::timeout});
 }
 
--- a/node/time_guard.h
+++ b/node/time_guard.h
@@ -28,6 +28,9 @@
     arm();
   }
 
+  /// @return the present limit.
+  time_point due() const { return due_; }
+
   /// Takes the limit away until the next `set`.
   void clear() { due_ = time_point::max(); }
 
