--- a/testing/mesh_test.cc
+++ b/testing/mesh_test.cc
@@ -236,6 +236,7 @@
   const std::string proof = read_framed(to_client.server);
   boost::asio::write(to_server.client, boost::asio::buffer(proof));
   to_server.k.io().run_for(5s);
+  to_client.k.io().run_for(5s);  // both end as soon as their tasks do
   EXPECT_TRUE(seen_by_client);
   EXPECT_TRUE(seen_by_server);
   return recorded + proof;
