A node asks again when its control host could not confirm the first document

Found by the scenario restarted_node_without_quorum; the dump showed the node subscribed to c3 with version 0.0 for good. Ruled out: consensus (leader and followers had the quorum) and the transport. A second fault was found while reading: a periodic keep-alive of a lagging host counted as a confirmation of its version. Only the first message on a stream answers the node's question now.

--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -53,7 +53,9 @@
   if (found == subscriptions_.end()) return std::nullopt;
   subscription& s = found->second;
   end_first(s);
-  if (!state_ || s.applied >= state_->current) {
+  // A node without a document cannot use one that is not confirmed, so its bytes are saved.
+  const bool useless = s.applied.none() && !confirmed;
+  if (useless || !state_ || s.applied >= state_->current) {
     s.last_sent = now;
     return offer{id, std::make_shared<const control_message>(keepalive{current(), confirmed})};
   }
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -59,6 +59,7 @@
 void subscriber_core::on_connected(time_point now) {
   source_ = sources_[(next_ + sources_.size() - 1) % sources_.size()].host_id;
   last_heard_ = now;
+  first_message_ = true;
   return_at_ = now + return_interval + jitter(return_interval);
 }
 
@@ -68,7 +69,9 @@
 
 subscriber_core::reaction subscriber_core::on_message(const control_message& message, time_point now) {
   last_heard_ = now;
-  return std::visit([this](const auto& m) { return on_offer(m); }, message);
+  reaction r = std::visit([this](const auto& m) { return on_offer(m); }, message);
+  first_message_ = false;
+  return r;
 }
 
 void subscriber_core::on_disconnected() {
@@ -88,36 +91,52 @@
   return {};
 }
 
-void subscriber_core::confirm(const version& confirmed) {
+void subscriber_core::mark_useful() {
   useful_ = true;
   failures_ = 0;
+}
+
+void subscriber_core::confirm(const version& confirmed) {
+  mark_useful();
   if (!floor_ || confirmed > *floor_) floor_ = confirmed;
 }
 
+bool subscriber_core::unconfirmed(const version& offered) const {
+  return !has_document() && (!floor_ || offered < *floor_);
+}
+
 bool subscriber_core::wanted(const version& offered) {
   if (has_document() ? offered <= state_.current : offered.none()) {
     ++counts_.ignored_old;
     return false;
   }
-  if (!has_document() && (!floor_ || offered < *floor_)) {
+  if (unconfirmed(offered)) {
     ++counts_.ignored_unconfirmed;
     return false;
   }
   return true;
 }
 
+// Only the first message on a stream answers the node's question for a confirmed version. A later keep-alive tells that
+// the host hears from a quorum; the host may lag all the same, so it confirms nothing.
 subscriber_core::reaction subscriber_core::on_offer(const keepalive& message) {
   if (!message.confirmed) return {.leave_reason = "the control host has no quorum"};
-  // A keep-alive of a node that holds a document only tells that the host has a quorum, not that the version is
-  // current.
-  confirm(has_document() ? state_.current : message.current);
+  if (has_document()) {
+    mark_useful();
+  } else if (first_message_) {
+    confirm(message.current);
+  } else if (unconfirmed(message.current)) {
+    return {.leave_reason = "the control host has a document that it has not confirmed"};
+  }
   return {};
 }
 
 subscriber_core::reaction subscriber_core::on_offer(const snapshot_offer& offer) {
   if (offer.confirmed) confirm(offer.state.current);
-  if (!wanted(offer.state.current)) return {};
-  return accept(offer.state, offer.result);
+  if (wanted(offer.state.current)) return accept(offer.state, offer.result);
+  // The host will not send this version again on this stream, so the node asks again on another.
+  if (unconfirmed(offer.state.current)) return {.leave_reason = "the control host cannot confirm its document"};
+  return {};
 }
 
 subscriber_core::reaction subscriber_core::on_offer(const delta_offer& offer) {
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -91,7 +91,9 @@
   reaction on_offer(const delta_offer& offer);
   reaction on_offer(const busy_notice& notice);
   bool wanted(const version& offered);
+  bool unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
+  void mark_useful();
   reaction accept(document_state next, const digest& claimed);
   reaction refuse(const version& offered, error reason);
   milliseconds jitter(milliseconds most);
@@ -103,6 +105,7 @@
   std::vector<candidate> sources_;
   std::size_t next_ = 0;        ///< index into sources_ of the next attempt
   std::uint32_t failures_ = 0;  ///< attempts since the last source that proved useful
+  bool first_message_ = true;   ///< nothing has arrived on the present stream
   bool useful_ = false;         ///< the present source has shown that it has a quorum
   std::string source_;
   time_point last_heard_;
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -110,6 +110,41 @@
   EXPECT_NE(core.on_message(snapshot_offer{s, digest_of(s), true}, {}).document, nullptr);
 }
 
+// A host that gets its quorum back after it could not confirm has an offer that the node has ignored; the node must ask
+// again, or it waits for ever.
+TEST(subscriber_core, asks_again_after_an_unconfirmed_answer) {
+  publisher_core host({}, 1);
+  subscriber_core node = subscriber_core::make(node_settings(1, 7));
+  const time_point now{};
+  host.set_document(std::make_shared<document_state>(state_at(10, "100")), now);
+  node.next_source();
+  node.on_connected(now);
+  ASSERT_FALSE(host.open(1, node.request(), now));
+  const auto unconfirmed = host.first_offer(1, false, now);
+  ASSERT_TRUE(unconfirmed);
+  EXPECT_FALSE(node.on_message(*unconfirmed->message, now).leave_reason.empty());
+  host.close(1);
+  node.on_disconnected();
+  node.next_source();
+  node.on_connected(now);
+  ASSERT_FALSE(host.open(2, node.request(), now));
+  const auto confirmed = host.first_offer(2, true, now);
+  ASSERT_TRUE(confirmed);
+  EXPECT_NE(node.on_message(*confirmed->message, now).document, nullptr);
+}
+
+// A periodic keep-alive tells that the host hears from a quorum, not that its version is current: a follower may lag.
+TEST(subscriber_core, periodic_keepalive_does_not_confirm_a_version) {
+  subscriber_core node = subscriber_core::make(node_settings(1, 7));
+  node.next_source();
+  node.on_connected({});
+  const document_state old = state_at(5, "100");
+  node.on_message(keepalive{{}, false}, {});
+  node.on_message(keepalive{{1, 5}, true}, {});
+  EXPECT_EQ(node.on_message(snapshot_offer{old, digest_of(old), false}, {}).document, nullptr);
+  EXPECT_FALSE(node.has_document());
+}
+
 TEST(subscriber_core, bad_document_is_refused_whole) {
   subscriber_core core = subscriber_core::make(node_settings(1, 7));
   core.next_source();
@@ -241,6 +276,12 @@
       case 5:
         if (below(8) == 0) cut_ = !cut_;
         break;
+      case 6: {
+        // A host that hears from a leader with a quorum may still lag behind what is committed.
+        const std::size_t host = below(host_count);
+        deliver(host, hosts_[host].keep_alive(!(host == 0 && cut_), now_));
+        break;
+      }
       default:
         receive();
     }
