Control hosts' membership by the command-line tool; lost disk and second loss as a scenario

A host that lost its disk could be admitted only by an internal message. The admin listener of the leader takes POST /members, and heatherdeck members calls it. Nodes that hold a later version than every control host count as a fault of a scenario now, because that is what a lost entry looks like.

--- a/cli/command.cc
+++ b/cli/command.cc
@@ -41,6 +41,13 @@
      "ADMIN is the admin_listen of any process; without it the first reachable control host is asked.\n"
      "    heatherdeck dump 127.0.0.1:7002\n",
      run_dump},
+    {"members", "ADMIN ACTION HOST", 3, 3, "add, promote or remove a control host",
+     "ADMIN is the admin_listen of the leader. A host with a new disk is added first, as a learner without a vote, "
+     "and\n"
+     "promoted when it has caught up. One change at a time.\n"
+     "    heatherdeck members 127.0.0.1:9901 add c2\n"
+     "    heatherdeck members 127.0.0.1:9901 promote c2\n",
+     run_members},
     {"drain", "ADMIN", 1, 1, "begin the graceful stop of a process",
      "ADMIN is the admin_listen of the process. Requests in flight are finished.\n"
      "    heatherdeck drain 127.0.0.1:7002\n",
--- a/cli/process_commands.cc
+++ b/cli/process_commands.cc
@@ -73,6 +73,20 @@
   co_return exit_code::done;
 }
 
+awaitable<exit_code> run_members(command_context context) {
+  auto hosts = admin_address(context.arguments[0]);
+  if (!hosts) co_return context.out.refuse(hosts.failure());
+  const std::string action = context.arguments[1];
+  const std::string host = context.arguments[2];
+  control_client client(context.timers, context.executor, *hosts);
+  http_request request{"POST", "/members", {{"action", action}, {"host", host}}, {}, {}};
+  const duration limit = answer_limit();
+  const outcome<boost::json::value> body = co_await client.get(std::move(request), limit);
+  if (!body) co_return context.out.refuse(body.failure());
+  context.out.tell(action + " " + host + ": done", {{"action", action}, {"host", host}});
+  co_return exit_code::done;
+}
+
 awaitable<exit_code> run_keygen(command_context context) {
   if (FLAGS_out.empty()) {
     co_return context.out.refuse({error_kind::usage, "no file is named for the secret key", "add --out=FILE", "--out"});
--- a/daemon/admin_service.cc
+++ b/daemon/admin_service.cc
@@ -5,21 +5,28 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include "kernel/log.h"
 #include "model/service_names.h"
 #include "wire/metrics.h"
 
 namespace heatherdeck {
+namespace {
+
+constexpr auto member_change_limit = std::chrono::seconds(10);
+
+}  // namespace
 
 struct admin_service::route {
   std::string_view method;
   std::string_view path;
-  http_response (admin_service::*answer)(const http_request&);
+  awaitable<http_response> (admin_service::*answer)(http_request);
 };
 
 const admin_service::route admin_service::routes[] = {
-    {"GET", "/dump", &admin_service::show_dump},     {"GET", "/metrics", &admin_service::show_metrics},
-    {"GET", "/live", &admin_service::show_live},     {"GET", "/ready", &admin_service::show_ready},
-    {"POST", "/drain", &admin_service::begin_drain}, {"PUT", "/log-level", &admin_service::change_log_level},
+    {"GET", "/dump", &admin_service::show_dump},          {"GET", "/metrics", &admin_service::show_metrics},
+    {"GET", "/live", &admin_service::show_live},          {"GET", "/ready", &admin_service::show_ready},
+    {"POST", "/drain", &admin_service::begin_drain},      {"PUT", "/log-level", &admin_service::change_log_level},
+    {"POST", "/members", &admin_service::change_members},
 };
 
 result<std::unique_ptr<service>> admin_service::make(const settings& s) {
@@ -30,6 +37,9 @@
 
 result<void> admin_service::start(kernel& k) {
   kernel_ = &k;
+  if (k.has(to_name(service_name::consensus))) {
+    BOOST_LEAF_ASSIGN(consensus_, k.find<consensus_message>(to_name(service_name::consensus)));
+  }
   BOOST_LEAF_ASSIGN(listener_, http_listener::make(k, listen_, [this](http_request r) { return serve(std::move(r)); }));
   return {};
 }
@@ -40,43 +50,63 @@
 
 awaitable<http_response> admin_service::serve(http_request request) {
   for (const route& r : routes) {
-    if (r.method == request.method && r.path == request.path) co_return (this->*r.answer)(request);
+    if (r.method != request.method || r.path != request.path) continue;
+    awaitable<http_response> answer = (this->*r.answer)(std::move(request));
+    co_return co_await std::move(answer);
   }
   co_return error_response({error_kind::not_found, request.method + " " + request.path + " is not an admin call",
-                            "use GET /dump, /metrics, /live, /ready, POST /drain or PUT /log-level", request.path});
+                            "use GET /dump, /metrics, /live, /ready, POST /drain, POST /members or PUT /log-level",
+                            request.path});
 }
 
-http_response admin_service::show_dump(const http_request&) { return json_response(200, kernel_->dump()); }
+awaitable<http_response> admin_service::show_dump(http_request) { co_return json_response(200, kernel_->dump()); }
 
-http_response admin_service::show_metrics(const http_request&) {
-  return {200, "text/plain; version=0.0.4", metrics_text()};
+awaitable<http_response> admin_service::show_metrics(http_request) {
+  co_return http_response{200, "text/plain; version=0.0.4", metrics_text()};
 }
 
-http_response admin_service::show_live(const http_request&) {
-  return json_response(200, boost::json::object{{"live", true}});
+awaitable<http_response> admin_service::show_live(http_request) {
+  co_return json_response(200, boost::json::object{{"live", true}});
 }
 
-http_response admin_service::show_ready(const http_request&) {
+awaitable<http_response> admin_service::show_ready(http_request) {
   boost::json::array missing;
   for (const std::string_view name : kernel_->not_ready()) missing.emplace_back(name);
   const bool ready = missing.empty();
-  return json_response(ready ? 200 : 503, boost::json::object{{"ready", ready}, {"not_ready", std::move(missing)}});
+  co_return json_response(ready ? 200 : 503, boost::json::object{{"ready", ready}, {"not_ready", std::move(missing)}});
 }
 
-http_response admin_service::begin_drain(const http_request&) {
+awaitable<http_response> admin_service::begin_drain(http_request) {
   kernel_->request_stop(0);
-  return json_response(202, boost::json::object{{"draining", true}});
+  co_return json_response(202, boost::json::object{{"draining", true}});
 }
 
-http_response admin_service::change_log_level(const http_request& request) {
+awaitable<http_response> admin_service::change_log_level(http_request request) {
   const auto wanted = request.query.find("level");
   const auto level = wanted == request.query.end() ? std::nullopt : from_name<log_level>(wanted->second);
   if (!level) {
-    return error_response({error_kind::usage, "the parameter 'level' is missing or unknown",
-                           "use one of: " + all_names<log_level>(), "level"});
+    co_return error_response({error_kind::usage, "the parameter 'level' is missing or unknown",
+                              "use one of: " + all_names<log_level>(), "level"});
   }
   set_log_level(*level);
-  return json_response(200, boost::json::object{{"level", to_name(*level)}});
+  co_return json_response(200, boost::json::object{{"level", to_name(*level)}});
+}
+
+awaitable<http_response> admin_service::change_members(http_request request) {
+  const auto action = from_name<voter_change>(request.query["action"]);
+  const std::string host = request.query["host"];
+  if (!consensus_ || !action || host.empty()) {
+    co_return error_response({error_kind::usage, "the call needs a control host, a known action and a host",
+                              "give action=" + all_names<voter_change>() + " and host=ID", "members"});
+  }
+  auto question = [&](reply<committed> answer) {
+    return change_voters{*action, {.host_id = host, .learner = false}, std::move(answer)};
+  };
+  outcome<committed> done =
+      co_await ask<committed>(kernel_->timers(), kernel_->executor(), consensus_, member_change_limit, question);
+  if (!done) co_return error_response(done.failure());
+  log_event(log_level::info, "members_changed", {{"action", to_name(*action)}, {"host", host}});
+  co_return json_response(200, boost::json::object{{"index", done->index}, {"term", done->term}});
 }
 
 }  // namespace heatherdeck
--- a/daemon/admin_service.h
+++ b/daemon/admin_service.h
@@ -7,12 +7,15 @@
 ///     GET  /ready     200 when every service is ready, else 503 with the names of those that are not
 ///     POST /drain     begins a graceful stop; answers 202
 ///     PUT  /log-level?level=debug|info|warning|error
+///     POST /members?action=add|promote|remove&host=ID    role control: changes the control hosts' membership; only the
+///                                                       leader accepts it, and answers when it is committed
 #pragma once
 
 #include <memory>
 #include <string>
 
 #include "kernel/kernel.h"
+#include "model/raft_messages.h"
 #include "model/settings.h"
 #include "wire/http_listener.h"
 
@@ -35,15 +38,17 @@
   static const route routes[];
 
   awaitable<http_response> serve(http_request request);
-  http_response show_dump(const http_request& request);
-  http_response show_metrics(const http_request& request);
-  http_response show_live(const http_request& request);
-  http_response show_ready(const http_request& request);
-  http_response begin_drain(const http_request& request);
-  http_response change_log_level(const http_request& request);
+  awaitable<http_response> show_dump(http_request request);
+  awaitable<http_response> show_metrics(http_request request);
+  awaitable<http_response> show_live(http_request request);
+  awaitable<http_response> show_ready(http_request request);
+  awaitable<http_response> begin_drain(http_request request);
+  awaitable<http_response> change_log_level(http_request request);
+  awaitable<http_response> change_members(http_request request);
 
   std::string listen_;
   kernel* kernel_ = nullptr;
+  address<consensus_message> consensus_;  ///< only in a process with the role control
   std::unique_ptr<http_listener> listener_;
 };
 
--- a/model/raft_messages.h
+++ b/model/raft_messages.h
@@ -156,9 +156,21 @@
   reply<consensus_status> answer;
 };
 
-/// Adds, promotes or removes one control host; one change at a time.
+enum class voter_change { add_learner, promote, remove };
+
+template <>
+struct enum_table<voter_change> {
+  static constexpr auto entries = std::to_array<enum_entry<voter_change>>({
+      {voter_change::add_learner, "add"},
+      {voter_change::promote, "promote"},
+      {voter_change::remove, "remove"},
+  });
+};
+
+/// Adds, promotes or removes one control host; one change at a time. A host whose disk was replaced is added again.
 struct change_voters {
-  enum class action_kind { add_learner, promote, remove } action = action_kind::add_learner;
+  using action_kind = voter_change;
+  voter_change action = voter_change::add_learner;
   voter subject;
   reply<committed> answer;
 };
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -83,7 +83,7 @@
   std::string mesh_address;
   choice_reason reason = choice_reason::local;
   bool idempotent = false;
-  std::chrono::milliseconds timeout{0};  ///< the smaller of the route's time-out and the deadline
+  std::chrono::milliseconds timeout{0};    ///< the smaller of the route's time-out and the deadline
   std::optional<load_report> target_load;  ///< local: last reported load; goes into hd-load of the answer to a peer
 };
 
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -270,7 +270,7 @@
       if (!running(name)) continue;
       const auto state = dump(name);
       const version at = state ? version_from(text_at(*state, "subscriber", "version")) : version{};
-      if (at < highest) lagging += " " + name + "=" + at.text();
+      if (at != highest) lagging += " " + name + "=" + at.text();
     }
     return lagging.empty() && !highest.none();
   });
--- a/testing/scenario.cc
+++ b/testing/scenario.cc
@@ -44,6 +44,9 @@
   void release(const scenario_step& step);
   void stop(const scenario_step& step);
   void lose_disk(const scenario_step& step);
+  void add_member(const scenario_step& step);
+  void promote_member(const scenario_step& step);
+  void change_member(const scenario_step& step, const std::string& action);
   void expect_in_force(const scenario_step& step);
   void expect_ready(const scenario_step& step);
   void expect_not_ready(const scenario_step& step);
@@ -74,6 +77,8 @@
     {step_kind::release, &scenario_run::release},
     {step_kind::stop, &scenario_run::stop},
     {step_kind::lose_disk, &scenario_run::lose_disk},
+    {step_kind::add_member, &scenario_run::add_member},
+    {step_kind::promote_member, &scenario_run::promote_member},
     {step_kind::expect_in_force, &scenario_run::expect_in_force},
     {step_kind::expect_ready, &scenario_run::expect_ready},
     {step_kind::expect_not_ready, &scenario_run::expect_not_ready},
@@ -195,6 +200,27 @@
   say("lose_disk " + step.at);
 }
 
+void scenario_run::add_member(const scenario_step& step) { change_member(step, "add"); }
+
+void scenario_run::promote_member(const scenario_step& step) { change_member(step, "promote"); }
+
+// The leader refuses a change until the host has told its new store, or while the learner is behind; so it is asked
+// again until the limit.
+void scenario_run::change_member(const scenario_step& step, const std::string& action) {
+  for (const std::string& name : subjects(step.at)) {
+    std::string last;
+    const auto changed = fleet_.wait_until(milliseconds(step.within_ms), [&] {
+      const std::string leader = fleet_.leader();
+      if (leader.empty()) return false;
+      const finished_command done = fleet_.cli({"members", fleet_.address(leader, 1), action, name});
+      last = done.output;
+      return done.exit_code == 0;
+    });
+    if (!changed) fault(action + " " + name + ": " + last);
+  }
+  say(action + " member " + step.at);
+}
+
 void scenario_run::expect_in_force(const scenario_step& step) {
   const auto waited = fleet_.wait_in_force(milliseconds(step.within_ms));
   if (!waited) fault(waited.failure().message());
--- a/testing/scenario.h
+++ b/testing/scenario.h
@@ -12,9 +12,10 @@
 ///       - {do: expect_in_force, within_ms: 4000}
 ///
 /// Steps: start [at], submit value [expect], resubmit value, race value, kill at, freeze at, release at, stop at,
-/// lose_disk at, expect_in_force within_ms, expect_ready within_ms [at], expect_not_ready at, expect_refused at.
-/// `at` is a process's name, `leader`, `follower` (the first control host that runs and is not the leader), `frozen`
-/// (the process that was frozen last), `killed` (the one that was killed last), `all_control` or `all`.
+/// lose_disk at, add_member at, promote_member at, expect_in_force within_ms, expect_ready within_ms [at],
+/// expect_not_ready at, expect_refused at. `at` is a process's name, `leader`, `follower` (the first control host that
+/// runs and is not the leader), `frozen` (the process that was frozen last), `killed` (the one that was killed last),
+/// `all_control` or `all`.
 ///
 /// After every step, and at the end over the nodes' whole logs, the version at each node must not have gone down.
 /// The session of a run, without times and ports, is compared with a golden file.
@@ -39,6 +40,8 @@
   release,
   stop,
   lose_disk,
+  add_member,
+  promote_member,
   expect_in_force,
   expect_ready,
   expect_not_ready,
@@ -57,6 +60,8 @@
       {step_kind::release, "release"},
       {step_kind::stop, "stop"},
       {step_kind::lose_disk, "lose_disk"},
+      {step_kind::add_member, "add_member"},
+      {step_kind::promote_member, "promote_member"},
       {step_kind::expect_in_force, "expect_in_force"},
       {step_kind::expect_ready, "expect_ready"},
       {step_kind::expect_not_ready, "expect_not_ready"},
