--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -74,7 +74,7 @@
   for (;;) {
     outcome<publisher_message> message = co_await inbox_->receive();
     if (!message) co_return;
-    std::visit([this](auto&& m) { handle(std::move(m)); }, std::move(*message));
+    std::visit([this](auto&& m) { handle(std::forward<decltype(m)>(m)); }, std::move(*message));
   }
 }
 
--- a/model/settings.cc
+++ b/model/settings.cc
@@ -15,7 +15,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t max_settings_bytes = 1024 * 1024;
+constexpr std::size_t max_settings_bytes = 1024UL * 1024;
 constexpr std::size_t max_name_length = 64;
 constexpr std::uint64_t max_seed = 1ULL << 62;
 
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -158,7 +158,7 @@
   while (true) {
     auto message = co_await self->inbox.receive();
     if (!message) co_return;
-    std::visit([&](auto& m) { self->handle(std::move(m)); }, *message);
+    std::visit([&](auto& m) { self->handle(std::forward<decltype(m)>(m)); }, *message);
   }
 }
 
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -60,7 +60,8 @@
   for (;;) {
     outcome<subscriber_message> message = co_await inbox_->receive();
     if (!message) co_return;
-    awaitable<void> handled = std::visit([this](auto&& m) { return handle(std::move(m)); }, std::move(*message));
+    awaitable<void> handled =
+        std::visit([this](auto&& m) { return handle(std::forward<decltype(m)>(m)); }, std::move(*message));
     co_await std::move(handled);
   }
 }
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -176,8 +176,7 @@
 // messages of streams that it has left.
 class schedule {
  public:
-  schedule(std::uint64_t seed, bool stale_hosts_confirm)
-      : seed_(seed), random_(seed), stale_hosts_confirm_(stale_hosts_confirm) {
+  schedule(std::uint64_t seed, bool stale_hosts_confirm) : random_(seed), stale_hosts_confirm_(stale_hosts_confirm) {
     for (std::size_t i = 0; i < host_count; ++i) hosts_.emplace_back(publisher_core::limits{}, seed + i);
     commit();
     restart();
@@ -293,7 +292,6 @@
     std::shared_ptr<const control_message> message;
   };
 
-  std::uint64_t seed_;
   std::mt19937_64 random_;
   bool stale_hosts_confirm_;
   std::deque<publisher_core> hosts_;
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -258,7 +258,7 @@
 
 outcome<milliseconds> fleet::wait_in_force(milliseconds limit, version least) const {
   std::string lagging;
-  const outcome<milliseconds> waited = wait_until(limit, [&] {
+  outcome<milliseconds> waited = wait_until(limit, [&] {
     version highest = least;
     std::map<std::string, version> held;
     for (const std::string& name : names('c')) {
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -10,9 +10,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
-#include <unistd.h>
-
-extern char** environ;
+#include <unistd.h>  // environ, with _GNU_SOURCE
 
 namespace heatherdeck {
 namespace {
--- a/testing/scenario.cc
+++ b/testing/scenario.cc
@@ -216,7 +216,7 @@
       last = done.output;
       return done.exit_code == 0;
     });
-    if (!changed) fault(action + " " + name + ": " + last);
+    if (!changed) fault(fmt::format("{} {}: {}", action, name, last));
   }
   say(action + " member " + step.at);
 }
--- a/testing/upstream_service.cc
+++ b/testing/upstream_service.cc
@@ -186,7 +186,7 @@
   for (;;) {
     outcome<upstream_message> message = co_await inbox_->receive();
     if (!message) co_return;
-    std::visit([this](auto&& m) { handle(std::move(m)); }, std::move(*message));
+    std::visit([this](auto&& m) { handle(std::forward<decltype(m)>(m)); }, std::move(*message));
   }
 }
 
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -88,6 +88,7 @@
   }
   if (local.empty()) return refuse(draining ? refusal_reason::draining : refusal_reason::no_upstream);
   std::vector<balance_candidate> candidates;
+  candidates.reserve(local.size());
   for (const auto& u : local) {
     candidates.push_back({.locality = choice_reason::local,
                           .load = &u->load,
--- a/wire/http_listener.cc
+++ b/wire/http_listener.cc
@@ -23,7 +23,7 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t max_header_bytes = 16 * 1024;
+constexpr std::size_t max_header_bytes = 16UL * 1024;
 constexpr std::uint64_t max_body_bytes = 8ULL * 1024 * 1024;
 constexpr std::size_t max_connections = 256;
 constexpr auto idle_limit = std::chrono::seconds(60);
