Measurement tool: lets joins spread before it measures idle traffic

Cause: the idle window began right after the start, so it measured the gossip of the joins: 3,379 B/s a node at 160 nodes, rising with the number of nodes. Ports begin below the range of ephemeral ports: at 160 nodes 30 of them could not listen because outgoing connections held their ports.

--- a/tools/bench_main.cc
+++ b/tools/bench_main.cc
@@ -26,9 +26,10 @@
 DEFINE_string(sizes, "10,20,40,80,160", "numbers of nodes");
 DEFINE_uint32(changes, 8, "changes submitted at each size");
 DEFINE_uint32(idle_s, 10, "length of the idle measurement at each size, seconds");
+DEFINE_uint32(settle_s, 20, "time after the start before the idle measurement, so that joins have spread, seconds");
 DEFINE_uint32(rate, 1000, "calls a second of the latency measurement");
 DEFINE_uint32(call_s, 10, "length of each latency measurement, seconds");
-DEFINE_uint32(base_port, 33000, "first of the ports on 127.0.0.1");
+DEFINE_uint32(base_port, 12000, "first of the ports on 127.0.0.1; below the range of ephemeral ports");
 
 namespace heatherdeck {
 namespace {
@@ -162,6 +163,7 @@
   if (first.exit_code != 0) return fail(error_kind::internal, first.output, "see the logs", work);
   const auto waited = f->wait_in_force(60s);
   if (!waited) return fail(waited.failure());
+  std::this_thread::sleep_for(std::chrono::seconds(FLAGS_settle_s));
   const std::string leader = f->leader();
   measure_idle(*f, leader, r);
   BOOST_LEAF_CHECK(measure_changes(*f, leader, r));
