--- a/cli/command.cc
+++ b/cli/command.cc
@@ -76,7 +76,7 @@
   }
   std::string text = "heatherdeck COMMAND [ARGUMENT...] [FLAG...]\n\nCommands:\n";
   for (const command& row : commands) {
-    text += fmt::format("  {:<8}{:<10}{}\n", row.name, row.arguments, row.summary);
+    text += fmt::format("  {:<8}{:<18}{}\n", row.name, row.arguments, row.summary);
   }
   text +=
       "  help    [COMMAND] show this text or the help of one command\n\nFlags:\n" + flags_help() + "\nExit codes:\n";
