--- a/model/gossip_messages.h
+++ b/model/gossip_messages.h
@@ -5,7 +5,7 @@
 ///     answer with buckets -> sync -> records   only when the summaries differ
 ///     records                             recently changed records, to some members
 ///     relay    -> probe by a third member, whose answer is passed on as `answer`
-///     doubt                               asks a member, directly or through another, to renew its record
+///     suspicion                               asks a member, directly or through another, to renew its record
 #pragma once
 
 #include <cstdint>
@@ -23,7 +23,7 @@
 /// HMAC-SHA256 cut to 128 bits.
 inline constexpr std::size_t datagram_proof_bytes = 16;
 
-enum class gossip_kind { probe, answer, sync, records, relay, doubt };
+enum class gossip_kind { probe, answer, sync, records, relay, suspicion };
 
 template <>
 struct enum_table<gossip_kind> {
@@ -33,7 +33,7 @@
       {gossip_kind::sync, "sync"},
       {gossip_kind::records, "records"},
       {gossip_kind::relay, "relay"},
-      {gossip_kind::doubt, "doubt"},
+      {gossip_kind::suspicion, "suspicion"},
   });
 };
 
@@ -69,7 +69,7 @@
   std::vector<member_key> keys;               ///< sync: what the sender holds in these buckets
   std::vector<std::uint64_t> wanted;          ///< records: id hashes of records that the sender lacks
   std::vector<member_record_ptr> records;
-  std::vector<member_status> statuses;  ///< records: suspicions; doubt: the version in doubt
+  std::vector<member_status> statuses;  ///< records: suspicions; suspicion: the suspected version
   bool recent = false;                  ///< records: changed a moment ago, to be passed on
 };
 
--- a/node/directory_core.cc
+++ b/node/directory_core.cc
@@ -29,7 +29,7 @@
 constexpr std::size_t payload_room = 1'000;
 constexpr std::size_t max_sync_datagrams = 16;
 constexpr std::size_t key_bytes = 16;
-constexpr std::size_t max_doubts = 12;
+constexpr std::size_t max_suspicions = 12;
 // Under constant change no two tables may ever be equal; a member counts as joined after this time at the latest.
 constexpr duration join_limit = std::chrono::seconds(5);
 
@@ -57,7 +57,7 @@
 
 const directory_core::handler directory_core::handlers[] = {
     &directory_core::on_probe,   &directory_core::on_answer, &directory_core::on_sync,
-    &directory_core::on_records, &directory_core::on_relay,  &directory_core::on_doubt,
+    &directory_core::on_records, &directory_core::on_relay,  &directory_core::on_suspicion,
 };
 
 directory_core::directory_core(directory_options options)
@@ -161,7 +161,7 @@
 
 bool directory_core::learn(time_point now, const member_record_ptr& record, bool spread, directory_output& out) {
   if (record->node_id == self_.node_id) {
-    if (supersedes(*record, self_)) answer_doubt(now, status_of(*record, record->state), out);
+    if (supersedes(*record, self_)) answer_suspicion(now, status_of(*record, record->state), out);
     return false;
   }
   if (table_.put(now, record) != record_change::newer) return false;
@@ -176,7 +176,7 @@
 }
 
 void directory_core::suspect(time_point now, const member_status& status, bool spread, directory_output& out) {
-  if (status.node_id == self_.node_id) return answer_doubt(now, status, out);
+  if (status.node_id == self_.node_id) return answer_suspicion(now, status, out);
   const member_record_ptr known = table_.find(status.node_id);
   if (!known || known->incarnation != status.incarnation || known->sequence != status.sequence) return;
   auto changed = std::make_shared<member_record>(*known);
@@ -187,7 +187,7 @@
   }
 }
 
-void directory_core::answer_doubt(time_point now, const member_status& status, directory_output& out) {
+void directory_core::answer_suspicion(time_point now, const member_status& status, directory_output& out) {
   if (std::pair(status.incarnation, status.sequence) < std::pair(self_.incarnation, self_.sequence)) {
     // Already overruled: the asker only has to hear it.
     return mark_recent(self_.node_id);
@@ -203,9 +203,9 @@
   if (known && known->state == member_state::alive) return;
   if (!known) known = table_.find_removed(node_id);
   if (!known) return;
-  gossip_message doubt = make(gossip_kind::doubt);
-  doubt.statuses = {status_of(*known, member_state::suspect)};
-  out.datagrams.push_back({address, std::move(doubt)});
+  gossip_message suspicion = make(gossip_kind::suspicion);
+  suspicion.statuses = {status_of(*known, member_state::suspect)};
+  out.datagrams.push_back({address, std::move(suspicion)});
 }
 
 void directory_core::on_probe(time_point now, const std::string& address, const gossip_message& m,
@@ -289,19 +289,19 @@
 
 void directory_core::on_records(time_point now, const std::string& address, const gossip_message& m,
                                 directory_output& out) {
-  gossip_message doubt = make(gossip_kind::doubt);
+  gossip_message suspicion = make(gossip_kind::suspicion);
   for (const auto& record : m.records) {
     if (learn(now, record, m.recent || joined_, out)) continue;
     const auto recent = recent_.find(record->node_id);
     if (m.recent && recent != recent_.end()) --recent->second;
     // Removed here but alive for the sender: let the member say so itself.
     const member_record_ptr gone = table_.find_removed(record->node_id);
-    if (gone && record->state != member_state::left && doubt.statuses.size() < max_doubts) {
-      doubt.statuses.push_back(status_of(*gone, member_state::suspect));
+    if (gone && record->state != member_state::left && suspicion.statuses.size() < max_suspicions) {
+      suspicion.statuses.push_back(status_of(*gone, member_state::suspect));
     }
   }
   for (const member_status& status : m.statuses) suspect(now, status, m.recent, out);
-  if (!doubt.statuses.empty()) out.datagrams.push_back({address, std::move(doubt)});
+  if (!suspicion.statuses.empty()) out.datagrams.push_back({address, std::move(suspicion)});
   std::vector<member_record_ptr> answers;
   for (const std::uint64_t id : m.wanted) {
     if (auto record = table_.find_hash(id)) answers.push_back(std::move(record));
@@ -318,17 +318,17 @@
   out.datagrams.push_back({m.subject, std::move(probe)});
 }
 
-void directory_core::on_doubt(time_point now, const std::string&, const gossip_message& m, directory_output& out) {
+void directory_core::on_suspicion(time_point now, const std::string&, const gossip_message& m, directory_output& out) {
   for (const member_status& status : m.statuses) {
     if (status.node_id == self_.node_id) {
-      answer_doubt(now, status, out);
+      answer_suspicion(now, status, out);
       continue;
     }
     // Passed on to the member in question: it is asked directly there.
     const member_record_ptr known = table_.find(status.node_id);
     if (!known || known->mesh_address == self_.mesh_address) continue;
     if (std::pair(known->incarnation, known->sequence) > std::pair(status.incarnation, status.sequence)) continue;
-    gossip_message passed = make(gossip_kind::doubt);
+    gossip_message passed = make(gossip_kind::suspicion);
     passed.statuses = {status};
     out.datagrams.push_back({known->mesh_address, std::move(passed)});
     // It may be that the others are right and only this region has not noticed, because it probes far members rarely.
--- a/node/directory_core.h
+++ b/node/directory_core.h
@@ -84,7 +84,7 @@
   void renew_self(time_point now, directory_output& out);
   bool learn(time_point now, const member_record_ptr& record, bool spread, directory_output& out);
   void suspect(time_point now, const member_status& status, bool spread, directory_output& out);
-  void answer_doubt(time_point now, const member_status& status, directory_output& out);
+  void answer_suspicion(time_point now, const member_status& status, directory_output& out);
   void check_sender(const std::string& address, const std::string& node_id, directory_output& out);
 
   void on_probe(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
@@ -92,7 +92,7 @@
   void on_sync(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
   void on_records(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
   void on_relay(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
-  void on_doubt(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
+  void on_suspicion(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
 
   void probe(time_point now, directory_output& out);
   void send_probe(time_point now, const std::string& address, const std::string& node_id, directory_output& out);
--- a/wire/h2_connection.cc
+++ b/wire/h2_connection.cc
@@ -147,7 +147,7 @@
 
   void take_outbox() {
     if (outbox_->refuse_new_streams && !std::exchange(refusing_, true)) session_->refuse_new_streams();
-    // Taking one stream may ring another, so the queue is moved out first.
+    // Taking one stream may notify another, so the queue is moved out first.
     taken_.swap(outbox_->ready);
     for (const auto& stream : taken_) session_->take(stream);
     taken_.clear();
@@ -260,7 +260,7 @@
 
 std::shared_ptr<h2_stream> h2_connection::open(stream_kind kind, header_list headers, bool end_stream) const {
   auto state = prepare(kind, std::move(headers), end_stream);
-  state->ring();
+  state->notify();
   return std::make_shared<h2_stream>(std::move(state));
 }
 
@@ -268,7 +268,7 @@
                          const reply<std::shared_ptr<h2_stream>>& answer) const {
   auto state = prepare(kind, std::move(headers), end_stream);
   answer(std::make_shared<h2_stream>(state));
-  state->ring();
+  state->notify();
 }
 
 void h2_connection::refuse_new_streams() const {
--- a/wire/h2_stream.cc
+++ b/wire/h2_stream.cc
@@ -1,4 +1,4 @@
-// The holder's side of a stream. All operations work on the stream's two mailboxes and ring the connection's task.
+// The holder's side of a stream. All operations work on the stream's two mailboxes and notify the connection's task.
 // Invariants: at most stream_buffer_bytes plus one chunk wait to be sent; the window that the peer sees opens only
 // after `read` has handed bytes out, and is announced in steps of a quarter window, so small bodies cost no extra
 // wake-up.
@@ -45,12 +45,12 @@
 void abandon(const std::shared_ptr<h2_stream_state>& state) {
   if (!state || state->finished() || state->reset_code) return;
   state->reset_code = state->incoming && state->outbound_ended ? code_no_error : code_cancel;
-  state->ring();
+  state->notify();
 }
 
 }  // namespace
 
-void h2_stream_state::ring() {
+void h2_stream_state::notify() {
   if (outbox->closed) return;
   if (!std::exchange(queued, true)) outbox->ready.push_back(shared_from_this());
   outbox->signal.set();
@@ -80,7 +80,7 @@
   state_->outbound_headers = std::move(headers);
   state_->headers_end_stream = end_stream;
   state_->outbound_ended = end_stream;
-  state_->ring();
+  state_->notify();
   co_return outcome<void>();
 }
 
@@ -94,7 +94,7 @@
   state->outbound_bytes += bytes.size();
   if (!bytes.empty()) state->outbound.push_back(std::move(bytes));
   state->outbound_ended = end_stream;
-  state->ring();
+  state->notify();
   co_return outcome<void>();
 }
 
@@ -120,7 +120,7 @@
   }
   std::string bytes = std::exchange(state->inbound, {});
   state->consumed += bytes.size();
-  if (state->consumed >= credit_step && !state->inbound_ended) state->ring();
+  if (state->consumed >= credit_step && !state->inbound_ended) state->notify();
   co_return bytes;
 }
 
@@ -160,7 +160,7 @@
   if (state_->finished() || state_->reset_code) return;
   state_->reset_code = code;
   state_->fail(error_kind::closed, "this process has reset the stream", {});
-  state_->ring();
+  state_->notify();
 }
 
 awaitable<outcome<void>> h2_stream::wait_closed() {
--- a/wire/h2_stream_state.h
+++ b/wire/h2_stream_state.h
@@ -2,9 +2,9 @@
 /// The two bounded mailboxes of one stream, between the task that holds the stream and the connection's task.
 ///
 /// The holder reads `inbound` and writes `outbound`; the connection's task does the opposite. Neither touches the
-/// other's own state. After the holder has put something into `outbound` it calls `ring`, which queues the stream once
-/// in the connection's `h2_outbox`, however often it is called before the connection takes it; so many small writes in
-/// one turn of the event loop become one write to the socket.
+/// other's own state. After the holder has put something into `outbound` it calls `notify`, which queues the stream
+/// once in the connection's `h2_outbox`, however often it is called before the connection takes it; so many small
+/// writes in one turn of the event loop become one write to the socket.
 ///
 /// Used by h2_stream, h2_session and h2_connection only.
 #pragma once
@@ -41,7 +41,7 @@
         outbox(std::move(target)) {}
 
   /// Queues this stream for the connection's task.
-  void ring();
+  void notify();
 
   /// Connection's task: ends the stream for its holder; data that has arrived can still be read.
   void fail(error_kind failure_kind, std::string text, std::string where);
