One reader of HTTP/2 bodies for requests and answers

The check of a body against its announced length stood twice, in the sessions of peers and in the link to another node; a change of one would have missed the other. The check itself is unchanged.

--- a/node/mesh_upstream.cc
+++ b/node/mesh_upstream.cc
@@ -3,6 +3,8 @@
 // waits while 64 KiB are unsent, and the peer's window opens only as pieces are read.
 #include "node/mesh_upstream.h"
 
+#include "node/h2_body.h"
+
 namespace heatherdeck {
 namespace {
 
@@ -25,28 +27,13 @@
     auto fields = co_await std::move(reading);
     if (!fields) co_return fields.failure();
     auto head = read_h2_answer(*fields, method_);
-    if (head) {
-      answer_done_ = head->body == body_kind::none;
-      left_ = head->content_length;
-      sized_ = head->body == body_kind::sized;
-    }
+    if (head) body_.expect(head->body, head->content_length);
     co_return std::move(head);
   }
 
-  awaitable<outcome<std::string>> read_body() override {
-    if (answer_done_) co_return std::string();
-    auto reading = stream_->read();
-    auto piece = co_await std::move(reading);
-    if (!piece) co_return piece.failure();
-    if (sized_ && (piece->size() > left_ || (piece->empty() && left_ != 0))) {
-      co_return error{error_kind::bad_message, "the body does not have its announced length", "check the peer", {}};
-    }
-    left_ -= sized_ ? piece->size() : 0;
-    answer_done_ = piece->empty() || (sized_ && left_ == 0);
-    co_return std::move(piece);
-  }
+  awaitable<outcome<std::string>> read_body() override { return body_.read(*stream_); }
 
-  bool answer_done() const override { return answer_done_; }
+  bool answer_done() const override { return body_.done(); }
   bool body_buffered() const override { return false; }
   bool may_have_been_sent() const override { return stream_->may_have_been_sent(); }
   void finish() override {
@@ -57,10 +44,8 @@
  private:
   std::shared_ptr<h2_stream> stream_;
   std::string method_;
-  std::uint64_t left_ = 0;
-  bool sized_ = false;
+  h2_body body_;
   bool request_done_ = false;
-  bool answer_done_ = false;
 };
 
 }  // namespace
--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -5,6 +5,7 @@
 #include "node/peer_session.h"
 
 #include "node/exchange.h"
+#include "node/h2_body.h"
 
 namespace heatherdeck {
 namespace {
@@ -13,25 +14,13 @@
 
 class peer_caller : public caller_link {
  public:
-  peer_caller(std::shared_ptr<h2_stream> stream, const request_head& head)
-      : stream_(std::move(stream)), left_(head.content_length), sized_(head.body == body_kind::sized) {
-    body_done_ = head.body == body_kind::none;
+  peer_caller(std::shared_ptr<h2_stream> stream, const request_head& head) : stream_(std::move(stream)) {
+    body_.expect(head.body, head.content_length);
   }
 
-  awaitable<outcome<std::string>> read_body() override {
-    if (body_done_) co_return std::string();
-    auto reading = stream_->read();
-    auto piece = co_await std::move(reading);
-    if (!piece) co_return piece.failure();
-    if (sized_ && (piece->size() > left_ || (piece->empty() && left_ != 0))) {
-      co_return error{error_kind::bad_message, "the body does not have its announced length", "check the peer", {}};
-    }
-    left_ -= sized_ ? piece->size() : 0;
-    body_done_ = piece->empty() || (sized_ && left_ == 0);
-    co_return std::move(piece);
-  }
+  awaitable<outcome<std::string>> read_body() override { return body_.read(*stream_); }
 
-  bool body_done() const override { return body_done_; }
+  bool body_done() const override { return body_.done(); }
   bool body_buffered() const override { return false; }
 
   awaitable<outcome<void>> send_head(answer_head head, bool end, bool) override {
@@ -54,9 +43,7 @@
 
  private:
   std::shared_ptr<h2_stream> stream_;
-  std::uint64_t left_ = 0;
-  bool sized_ = false;
-  bool body_done_ = false;
+  h2_body body_;
 };
 
 // Reads what is left of the request, so that both directions end in good order. A stream that is dropped before that is
