--- a/consensus/consensus_task.cc
+++ b/consensus/consensus_task.cc
@@ -60,6 +60,10 @@
   raft_config config;
   config.host_id = s.id;
   config.founders = founders_ = founders_of(s);
+  config.forms_log = s.form_log;
+  config.admits_hosts = !s.founders.empty();
+  // With n lost folders of 2n + 1, the others are a quorum of which one at least holds each accepted change.
+  config.least_voters = s.tolerated_losses == 0 ? 0 : 2 * s.tolerated_losses + 1;
   config.heartbeat = s.heartbeat;
   config.election_timeout = s.election_timeout;
   config.lease = s.election_timeout * 5 / 6;  // the design's 500 ms of 600 ms
@@ -210,6 +214,17 @@
   step(change_asked{id, question.action, std::move(question.subject)});
 }
 
+void consensus_service::task::on_question(const directory_view& view) {
+  if (failure_) return;
+  std::vector<voter> hosts;
+  for (const member_record& member : *view.members) {
+    if (member.role != process_role::control || member.state == member_state::left) continue;
+    if (member.node_id != host_id_) hosts.push_back({member.node_id, {}, member.mesh_address, false});
+  }
+  learned_ = hosts;
+  step(hosts_learned{std::move(hosts)});
+}
+
 void consensus_service::task::handle(message_received message) {
   if (failure_) return;
   silent_since_.erase(message.message.from);
@@ -280,6 +295,7 @@
   // The settings go before the membership, so that a host that moved is reached at its present address.
   const voter* host = find_member(founders_, host_id);
   if (host == nullptr) host = find_member(core_->known_hosts(), host_id);
+  if (host == nullptr) host = find_member(learned_, host_id);
   const auto found = links_.find(host_id);
   if (host == nullptr) return found == links_.end() ? nullptr : found->second.get();
   if (found != links_.end() && found->second->mesh_address() == host->mesh_address) return found->second.get();
--- a/consensus/consensus_task.h
+++ b/consensus/consensus_task.h
@@ -78,6 +78,7 @@
   void on_question(confirm_read question);
   void on_question(get_consensus_status question);
   void on_question(change_voters question);
+  void on_question(const directory_view& view);
 
   void step(raft_event event);
   void carry_out(persist_state action);
@@ -101,6 +102,7 @@
   std::string host_id_;
   std::uint64_t seed_ = 1;
   std::vector<voter> founders_;  ///< control hosts of the settings
+  std::vector<voter> learned_;   ///< control hosts that the directory knows
   mailbox<consensus_input> inbox_;
   std::optional<raft_core> core_;
   posix_files files_;
--- a/consensus/raft_core.cc
+++ b/consensus/raft_core.cc
@@ -101,6 +101,11 @@
     refused = refusal();
   } else if (proposals_.size() >= config_.max_pending) {
     refused = {error_kind::overloaded, "too many proposals wait for their commit", "try again later", {}};
+  } else if (voting_members(log_.voters()) < config_.least_voters) {
+    refused = {error_kind::no_quorum,
+               fmt::format("{} of the {} voters that a change must reach are members", voting_members(log_.voters()),
+                           config_.least_voters),
+               "try again; start more control hosts", {}};
   } else if (event.payload.size() > config_.payload_bytes) {
     refused = {error_kind::limit, "the command is larger than one message may be", "split the change", {}};
   } else {
@@ -126,12 +131,17 @@
     return;
   }
   proposals_[log_.last_index() + 1] = event.id;
-  append_entry({hard_.term, log_.last_index() + 1, entry_kind::membership, config_.codec.write_voters(*voters)},
-               *voters);
+  append_membership(*voters);
+}
+
+void raft_core::append_membership(const std::vector<voter>& voters) {
+  append_entry({hard_.term, log_.last_index() + 1, entry_kind::membership, config_.codec.write_voters(voters)}, voters);
   peers_.follow(log_, now_);
   replicate_all(false);
 }
 
+void raft_core::handle(hosts_learned event) { learned_hosts_ = std::move(event.hosts); }
+
 void raft_core::handle(persisted event) {
   durable_ticket_ = std::max(durable_ticket_, event.ticket);
   while (!ticket_ends_.empty() && ticket_ends_.front().first <= durable_ticket_) {
--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -15,7 +15,9 @@
 /// - votes and acknowledgements count only from the store id that the membership names, and a host votes only when it
 ///   was asked under its own store id;
 /// - a new log is formed by the first of `founders`, once, after every founder has answered that its store is untouched
-///   (term 0). A host with a replaced disk therefore never forms a second log; it waits to be admitted.
+///   (term 0). A host with a replaced disk therefore never forms a second log; it waits to be admitted;
+/// - with `admits_hosts` the leader adds every host that announces a store, as a learner first, and replaces the lost
+///   store of a host that announces a new one; one change at a time.
 #pragma once
 
 #include <cstdint>
@@ -86,9 +88,11 @@
   void handle(proposed event);
   void handle(read_asked event);
   void handle(change_asked event);
+  void handle(hosts_learned event);
   void handle(persisted event);
   void handle(image_taken event);
   void finish_step();
+  void append_membership(const std::vector<voter>& voters);
   void append_entry(log_entry entry, const std::optional<std::vector<voter>>& voters);
   void truncate_after(std::uint64_t index);
   void become_follower(std::uint64_t term, const std::string& leader);
@@ -134,6 +138,10 @@
   void on_read_request(const raft_message& message, const read_request& request);
   outcome<std::vector<voter>> changed_voters(const change_asked& change) const;
 
+  // raft_admission.cc: membership without an operator
+  void admit_hosts();
+  std::optional<change_asked> next_admission() const;
+
   // raft_follower.cc: what a leader sends, and reads on the way to it
   bool accept_leader(const raft_message& message);
   void on_append_request(const raft_message& message, const append_request& request);
@@ -177,6 +185,7 @@
   std::map<std::string, std::string> untouched_;  ///< formation: founders that answered with term 0
   bool log_exists_ = false;                       ///< formation: some founder has a log
   std::map<std::string, std::string> unadmitted_;
+  std::vector<voter> learned_hosts_;  ///< from gossip: where else to announce this store
   std::set<std::string> replaced_stores_;  ///< a late message of one of these announces nothing
 
   // waiting askers
--- a/consensus/raft_election.cc
+++ b/consensus/raft_election.cc
@@ -37,14 +37,18 @@
 // hosts the message only makes the store known to the leader.
 void raft_core::announce_store() {
   const bool forms = !config_.founders.empty() && config_.founders.front().host_id == config_.host_id;
-  if (log_.voters().empty() && forms && hard_.term == 0 && !log_exists_) {
+  if (log_.voters().empty() && forms && config_.forms_log && hard_.term == 0 && !log_exists_) {
     election_deadline_ = now_ + config_.heartbeat;
     untouched_[config_.host_id] = config_.store_id;
     if (untouched_.size() == config_.founders.size()) return form_log();
   } else {
     draw_election_deadline();
   }
-  for (const voter& host : known_hosts()) {
+  std::vector<voter> hosts = known_hosts();
+  for (const voter& host : learned_hosts_) {
+    if (find_member(hosts, host.host_id) == nullptr) hosts.push_back(host);
+  }
+  for (const voter& host : hosts) {
     if (host.host_id == config_.host_id) continue;
     send(envelope(host.host_id, {}, hard_.term, vote_request{true, log_.last_index(), log_.last_term()}));
   }
--- a/consensus/raft_leader.cc
+++ b/consensus/raft_leader.cc
@@ -18,6 +18,7 @@
   replicate_all(true);
   start_read_round();
   confirm_reads();
+  admit_hosts();
 }
 
 void raft_core::check_lease() {
@@ -129,6 +130,7 @@
   replicate_all(true);
   if (log_.voters_index() <= commit_ && !self_votes()) return become_follower(hard_.term, {});
   start_read_round();
+  admit_hosts();
 }
 
 // --- reads ---------------------------------------------------------------------------------------------------------
--- a/consensus/raft_log.cc
+++ b/consensus/raft_log.cc
@@ -78,9 +78,11 @@
   return member != nullptr && !member->learner && member->store_id == store_id;
 }
 
-std::size_t quorum_size(const std::vector<voter>& voters) {
+std::size_t voting_members(const std::vector<voter>& voters) {
   const auto voting = std::count_if(voters.begin(), voters.end(), [](const voter& v) { return !v.learner; });
-  return static_cast<std::size_t>(voting) / 2 + 1;
+  return static_cast<std::size_t>(voting);
 }
 
+std::size_t quorum_size(const std::vector<voter>& voters) { return voting_members(voters) / 2 + 1; }
+
 }  // namespace heatherdeck
--- a/consensus/raft_log.h
+++ b/consensus/raft_log.h
@@ -70,6 +70,9 @@
 /// @return true when this host with this store is a voting member.
 bool is_voter(const std::vector<voter>& voters, const std::string& host_id, const std::string& store_id);
 
+/// @return how many members vote.
+std::size_t voting_members(const std::vector<voter>& voters);
+
 /// @return how many members must agree.
 std::size_t quorum_size(const std::vector<voter>& voters);
 
--- /dev/null
+++ b/control/configuration.cc
@@ -0,0 +1,143 @@
+// Routes are spread over a fixed number of sections by a hash of their names. Invariant: the texts of the sections are
+// JSON objects, so joining their insides gives back the routes as they were sent. Cost: one parse of the text, one hash
+// for each route.
+#include "control/configuration.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include "model/document_digest.h"
+
+namespace heatherdeck {
+namespace {
+
+namespace json = boost::json;
+
+// 400 routes make sections of some 5 KiB: small enough for a change to be cheap to send and to parse.
+constexpr std::uint64_t route_sections = 16;
+constexpr std::string_view label_name = "label";
+constexpr std::string_view routes_prefix = "routes.";
+constexpr std::size_t max_json_depth = 12;
+
+boost::leaf::error_id refuse(std::string text, std::string remedy) {
+  return fail(error_kind::bad_document, std::move(text), std::move(remedy), "configuration");
+}
+
+std::string section_of_route(std::string_view name) {
+  return fmt::format("{}{:02x}", routes_prefix, hash_of(name) % route_sections);
+}
+
+/// A member that is a section of its own.
+struct member_row {
+  std::string_view member;
+  std::string_view section;
+};
+constexpr member_row member_rows[] = {{"services", "services"}, {"limits", "callers"}};
+
+bool holds_configuration(std::string_view section_name) {
+  const auto same = [&](const member_row& row) { return row.section == section_name; };
+  return section_name == label_name || section_name.starts_with(routes_prefix) ||
+         std::any_of(std::begin(member_rows), std::end(member_rows), same);
+}
+
+result<void> add_routes(configuration& out, const json::value& routes) {
+  const auto* by_name = routes.if_object();
+  if (by_name == nullptr) return refuse("the member 'routes' is not a map of routes by name", "send a JSON object");
+  std::map<std::string, json::object> parts;
+  for (const auto& route : *by_name) {
+    parts[section_of_route({route.key().data(), route.key().size()})].emplace(route.key(), route.value());
+  }
+  for (auto& [name, part] : parts) out.sections[name] = json::serialize(part);
+  return {};
+}
+
+std::string_view inside(std::string_view object) { return object.substr(1, object.size() - 2); }
+
+}  // namespace
+
+result<std::uint64_t> read_label_number(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
+  if (text.size() != label_digits || ec != std::errc{} || end != text.data() + text.size()) {
+    return refuse("'" + std::string(text.substr(0, 32)) + "' is not a version", "use eight hexadecimal digits");
+  }
+  return number;
+}
+
+result<configuration> read_configuration(std::string_view text) {
+  boost::system::error_code ec;
+  json::parse_options options;
+  options.max_depth = max_json_depth;
+  const json::value parsed = json::parse({text.data(), text.size()}, ec, {}, options);
+  const auto* whole = ec ? nullptr : parsed.if_object();
+  if (whole == nullptr) return refuse("the text is not one JSON object: " + ec.message(), "send the whole text");
+  configuration out;
+  for (const auto& member : *whole) {
+    const std::string_view name(member.key().data(), member.key().size());
+    const auto* row = std::find_if(std::begin(member_rows), std::end(member_rows),
+                                   [name](const member_row& r) { return r.member == name; });
+    if (name == "version") {
+      const auto* label = member.value().if_string();
+      if (label == nullptr) return refuse("the version is not a text", "use eight hexadecimal digits");
+      BOOST_LEAF_ASSIGN(out.label, read_label_number({label->data(), label->size()}));
+    } else if (name == "routes") {
+      BOOST_LEAF_CHECK(add_routes(out, member.value()));
+    } else if (row != std::end(member_rows)) {
+      if (!member.value().is_object()) return refuse("a member is not a map: " + std::string(name), "send an object");
+      out.sections[std::string(row->section)] = json::serialize(member.value());
+    } else {
+      return refuse("unknown member '" + std::string(name.substr(0, 64)) + "'",
+                    "use version, routes, services and limits");
+    }
+  }
+  if (out.label == 0) return refuse("the version is missing or 0", "give a version above the current one");
+  out.sections[std::string(label_name)] = fmt::format("\"{:08x}\"", out.label);
+  return out;
+}
+
+std::uint64_t label_of(const document_state& document) {
+  const auto found = document.sections.find(std::string(label_name));
+  if (found == document.sections.end()) return 0;
+  const auto number = capture([&] { return read_label_number(inside(found->second.text)); });
+  return number ? *number : 0;
+}
+
+std::vector<section_edit> edits_to(const configuration& wanted, const document_state& document) {
+  std::vector<section_edit> edits;
+  for (const auto& [name, text] : wanted.sections) {
+    const auto held = document.sections.find(name);
+    if (held == document.sections.end()) {
+      edits.push_back({name, text, {}});
+    } else if (held->second.text != text) {
+      edits.push_back({name, text, held->second.revision});
+    }
+  }
+  for (const auto& [name, held] : document.sections) {
+    if (holds_configuration(name) && !wanted.sections.contains(name)) edits.push_back({name, {}, held.revision});
+  }
+  return edits;
+}
+
+std::string write_configuration(const document_state& document) {
+  const auto label = document.sections.find(std::string(label_name));
+  if (label == document.sections.end()) return {};
+  std::string routes;
+  for (const auto& [name, held] : document.sections) {
+    if (!name.starts_with(routes_prefix)) continue;
+    if (!routes.empty()) routes += ',';
+    routes += inside(held.text);
+  }
+  std::string whole = "{\"version\":" + label->second.text + ",\"routes\":{" + routes + "}";
+  for (const member_row& row : member_rows) {
+    const auto held = document.sections.find(std::string(row.section));
+    if (held != document.sections.end()) whole += fmt::format(",\"{}\":{}", row.member, held->second.text);
+  }
+  return whole + "}";
+}
+
+}  // namespace heatherdeck
--- a/control/ledger.cc
+++ b/control/ledger.cc
@@ -218,7 +218,10 @@
 
 // Ending a finished rollout while the shares still name the old version would move all traffic back at once.
 result<void> ledger::check_end(const candidate& next, const rollout_state& ended, const submission& command) const {
-  if (!is_finished(ended.status) || !next.compiled->services.contains(ended.service)) return {};
+  const auto service = next.compiled->services.find(ended.service);
+  if (!is_finished(ended.status) || service == next.compiled->services.end()) return {};
+  // With open versions nothing but the rollouts section tells the versions apart.
+  if (service->second.open_versions) return {};
   if (share_of(*next.compiled, ended.service, ended.to) != 0) return {};
   for (const section_edit& edit : command.edits) {
     if (*kind_of_section(edit.name) == section_kind::shares) return {};
@@ -261,7 +264,8 @@
     return fail(error_kind::not_found, "service '" + command.service + "' does not exist", "check the name", where);
   }
   const std::vector<std::string>& versions = service->second.versions;
-  if (std::find(versions.begin(), versions.end(), command.upstream_version) == versions.end()) {
+  const bool open = service->second.open_versions;
+  if (!open && std::find(versions.begin(), versions.end(), command.upstream_version) == versions.end()) {
     return fail(error_kind::not_found,
                 "service '" + command.service + "' has no version '" + command.upstream_version + "'", "check the name",
                 where);
--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -13,6 +13,8 @@
 #include "node/pool_service.h"
 #include "node/proxy_service.h"
 #include "node/subscriber_service.h"
+#include "platform/configuration_service.h"
+#include "platform/dialect.h"
 #include "traffic/traffic_service.h"
 #include "wire/mesh_service.h"
 
@@ -31,6 +33,8 @@
   return std::unique_ptr<service>(std::move(made));
 }
 
+result<std::unique_ptr<service>> make_proxy(const settings& s) { return proxy_service::make(s, dialect_of(s.dialect)); }
+
 constexpr service_row service_rows[] = {
     {nullptr, &make_service<admin_service>},
     {nullptr, &make_service<mesh_service>},
@@ -39,10 +43,11 @@
     {&settings::control, &make_service<publisher_service>},
     {&settings::control, &make_service<rollout_service>},
     {&settings::control, &make_service<operators_service>},
+    {&settings::serves_configurations, &make_service<configuration_service>},
     {&settings::node, &make_service<traffic_service>},
     {&settings::node, &make_service<subscriber_service>},
     {&settings::node, &make_service<pool_service>},
-    {&settings::node, &make_service<proxy_service>},
+    {&settings::node, &make_proxy},
     {&settings::node, &make_service<announcement_service>},
     {nullptr, &make_service<directory_service>},
 };
--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "kernel/mailbox.h"
+#include "model/directory_messages.h"
 #include "model/distribution_messages.h"
 #include "model/ledger_messages.h"
 
@@ -104,6 +105,6 @@
 };
 
 using subscriber_message =
-    std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened, source_due>;
+    std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened, source_due, directory_view>;
 
 }  // namespace heatherdeck
--- a/model/raft_messages.h
+++ b/model/raft_messages.h
@@ -10,6 +10,7 @@
 
 #include "kernel/enum_names.h"
 #include "kernel/mailbox.h"
+#include "model/directory_messages.h"
 
 namespace heatherdeck {
 
@@ -175,6 +176,7 @@
   reply<committed> answer;
 };
 
-using consensus_message = std::variant<propose_command, confirm_read, get_consensus_status, change_voters>;
+using consensus_message =
+    std::variant<propose_command, confirm_read, get_consensus_status, change_voters, directory_view>;
 
 }  // namespace heatherdeck
--- a/model/service_names.h
+++ b/model/service_names.h
@@ -13,6 +13,7 @@
   ledger,         ///< replicated state: document, submissions, rollouts, withdrawn versions
   publisher,      ///< subscriptions of nodes at a control host
   rollout,        ///< planner and judge, active on the leader
+  configuration,  ///< HTTP API for whole configurations and rollouts at a control host
   operators,      ///< HTTP API for operators at a control host
   mesh,           ///< h2 connections between processes
   admin,          ///< HTTP listener for dump, metrics, liveness and readiness
@@ -32,6 +33,7 @@
       {service_name::ledger, "ledger"},
       {service_name::publisher, "publisher"},
       {service_name::rollout, "rollout"},
+      {service_name::configuration, "configuration"},
       {service_name::operators, "operators"},
       {service_name::mesh, "mesh"},
       {service_name::admin, "admin"},
--- a/model/settings.h
+++ b/model/settings.h
@@ -34,31 +34,51 @@
   std::vector<std::string> sections;  ///< section names; a trailing "*" matches any rest
 };
 
+/// How callers and upstreams name what travels with a request; see node/dialect.h.
+enum class dialect_name { native, platform };
+
+template <>
+struct enum_table<dialect_name> {
+  static constexpr auto entries = std::to_array<enum_entry<dialect_name>>({
+      {dialect_name::native, "native"},
+      {dialect_name::platform, "platform"},
+  });
+};
+
 struct settings {
   std::string id;
   std::string region;
   std::string availability_zone;
   bool control = false;
   bool node = false;
+  bool serves_configurations = false;  ///< role control with configuration_listen
   std::string mesh_listen;
   std::string admin_listen;
   std::string operator_listen;
   std::string caller_listen;
   std::string upstream_listen;
+  std::string configuration_listen;
+  std::string caller_service;  ///< service of the upstream on this host; told to the upstreams that its calls reach
   std::string data_folder;
   std::string mesh_key_file;
   std::string mesh_key;  ///< secret; never dumped or logged
   std::uint64_t epoch = 1;
   std::uint64_t seed = 0;  ///< 0: taken from the system's random source
+  std::uint64_t tolerated_losses = 0;  ///< data folders that may be lost at once without losing an accepted change
+  bool form_log = true;                ///< false: this host may only join a log that exists
+  dialect_name dialect = dialect_name::native;
   log_level lowest_level = log_level::info;
   std::chrono::milliseconds drain_limit{30'000};
   std::chrono::milliseconds heartbeat{100};
   std::chrono::milliseconds election_timeout{600};
   std::chrono::milliseconds keepalive{5'000};
+  std::chrono::milliseconds announcement_period{500};
+  std::chrono::milliseconds stop_grace{0};  ///< 0: only drain_limit bounds a planned stop
   double convergence_weight = 0.5;  ///< 1: favour convergence and rollback; 0: favour control bytes and good versions
   std::vector<control_host> control_hosts;
   std::vector<operator_key> operators;
   std::vector<std::string> seeds;  ///< mesh addresses that gossip contacts first, besides the control hosts
+  std::vector<std::string> founders;  ///< addresses of control hosts in place of control_hosts; the ports are not used
 };
 
 /// One row of the table of keys.
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -61,6 +61,7 @@
   std::string upstream_version;  ///< from_peer: the version that the first node chose
   std::uint32_t attempt = 0;     ///< 0 for the first attempt
   std::string avoid_target;      ///< the target of the failed attempt before, if any
+  std::string kept_service;      ///< later attempts: the part of a split route that the first one drew
 };
 
 /// Load of a target, from its announcement (own host) or from the `hd-load` header of an answer.
@@ -83,6 +84,7 @@
   std::string mesh_address;
   choice_reason reason = choice_reason::local;
   bool idempotent = false;
+  std::uint32_t attempts = 2;              ///< targets to which the request may be sent
   std::chrono::milliseconds timeout{0};    ///< the smaller of the route's time-out and the deadline
   std::optional<load_report> target_load;  ///< local: last reported load; goes into hd-load of the answer to a peer
 };
--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -19,6 +19,9 @@
   return {error_kind::bad_message, std::move(text), std::move(remedy), std::string(where)};
 }
 
+// Of an upstream that does not tell how many connections it accepts.
+constexpr std::uint32_t assumed_connections = 100;
+
 bool is_name(std::string_view text) {
   if (text.empty() || text.size() > 64) return false;
   return std::all_of(text.begin(), text.end(), [](char c) {
@@ -77,6 +80,28 @@
   return {};
 }
 
+result<void> read_whole(const json::value& value, std::string_view member, std::uint64_t& into) {
+  const auto* number = value.if_int64();
+  if (number == nullptr || *number < 0) return fail(refuse("not a whole number", "use 0 or more", member));
+  into = static_cast<std::uint64_t>(*number);
+  return {};
+}
+
+result<void> read_born(const json::value& v, announcement& a) { return read_whole(v, "born", a.order.born_ms); }
+result<void> read_sequence(const json::value& v, announcement& a) {
+  return read_whole(v, "sequence", a.order.sequence);
+}
+result<void> read_warmup(const json::value& v, announcement& a) {
+  std::uint64_t left = 0;
+  BOOST_LEAF_CHECK(read_whole(v, "warmup_left_ms", left));
+  a.warmup_left = milliseconds(std::min<std::uint64_t>(left, 600'000));
+  return {};
+}
+result<void> read_zone(const json::value& v, announcement&) {
+  std::string zone;
+  return read_name(v, "zone", zone);
+}
+
 result<void> read_load(const json::value& value, announcement& a) {
   const auto* load = value.if_object();
   if (load == nullptr || load->size() != 2 || !load->contains("in_flight") || !load->contains("queued")) {
@@ -98,9 +123,13 @@
     {"target", true, read_target},
     {"address", true, read_address},
     {"slots", true, read_slots},
-    {"connections", true, read_connections},
+    {"connections", false, read_connections},
     {"state", true, read_state},
     {"load", false, read_load},
+    {"zone", false, read_zone},
+    {"warmup_left_ms", false, read_warmup},
+    {"born", false, read_born},
+    {"sequence", false, read_sequence},
 });
 
 std::string member_names() {
@@ -123,7 +152,7 @@
 
 }  // namespace
 
-result<announcement> parse_announcement(std::string_view text) {
+result<announcement> parse_announcement(std::string_view text, std::string_view target) {
   if (text.size() > max_announcement_bytes) {
     return fail(refuse("the announcement is longer than 4096 bytes", "leave out what is not needed", "body"));
   }
@@ -134,6 +163,8 @@
   const auto* object = ec ? nullptr : parsed.if_object();
   if (object == nullptr) return fail(refuse("the body is not a JSON object", "send one JSON object", "body"));
   announcement said;
+  said.endpoint.connections = assumed_connections;
+  if (!target.empty()) BOOST_LEAF_CHECK(read_target(json::value(json::string(target)), said));
   for (const auto& member : *object) {
     const std::string_view name(member.key().data(), member.key().size());
     const auto* row =
@@ -143,6 +174,7 @@
     BOOST_LEAF_CHECK(row->read(member.value(), said));
   }
   for (const member_row& row : member_rows) {
+    if (row.name == "target" && !target.empty()) continue;
     if (row.required && !object->contains({row.name.data(), row.name.size()})) {
       return fail(refuse("the member is missing", "an announcement needs: " + member_names(), row.name));
     }
@@ -152,7 +184,16 @@
 
 result<announcement_core::changes> announcement_core::put(time_point now, const announcement& said) {
   const std::string& target = said.endpoint.target;
+  if (!service_.empty() && said.endpoint.service != service_) {
+    return fail(refuse("service '" + said.endpoint.service + "' is not the one of this host",
+                       "announce service '" + service_ + "'", "service"));
+  }
   const auto found = targets_.find(target);
+  const bool late = found != targets_.end() && said.order < found->second.said.order;
+  const bool ended = std::any_of(ended_.begin(), ended_.end(), [&](const auto& e) {
+    return e.first == target && said.order.sequence != 0 && said.order <= e.second;
+  });
+  if (late || ended) return changes{};
   if (found == targets_.end() && targets_.size() >= max_announced_targets) {
     return fail(error_kind::limit, "more than 16 targets are announced on this host", "end the leases of others first",
                 target);
@@ -162,7 +203,7 @@
     result.endpoints.push_back(said.endpoint);
   }
   result.loads.push_back({target, said.load});
-  targets_[target] = {said, now + announcement_lease};
+  targets_[target] = {said, now + lease_};
   return result;
 }
 
@@ -175,10 +216,16 @@
   changes result;
   result.endpoints.push_back(found->second.said.endpoint);
   result.endpoints.back().state = upstream_state::gone;
+  end(found->second.said);
   targets_.erase(found);
   return result;
 }
 
+void announcement_core::end(const announcement& said) {
+  ended_.emplace_back(said.endpoint.target, said.order);
+  if (ended_.size() > max_ended) ended_.pop_front();
+}
+
 announcement_core::changes announcement_core::tick(time_point now) {
   changes result;
   std::erase_if(targets_, [&](const auto& entry) {
--- a/node/announcement_service.cc
+++ b/node/announcement_service.cc
@@ -20,9 +20,11 @@
 // An eighth of the lease: an upstream that has gone is noticed at most this long after its lease.
 constexpr duration tick_period = milliseconds(250);
 constexpr duration answer_limit = std::chrono::seconds(1);
+constexpr std::string_view announcement_path = "/v1/announcement";
 
 struct announcement_tick {};
 struct put_announcement {
+  std::string target;  ///< of the path; empty: the body names it
   std::string body;
   reply<http_response> answer;
 };
@@ -35,11 +37,15 @@
 }  // namespace
 
 struct announcement_service::state : std::enable_shared_from_this<announcement_service::state> {
-  explicit state(kernel& k) : timers(&k.timers()), executor(k.executor()), inbox(executor, 256) {}
+  state(kernel& k, const settings& s)
+      : timers(&k.timers()),
+        executor(k.executor()),
+        inbox(executor, 256),
+        core(s.announcement_period, s.caller_service) {}
 
   struct route {
     std::string_view method;
-    announcement_message (*make)(http_request& request, reply<http_response> answer);
+    announcement_message (*make)(std::string target, http_request& request, reply<http_response> answer);
   };
   static const route routes[];
 
@@ -66,19 +72,21 @@
 
 const announcement_service::state::route announcement_service::state::routes[] = {
     {"PUT",
-     [](http_request& request, reply<http_response> answer) -> announcement_message {
-       return put_announcement{std::move(request.body), std::move(answer)};
+     [](std::string target, http_request& request, reply<http_response> answer) -> announcement_message {
+       return put_announcement{std::move(target), std::move(request.body), std::move(answer)};
      }},
     {"DELETE",
-     [](http_request& request, reply<http_response> answer) -> announcement_message {
-       return remove_announcement{request.query["target"], std::move(answer)};
+     [](std::string target, http_request& request, reply<http_response> answer) -> announcement_message {
+       return remove_announcement{target.empty() ? request.query["target"] : std::move(target), std::move(answer)};
      }},
 };
 
 awaitable<http_response> announcement_service::state::serve(http_request request) {
+  const bool ours = request.path == announcement_path || request.path.starts_with(std::string(announcement_path) + "/");
+  const std::string target = ours ? request.path.substr(std::min(request.path.size(), announcement_path.size() + 1)) : "";
   for (const route& r : routes) {
-    if (request.method != r.method || request.path != "/v1/announcement") continue;
-    auto make = [&](reply<http_response> answer) { return r.make(request, std::move(answer)); };
+    if (request.method != r.method || !ours) continue;
+    auto make = [&](reply<http_response> answer) { return r.make(target, request, std::move(answer)); };
     auto asking = ask<http_response>(*timers, executor, inbox.address(), answer_limit, std::move(make));
     auto answer = co_await std::move(asking);
     if (!answer) co_return error_response(answer.failure());
@@ -92,7 +100,7 @@
 
 void announcement_service::state::handle(const put_announcement& asked) {
   asked.answer(pass_on(capture([&]() -> result<announcement_core::changes> {
-    BOOST_LEAF_AUTO(said, parse_announcement(asked.body));
+    BOOST_LEAF_AUTO(said, parse_announcement(asked.body, asked.target));
     return core.put(timer_service::now(), said);
   })));
 }
@@ -119,7 +127,7 @@
     if (traffic) traffic.post(load);
   }
   post_pending();
-  const auto lease = std::chrono::duration_cast<milliseconds>(announcement_lease);
+  const auto lease = std::chrono::duration_cast<milliseconds>(core.lease());
   return json_response(200, boost::json::object{{"lease_ms", lease.count()}});
 }
 
@@ -138,7 +146,7 @@
   }
 }
 
-announcement_service::announcement_service(const settings& s) : listen_(s.upstream_listen) {}
+announcement_service::announcement_service(const settings& s) : settings_(s) {}
 
 announcement_service::~announcement_service() { stop(); }
 
@@ -148,7 +156,7 @@
 
 std::string_view announcement_service::name() const { return to_name(service_name::announcements); }
 
-void announcement_service::publish(kernel& k) { state_ = std::make_shared<state>(k); }
+void announcement_service::publish(kernel& k) { state_ = std::make_shared<state>(k, settings_); }
 
 result<void> announcement_service::start(kernel& k) {
   if (k.has(to_name(service_name::directory))) {
@@ -167,7 +175,7 @@
     auto serving = self->serve(std::move(request));
     co_return co_await std::move(serving);
   };
-  BOOST_LEAF_ASSIGN(state_->listener, http_listener::make(k, listen_, std::move(serve)));
+  BOOST_LEAF_ASSIGN(state_->listener, http_listener::make(k, settings_.upstream_listen, std::move(serve)));
   boost::asio::co_spawn(k.executor(), state::run(state_), boost::asio::detached);
   const address<announcement_message> inbox = state_->inbox.address();
   state_->tick = k.timers().every(tick_period, [inbox] { inbox.post(announcement_tick{}); });
--- a/node/announcement_service.h
+++ b/node/announcement_service.h
@@ -2,7 +2,9 @@
 /// The service "announcements": the HTTP API of the upstreams on this host.
 ///
 ///     PUT    /v1/announcement                every 500 ms; see node/announcement_core.h for the body
+///     PUT    /v1/announcement/NAME           the same with the target's name in the path
 ///     DELETE /v1/announcement?target=NAME    ends the lease at once; NAME may be left out when it is the only one
+///     DELETE /v1/announcement/NAME           the same
 ///
 /// Listens on `upstream_listen`. Posts endpoints to "directory", load to "traffic" and connection limits to "pool", as
 /// far as these run in the process.
@@ -17,7 +19,7 @@
 
 class announcement_service : public service {
  public:
-  /// @param s uses upstream_listen.
+  /// @param s uses upstream_listen, announcement_period and caller_service.
   static result<std::unique_ptr<service>> make(const settings& s);
   ~announcement_service() override;
 
@@ -34,7 +36,7 @@
   struct state;
   explicit announcement_service(const settings& s);
 
-  std::string listen_;
+  settings settings_;
   std::shared_ptr<state> state_;
 };
 
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -49,7 +49,7 @@
 }
 
 // @return the head, or the status and text of the refusal.
-std::variant<request_head, bad_request> convert(request_reader& reader) {
+std::variant<request_head, bad_request> convert(request_reader& reader, const http_dialect& spoken) {
   if (std::string problem = check_framing(reader); !problem.empty()) return bad_request{400, std::move(problem)};
   const auto& message = reader.message();
   request_head head;
@@ -62,7 +62,8 @@
   for (const auto& field : message) {
     if (++count > max_header_fields) return bad_request{431, "more than 100 header fields"};
     const std::string_view name(field.name_string().data(), field.name_string().size());
-    if (!head.add(name, {field.value().data(), field.value().size()})) {
+    const std::string lower = lower_case(name);
+    if (!head.add(spoken.own_request_name(lower), {field.value().data(), field.value().size()})) {
       return bad_request{400, "the field '" + std::string(name) + "' is refused"};
     }
   }
@@ -80,8 +81,9 @@
 class h1_caller : public caller_link {
  public:
   /// @param draining of the session; may turn true while the exchange runs.
-  h1_caller(h1_stream& stream, request_reader& reader, const bool& draining)
-      : stream_(&stream), reader_(&reader), draining_(&draining) {}
+  /// @param spoken outlives the session.
+  h1_caller(h1_stream& stream, request_reader& reader, const bool& draining, const http_dialect& spoken)
+      : stream_(&stream), reader_(&reader), draining_(&draining), spoken_(&spoken) {}
 
   void describe(const request_head& head) {
     http_1_0_ = head.http_1_0;
@@ -115,7 +117,7 @@
       head.announced_length = head.content_length;
       head.body = body_kind::none;
     }
-    text_ = h1_answer_text(head, keep_alive_, chunked_);
+    text_ = h1_answer_text(head, keep_alive_, chunked_, *spoken_);
     if (!end && body_at_hand) co_return outcome<void>();
     auto writing = write_h1(*stream_, std::exchange(text_, {}), {}, false, false);
     const auto written = co_await std::move(writing);
@@ -160,6 +162,7 @@
   h1_stream* stream_;
   request_reader* reader_;
   const bool* draining_;
+  const http_dialect* spoken_;
   std::string text_;
   bool http_1_0_ = false;
   bool keep_alive_ = false;
@@ -226,7 +229,7 @@
 
 awaitable<void> caller_session::refuse(request_reader& reader, unsigned status, std::string text) {
   static constexpr bool last = true;
-  h1_caller caller(stream_, reader, last);
+  h1_caller caller(stream_, reader, last, *context_->dialect);
   auto refusing = send_refusal(caller, status, run_claim::not_run, {}, std::move(text), {});
   co_await std::move(refusing);
 }
@@ -246,7 +249,7 @@
     }
     co_return false;
   }
-  auto converted = convert(reader);
+  auto converted = convert(reader, *context_->dialect);
   if (auto* bad = std::get_if<bad_request>(&converted)) {
     auto refusing = refuse(reader, bad->status, std::move(bad->text));
     co_await std::move(refusing);
@@ -255,7 +258,8 @@
   request_head head = std::move(std::get<request_head>(converted));
   ++counts_.requests;
   if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
-  h1_caller caller(stream_, reader, draining_);
+  head.caller_service = context_->caller_service;
+  h1_caller caller(stream_, reader, draining_, *context_->dialect);
   caller.describe(head);
   auto exchanging = run_exchange(context_, caller, std::move(head));
   const exchange_end end = co_await std::move(exchanging);
--- /dev/null
+++ b/node/dialect.cc
@@ -0,0 +1,34 @@
+// The native dialect and the look-ups on any of them. Invariant: a field that a caller must not set for others, such as
+// the expected target, is mapped to a name that every head drops. Cost: a few comparisons for each field.
+#include "node/dialect.h"
+
+#include "node/message_head.h"
+
+namespace heatherdeck {
+
+std::string_view http_dialect::own_request_name(std::string_view lower_name) const {
+  if (lower_name == request_id) return "hd-request-id";
+  if (lower_name == deadline_ms) return "hd-deadline-ms";
+  const bool set_by_nodes = lower_name == caller_service || lower_name == expected_target;
+  if (set_by_nodes && !lower_name.empty()) return "hd-stream";
+  return lower_name;
+}
+
+bool http_dialect::promises_not_run(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+const http_dialect& native_dialect() {
+  static constexpr http_dialect dialect{.request_id = "hd-request-id",
+                                        .deadline_ms = "hd-deadline-ms",
+                                        .hops_left = "hd-hops-left",
+                                        .retries_left = "hd-retries-left",
+                                        .run_outcome = "hd-outcome",
+                                        .refused = "hd-refused",
+                                        .served_by = "hd-served-by",
+                                        .load = "hd-load",
+                                        .read_load = &parse_load};
+  return dialect;
+}
+
+}  // namespace heatherdeck
--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -13,6 +13,8 @@
 #include <boost/json/object.hpp>
 
 #include "kernel/log.h"
+#include "model/publisher_messages.h"
+#include "model/raft_messages.h"
 #include "model/service_names.h"
 #include "model/traffic_messages.h"
 #include "node/directory_core.h"
@@ -67,6 +69,12 @@
     if (kernel_.has(to_name(service_name::traffic))) {
       BOOST_LEAF_ASSIGN(traffic_, kernel_.find<traffic_message>(to_name(service_name::traffic)));
     }
+    if (kernel_.has(to_name(service_name::consensus))) {
+      BOOST_LEAF_ASSIGN(consensus_, kernel_.find<consensus_message>(to_name(service_name::consensus)));
+    }
+    if (kernel_.has(to_name(service_name::subscriber))) {
+      BOOST_LEAF_ASSIGN(subscriber_, kernel_.find<subscriber_message>(to_name(service_name::subscriber)));
+    }
     if (kernel_.has(to_name(service_name::mesh))) {
       BOOST_LEAF_ASSIGN(mesh_, kernel_.find<mesh_message>(to_name(service_name::mesh)));
     }
@@ -158,8 +166,11 @@
     view_due_ = false;
     last_view_ = timer_service::now();
     const directory_view_ptr view = core_.view();
-    // A full mailbox must not leave `traffic` with old members: the view is posted again after the pause.
-    if (traffic_ && !traffic_.post(directory_view{view})) {
+    // A full mailbox must not leave its owner with old members: the view is posted again after the pause.
+    const bool told_traffic = !traffic_ || traffic_.post(directory_view{view});
+    const bool told_consensus = !consensus_ || consensus_.post(directory_view{view});
+    const bool told_subscriber = !subscriber_ || subscriber_.post(directory_view{view});
+    if (!told_traffic || !told_consensus || !told_subscriber) {
       view_due_ = true;
       view_timer_ = kernel_.timers().after(view_pause, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) self->post_view();
@@ -177,6 +188,8 @@
   std::unique_ptr<datagram_socket> socket_;
   directory_core core_;
   address<traffic_message> traffic_;
+  address<consensus_message> consensus_;
+  address<subscriber_message> subscriber_;
   address<mesh_message> mesh_;
   subscription tick_;
   subscription view_timer_;
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -82,6 +82,7 @@
   time_point sent_at_{};
   duration latency_{};
   std::string avoid_target_;
+  std::string kept_service_;
   std::string replay_;
   std::size_t replayed_ = 0;
   bool replayable_ = true;
@@ -100,6 +101,7 @@
   }
   facts.attempt = core_.attempts();
   facts.avoid_target = avoid_target_;
+  facts.kept_service = kept_service_;
   return facts;
 }
 
@@ -146,8 +148,10 @@
 awaitable<exchange_end> exchange::answer(exchange_decision decision, std::string refused, std::string text) {
   core_.mark_answered();
   if (decision.claim != run_claim::not_run) refused.clear();  // the header says that nothing has run
-  auto sending =
-      send_refusal(*caller_, decision.status, decision.claim, std::move(refused), std::move(text), head_.request_id);
+  const bool come_back = decision.claim == run_claim::not_run && decision.status == 503 && !ticket_;
+  const milliseconds retry_after = come_back ? ticket_.refused().retry_after : milliseconds(0);
+  auto sending = send_refusal(*caller_, decision.status, decision.claim, std::move(refused), std::move(text),
+                              head_.request_id, retry_after);
   co_await std::move(sending);
   co_return caller_->body_done() ? exchange_end::keep : exchange_end::close;
 }
@@ -345,7 +349,9 @@
       auto refusing = answer(core_.refuse(reason), std::string(to_name(reason)), "no upstream can be chosen");
       co_return co_await std::move(refusing);
     }
-    core_.begin_attempt(ticket_.choice().idempotent, ticket_.choice().timeout, timer_service::now());
+    const upstream_choice& choice = ticket_.choice();
+    kept_service_ = choice.service;
+    core_.begin_attempt(choice.idempotent, choice.timeout, timer_service::now(), choice.attempts);
     auto attempting = attempt();
     const attempt_result result = co_await std::move(attempting);
     if (result.end == attempt_end::answered) co_return caller_->body_done() ? exchange_end::keep : exchange_end::close;
@@ -381,8 +387,9 @@
 }
 
 awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, std::string refused,
-                             std::string text, std::string request_id) {
+                             std::string text, std::string request_id, milliseconds retry_after) {
   answer_head head;
+  head.retry_after = retry_after;
   head.status = status;
   head.claim = claim;
   head.refused = std::move(refused);
--- a/node/exchange.h
+++ b/node/exchange.h
@@ -33,8 +33,9 @@
 awaitable<exchange_end> run_exchange(proxy_context_ptr context, caller_link& caller, request_head head);
 
 /// Answers a request that was refused before an exchange began.
-/// @param reason machine-readable word for the body.
+/// @param refused machine-readable word for the body.
+/// @param retry_after when the caller may come back; 0: not stated.
 awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, std::string refused,
-                             std::string text, std::string request_id);
+                             std::string text, std::string request_id, milliseconds retry_after = milliseconds(0));
 
 }  // namespace heatherdeck
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -67,8 +67,9 @@
   return std::nullopt;
 }
 
-void exchange_core::begin_attempt(bool idempotent, milliseconds timeout, time_point now) {
+void exchange_core::begin_attempt(bool idempotent, milliseconds timeout, time_point now, std::uint32_t targets) {
   ++attempts_;
+  targets_allowed_ = targets;
   state_ = run_state::not_sent;
   idempotent_ = idempotent;
   if (timeout <= milliseconds::zero()) return;
@@ -95,7 +96,8 @@
   if (attempts_ >= limit || !replayable || !may_send(now)) return false;
   if (may_have_run_ && !idempotent_) return false;
   if (proved_not_run) return true;
-  if (limits_.retries_left == 0) return false;
+  ++targets_used_;
+  if (limits_.retries_left == 0 || targets_used_ >= targets_allowed_) return false;
   --limits_.retries_left;
   return true;
 }
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -132,7 +132,8 @@
   /// Begins the next attempt.
   /// @param idempotent as the route says.
   /// @param timeout as the choice says; the first attempt's time-out bounds the whole exchange.
-  void begin_attempt(bool idempotent, milliseconds timeout, time_point now);
+  /// @param targets to how many targets the request may be sent in all.
+  void begin_attempt(bool idempotent, milliseconds timeout, time_point now, std::uint32_t targets = 2);
 
   /// A piece of the request's body has been passed on: the route's time-out counts from here, the caller's deadline
   /// stays.
@@ -181,6 +182,8 @@
   milliseconds timeout_{0};
   run_state state_ = run_state::not_sent;
   std::uint32_t attempts_ = 0;
+  std::uint32_t targets_allowed_ = 2;
+  std::uint32_t targets_used_ = 0;  ///< attempts that may have reached a target
   bool idempotent_ = false;
   bool may_have_run_ = false;
   unsigned last_status_ = 502;
--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -16,7 +16,44 @@
   return {h1_reader<false>::kind_of(ec), "the upstream's connection failed: " + ec.message(), "check the upstream", {}};
 }
 
-answer_head convert(h1_reader<false>& reader, bool bodiless) {
+error not_ours(std::string text) {
+  return {error_kind::bad_message, "the upstream's answer is not one to this request: " + std::move(text),
+          "check the upstream", {}};
+}
+
+// Takes out of the head what the dialect says about the request that it answers.
+outcome<void> read_claims(answer_head& head, const std::string& request_id, const http_dialect& spoken) {
+  bool proved = spoken.proof.empty();
+  bool answered_id = !spoken.answers_carry_id;
+  for (const auto& [name, value] : head.headers) {
+    if (!spoken.not_run.empty() && name == spoken.not_run) head.claim = run_claim::not_run;
+    if (!spoken.proof.empty() && name == spoken.proof) proved = true;
+    if (spoken.answers_carry_id && name == spoken.request_id) answered_id = value == request_id;
+    if (spoken.read_load != nullptr && name == spoken.load) head.load = spoken.read_load(value);
+  }
+  // Another target answered in place of the one that was meant: as far as the caller is concerned, none is there.
+  constexpr unsigned misdirected = 421;
+  if (spoken.statuses_promise && head.status == misdirected) {
+    head.claim = run_claim::not_run;
+    head.status = 503;
+  }
+  if (head.claim == run_claim::not_run) {
+    std::erase_if(head.headers, [&](const auto& f) { return f.first == spoken.not_run || f.first == spoken.proof; });
+    return {};
+  }
+  if (!answered_id) return not_ours("it carries another id or none");
+  if (!proved && head.status < 300) return not_ours("a success lacks the upstream's proof");
+  if (spoken.statuses_promise && http_dialect::promises_not_run(head.status)) {
+    return not_ours("its status promises what the upstream does not say");
+  }
+  if (spoken.answers_carry_id) {
+    std::erase_if(head.headers, [&](const auto& field) { return field.first == spoken.request_id; });
+  }
+  return {};
+}
+
+outcome<answer_head> convert(h1_reader<false>& reader, bool bodiless, const std::string& request_id,
+                             const http_dialect& spoken) {
   answer_head head;
   const auto& message = reader.message();
   head.status = message.result_int();
@@ -28,6 +65,7 @@
   // Only a node of the mesh can prove these; an upstream may have copied them from an answer to a call of its own.
   head.claim = run_claim::none;
   head.refused.clear();
+  if (const outcome<void> read = read_claims(head, request_id, spoken); !read) return read.failure();
   if (bodiless || reader.done()) return head;
   const auto length = reader.parser().content_length();
   head.body = length ? body_kind::sized : body_kind::streamed;
@@ -37,8 +75,14 @@
 
 class local_upstream : public upstream_link {
  public:
-  local_upstream(upstream_connection_ptr connection, std::string head, bool chunked, bool head_request)
-      : connection_(std::move(connection)), head_(std::move(head)), chunked_(chunked), head_request_(head_request) {
+  local_upstream(upstream_connection_ptr connection, std::string head, bool chunked, bool head_request,
+                 std::string request_id, const http_dialect& spoken)
+      : connection_(std::move(connection)),
+        head_(std::move(head)),
+        request_id_(std::move(request_id)),
+        spoken_(&spoken),
+        chunked_(chunked),
+        head_request_(head_request) {
     new_reader();
   }
 
@@ -59,7 +103,7 @@
     for (int interim = 0; interim <= max_interim_answers; ++interim) {
       const auto ec = co_await reader_->read_head();
       if (ec) co_return from(ec);
-      if (reader_->message().result_int() >= 200) co_return convert(*reader_, head_request_);
+      if (reader_->message().result_int() >= 200) co_return convert(*reader_, head_request_, request_id_, *spoken_);
       if (reader_->message().result_int() == 101) break;
       new_reader();
     }
@@ -96,6 +140,8 @@
   upstream_connection_ptr connection_;
   std::unique_ptr<h1_reader<false>> reader_;
   std::string head_;
+  std::string request_id_;
+  const http_dialect* spoken_;
   bool chunked_ = false;
   bool head_request_ = false;
   bool sent_ = false;
@@ -107,7 +153,7 @@
 awaitable<outcome<upstream_link_ptr>> open_local_upstream(proxy_context_ptr context, upstream_choice choice,
                                                           const request_head& head, exchange_limits limits,
                                                           duration timeout) {
-  std::string text = h1_request_text(head, choice.upstream_address, limits);
+  std::string text = h1_request_text(head, choice.upstream_address, limits, choice.target, *context->dialect);
   const bool chunked = head.body == body_kind::streamed;
   const bool head_request = head.method == "HEAD";
   auto make = [&choice, timeout](reply<upstream_connection_ptr> answer) {
@@ -119,7 +165,8 @@
   auto connection = co_await std::move(asking);
   if (!connection) co_return connection.failure();
   upstream_link_ptr link =
-      std::make_unique<local_upstream>(std::move(*connection), std::move(text), chunked, head_request);
+      std::make_unique<local_upstream>(std::move(*connection), std::move(text), chunked, head_request, head.request_id,
+                                       *context->dialect);
   co_return std::move(link);
 }
 
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -51,6 +51,10 @@
   head.upstream_version = text;
   return true;
 }
+bool read_caller_service(request_head& head, std::string_view text) {
+  head.caller_service = text;
+  return true;
+}
 bool read_expect(request_head& head, std::string_view text) {
   head.expects_continue = lower_case(text) == "100-continue";
   return head.expects_continue;
@@ -78,6 +82,7 @@
     {"hd-request-id", read_request_id},
     {"hd-service", read_service},
     {"hd-upstream-version", read_upstream_version},
+    {"hd-caller-service", read_caller_service},
     {"hd-stream", drop},
     {"hd-body", drop},
     {"hd-outcome", drop},
@@ -144,23 +149,35 @@
   }
 }
 
-void add_limits(header_list& fields, const request_head& head, const exchange_limits& limits) {
-  if (!head.request_id.empty()) fields.emplace_back("hd-request-id", head.request_id);
-  if (limits.deadline) fields.emplace_back("hd-deadline-ms", std::to_string(limits.deadline->count()));
-  fields.emplace_back("hd-hops-left", std::to_string(limits.hops_left));
-  fields.emplace_back("hd-retries-left", std::to_string(limits.retries_left));
+// Adds a field unless its meaning has no name in the dialect or there is no value.
+void add_named(header_list& fields, std::string_view name, std::string value) {
+  if (!name.empty() && !value.empty()) fields.emplace_back(name, std::move(value));
+}
+
+void add_limits(header_list& fields, const request_head& head, const exchange_limits& limits,
+                const http_dialect& spoken) {
+  add_named(fields, spoken.request_id, head.request_id);
+  if (limits.deadline) add_named(fields, spoken.deadline_ms, std::to_string(limits.deadline->count()));
+  add_named(fields, spoken.hops_left, std::to_string(limits.hops_left));
+  add_named(fields, spoken.retries_left, std::to_string(limits.retries_left));
 }
 
-header_list own_answer_fields(const answer_head& head) {
+header_list own_answer_fields(const answer_head& head, const http_dialect& spoken) {
   header_list fields;
-  if (head.claim != run_claim::none) fields.emplace_back("hd-outcome", to_name(head.claim));
-  if (!head.refused.empty()) fields.emplace_back("hd-refused", head.refused);
-  if (!head.served_by.empty()) fields.emplace_back("hd-served-by", head.served_by);
-  if (!head.request_id.empty()) fields.emplace_back("hd-request-id", head.request_id);
-  if (head.load) fields.emplace_back("hd-load", load_text(*head.load));
+  if (head.claim != run_claim::none) add_named(fields, spoken.run_outcome, std::string(to_name(head.claim)));
+  add_named(fields, spoken.refused, head.refused);
+  add_named(fields, spoken.served_by, head.served_by);
+  add_named(fields, spoken.request_id, head.request_id);
+  if (head.load) add_named(fields, spoken.load, load_text(*head.load));
   return fields;
 }
 
+// Standard Retry-After is in whole seconds, so a wait is rounded up there.
+std::string retry_after_text(milliseconds wait, const http_dialect& spoken) {
+  if (!spoken.fractional_retry_after) return std::to_string((wait.count() + 999) / 1000);
+  return fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1000);
+}
+
 error bad_head(std::string text) {
   return {error_kind::bad_message, std::move(text), "the sender breaks the rules of HTTP; see section 5.2", {}};
 }
@@ -261,6 +278,8 @@
     refused = value;
   } else if (lower == "hd-load") {
     load = parse_load(value);
+  } else if (lower == "hd-retry-after-ms") {
+    retry_after = milliseconds(parse_number(value).value_or(0));
   } else if (lower.starts_with("hd-")) {
     return;
   } else if (std::find(dropped_answer_fields.begin(), dropped_answer_fields.end(), lower) ==
@@ -271,14 +290,17 @@
 
 void answer_head::finish() { remove_named(headers, connection_names_); }
 
-std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits) {
+std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits,
+                            std::string_view target, const http_dialect& spoken) {
   std::string text;
   text.reserve(512);
   text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
   append_field(text, "host", head.host.empty() ? default_host : std::string_view(head.host));
   for (const auto& [name, value] : head.headers) append_field(text, name, value);
   header_list own;
-  add_limits(own, head, limits);
+  add_limits(own, head, limits, spoken);
+  add_named(own, spoken.expected_target, std::string(target));
+  add_named(own, spoken.caller_service, head.caller_service);
   for (const auto& [name, value] : own) append_field(text, name, value);
   if (head.body == body_kind::sized) append_field(text, "content-length", std::to_string(head.content_length));
   if (head.body == body_kind::streamed) append_field(text, "transfer-encoding", "chunked");
@@ -286,13 +308,14 @@
   return text;
 }
 
-std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked) {
+std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked, const http_dialect& spoken) {
   std::string text;
   text.reserve(512);
   text.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ").append(reason_of(head.status));
   text.append("\r\n");
   for (const auto& [name, value] : head.headers) append_field(text, name, value);
-  for (const auto& [name, value] : own_answer_fields(head)) append_field(text, name, value);
+  for (const auto& [name, value] : own_answer_fields(head, spoken)) append_field(text, name, value);
+  if (head.retry_after > milliseconds::zero()) append_field(text, "retry-after", retry_after_text(head.retry_after, spoken));
   if (head.body == body_kind::sized) {
     append_field(text, "content-length", std::to_string(head.content_length));
   } else if (chunked) {
@@ -314,7 +337,8 @@
   if (!head.host.empty()) fields.emplace_back("host", head.host);
   fields.emplace_back("hd-service", choice.service);
   fields.emplace_back("hd-upstream-version", choice.upstream_version);
-  add_limits(fields, head, limits);
+  if (!head.caller_service.empty()) fields.emplace_back("hd-caller-service", head.caller_service);
+  add_limits(fields, head, limits, native_dialect());
   if (head.body == body_kind::sized) fields.emplace_back("content-length", std::to_string(head.content_length));
   fields.insert(fields.end(), head.headers.begin(), head.headers.end());
   // A body of unknown length has no content-length; the field tells it from a request without a body.
@@ -326,7 +350,10 @@
   header_list fields;
   fields.reserve(head.headers.size() + 6);
   fields.emplace_back(":status", std::to_string(head.status));
-  for (auto& field : own_answer_fields(head)) fields.push_back(std::move(field));
+  for (auto& field : own_answer_fields(head, native_dialect())) fields.push_back(std::move(field));
+  if (head.retry_after > milliseconds::zero()) {
+    fields.emplace_back("hd-retry-after-ms", std::to_string(head.retry_after.count()));
+  }
   if (head.body == body_kind::sized) {
     fields.emplace_back("content-length", std::to_string(head.content_length));
   } else if (head.body == body_kind::none && head.announced_length) {
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 
+#include "node/dialect.h"
 #include "node/exchange_core.h"
 #include "wire/h2_stream.h"
 
@@ -44,6 +45,7 @@
   std::string request_id;
   std::string service;           ///< from a peer: hd-service
   std::string upstream_version;  ///< from a peer: hd-upstream-version
+  std::string caller_service;    ///< service on whose host the request began; from a peer: hd-caller-service
   exchange_limits limits;
   header_list headers;  ///< end-to-end fields, without host
   body_kind body = body_kind::none;
@@ -76,6 +78,7 @@
   std::string served_by;                          ///< hd-served-by
   std::string request_id;
   std::optional<load_report> load;  ///< hd-load
+  milliseconds retry_after{0};      ///< of a refusal: when to come back; 0: not stated
 
   void add(std::string_view name, std::string_view value);
 
@@ -99,12 +102,15 @@
 std::string load_text(const load_report& load);
 std::optional<load_report> parse_load(std::string_view text);
 
+/// @param target name of the upstream's target, for dialects that tell it.
 /// @return the HTTP/1.1 head of a request to an upstream; `limits` are those of the next hop.
-std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits);
+std::string h1_request_text(const request_head& head, std::string_view default_host, const exchange_limits& limits,
+                            std::string_view target = {}, const http_dialect& spoken = native_dialect());
 
 /// @param keep_alive false adds "connection: close".
 /// @param chunked the body is written in chunks.
-std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked);
+std::string h1_answer_text(const answer_head& head, bool keep_alive, bool chunked,
+                           const http_dialect& spoken = native_dialect());
 
 /// @return the fields of a request to another node.
 header_list h2_request_fields(const request_head& head, const upstream_choice& choice, const exchange_limits& limits);
--- a/node/proxy_context.h
+++ b/node/proxy_context.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "model/traffic_messages.h"
+#include "node/dialect.h"
 #include "node/pool_messages.h"
 #include "wire/mesh_messages.h"
 
@@ -17,6 +18,8 @@
   address<traffic_message> traffic;
   address<pool_message> pool;
   address<mesh_message> mesh;  ///< empty when the process has no mesh
+  const http_dialect* dialect = &native_dialect();  ///< of callers and upstreams; outlives the process's services
+  std::string caller_service;                       ///< told to upstreams as the origin of this host's requests
   std::string node_id;
   duration idle_limit = std::chrono::seconds(60);  ///< connections without progress are closed
 };
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -172,12 +172,13 @@
   log_event(log_level::info, "proxy_draining", {{"sessions", sessions.size()}});
 }
 
-proxy_service::proxy_service(const settings& s) : listen_(s.caller_listen), node_id_(s.id) {}
+proxy_service::proxy_service(const settings& s, const http_dialect& spoken)
+    : listen_(s.caller_listen), node_id_(s.id), caller_service_(s.caller_service), dialect_(&spoken) {}
 
 proxy_service::~proxy_service() { stop(); }
 
-result<std::unique_ptr<service>> proxy_service::make(const settings& s) {
-  return std::unique_ptr<service>(new proxy_service(s));
+result<std::unique_ptr<service>> proxy_service::make(const settings& s, const http_dialect& spoken) {
+  return std::unique_ptr<service>(new proxy_service(s, spoken));
 }
 
 std::string_view proxy_service::name() const { return to_name(service_name::proxy); }
@@ -196,6 +197,8 @@
   context->executor = k.executor();
   context->timers = &k.timers();
   context->node_id = node_id_;
+  context->caller_service = caller_service_;
+  context->dialect = dialect_;
   context->idle_limit = idle_limit_;
   BOOST_LEAF_ASSIGN(context->traffic, k.find<traffic_message>(to_name(service_name::traffic)));
   BOOST_LEAF_ASSIGN(context->pool, k.find<pool_message>(to_name(service_name::pool)));
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -14,13 +14,15 @@
 
 #include "kernel/kernel.h"
 #include "model/settings.h"
+#include "node/dialect.h"
 
 namespace heatherdeck {
 
 class proxy_service : public service {
  public:
-  /// @param s uses id, caller_listen.
-  static result<std::unique_ptr<service>> make(const settings& s);
+  /// @param s uses id, caller_listen and caller_service.
+  /// @param spoken by callers and upstreams; outlives the service.
+  static result<std::unique_ptr<service>> make(const settings& s, const http_dialect& spoken = native_dialect());
   ~proxy_service() override;
 
   std::string_view name() const override;
@@ -39,10 +41,12 @@
 
  private:
   struct state;
-  explicit proxy_service(const settings& s);
+  proxy_service(const settings& s, const http_dialect& spoken);
 
   std::string listen_;
   std::string node_id_;
+  std::string caller_service_;
+  const http_dialect* dialect_;
   duration idle_limit_ = std::chrono::seconds(60);
   std::shared_ptr<state> state_;
 };
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -21,25 +21,49 @@
 // Time after which a node tries a nearer control host again; the jitter spreads the return after a zone has recovered.
 constexpr milliseconds return_interval{60'000};
 
-std::uint32_t distance_of(const control_host& host, const settings& s) {
-  if (host.availability_zone == s.availability_zone) return 0;
-  return host.region == s.region ? 1 : 2;
-}
-
 }  // namespace
 
 subscriber_core subscriber_core::make(const settings& s) {
-  subscriber_core core(s.id, s.availability_zone, s.keepalive, s.seed != 0 ? s.seed : std::random_device{}());
+  subscriber_core core(s, s.seed != 0 ? s.seed : std::random_device{}());
   for (const control_host& host : s.control_hosts) {
-    core.sources_.push_back({host.id, host.mesh_address, distance_of(host, s)});
+    core.sources_.push_back({host.id, host.mesh_address, core.distance_of(host.availability_zone, host.region)});
   }
-  std::sort(core.sources_.begin(), core.sources_.end(), [&](const candidate& a, const candidate& b) {
-    return std::tuple(a.distance, hash_of(s.id + "/" + a.host_id)) <
-           std::tuple(b.distance, hash_of(s.id + "/" + b.host_id));
-  });
+  core.sort_sources();
   return core;
 }
 
+std::uint32_t subscriber_core::distance_of(const std::string& zone, const std::string& region) const {
+  if (zone == zone_) return 0;
+  return region == region_ ? 1 : 2;
+}
+
+void subscriber_core::sort_sources() {
+  std::sort(sources_.begin(), sources_.end(), [this](const candidate& a, const candidate& b) {
+    return std::tuple(a.distance, hash_of(node_id_ + "/" + a.host_id)) <
+           std::tuple(b.distance, hash_of(node_id_ + "/" + b.host_id));
+  });
+}
+
+void subscriber_core::use_members(const std::vector<member_record>& members) {
+  std::vector<candidate> known;
+  for (const member_record& member : members) {
+    if (member.role != process_role::control || member.state == member_state::left) continue;
+    known.push_back({member.node_id, member.mesh_address, distance_of(member.availability_zone, member.region)});
+  }
+  if (known.empty()) return;
+  const bool same = known.size() == sources_.size() &&
+                    std::all_of(known.begin(), known.end(), [this](const candidate& one) {
+                      return std::any_of(sources_.begin(), sources_.end(), [&one](const candidate& held) {
+                        return held.host_id == one.host_id && held.mesh_address == one.mesh_address &&
+                               held.distance == one.distance;
+                      });
+                    });
+  if (same) return;
+  sources_ = std::move(known);
+  sort_sources();
+  next_ = 0;
+}
+
 milliseconds subscriber_core::jitter(milliseconds most) {
   return milliseconds(std::uniform_int_distribution<std::int64_t>(0, most.count())(random_));
 }
@@ -47,6 +71,7 @@
 subscriber_core::attempt subscriber_core::next_source() {
   const candidate& s = sources_[next_ % sources_.size()];
   at_nearest_ = next_ % sources_.size() == 0;
+  tried_ = s.host_id;
   ++next_;
   const milliseconds backoff =
       std::min(longest_backoff, shortest_backoff * (1U << std::min(failures_, most_doublings)));
@@ -57,7 +82,7 @@
 }
 
 void subscriber_core::on_connected(time_point now) {
-  source_ = sources_[(next_ + sources_.size() - 1) % sources_.size()].host_id;
+  source_ = tried_;
   last_heard_ = now;
   first_message_ = true;
   return_at_ = now + return_interval + jitter(return_interval);
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -21,6 +21,7 @@
 
 #include "kernel/timer_service.h"
 #include "model/compiled_document.h"
+#include "model/directory_messages.h"
 #include "model/distribution_messages.h"
 #include "model/settings.h"
 
@@ -54,6 +55,9 @@
   /// @param seed of the jitter and of the order of hosts of the same distance; 0 takes one from the system.
   static subscriber_core make(const settings& s);
 
+  /// Takes the control hosts that the directory knows in place of those of the settings; a view without any is ignored.
+  void use_members(const std::vector<member_record>& members);
+
   /// @return the next host in order of distance; the delay grows with failed attempts and has full jitter.
   attempt next_source();
 
@@ -83,8 +87,11 @@
     std::uint32_t distance = 0;  ///< 0 own availability zone, 1 own region, 2 elsewhere
   };
 
-  subscriber_core(std::string node_id, std::string zone, milliseconds keepalive, std::uint64_t seed)
-      : node_id_(std::move(node_id)), zone_(std::move(zone)), keepalive_(keepalive), random_(seed) {}
+  subscriber_core(const settings& s, std::uint64_t seed)
+      : node_id_(s.id), zone_(s.availability_zone), region_(s.region), keepalive_(s.keepalive), random_(seed) {}
+
+  std::uint32_t distance_of(const std::string& zone, const std::string& region) const;
+  void sort_sources();
 
   reaction on_offer(const keepalive& message);
   reaction on_offer(const snapshot_offer& offer);
@@ -100,9 +107,11 @@
 
   std::string node_id_;
   std::string zone_;
+  std::string region_;
   milliseconds keepalive_;
   std::mt19937_64 random_;
   std::vector<candidate> sources_;
+  std::string tried_;  ///< id of the host of the last attempt
   std::size_t next_ = 0;        ///< index into sources_ of the next attempt
   std::uint32_t failures_ = 0;  ///< attempts since the last source that proved useful
   bool first_message_ = true;   ///< nothing has arrived on the present stream
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -154,6 +154,11 @@
   co_return;
 }
 
+awaitable<void> subscriber_service::handle(directory_view m) {
+  core_.use_members(*m.members);
+  co_return;
+}
+
 awaitable<void> subscriber_service::handle(send_evidence m) {
   node_message message = std::move(m.report);
   co_await write(std::move(message));
--- a/traffic/route_table.cc
+++ b/traffic/route_table.cc
@@ -37,6 +37,7 @@
 }
 
 bool rule_matches(const route_rule& rule, const request_facts& facts) {
+  if (rule.keyed && !facts.path.starts_with(rule.path_prefix)) return false;
   if (!rule.method.empty() && rule.method != facts.method) return false;
   return std::all_of(rule.headers.begin(), rule.headers.end(), [&](const auto& wanted) {
     const auto found = facts.headers.find(wanted.first);
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -21,6 +21,12 @@
 constexpr double failure_latency_ratio = 4;
 constexpr double assumed_latency_ms = 10;
 
+// Requests that the upstream on this host is given at a time: those it works on and as many again that wait there. An
+// upstream may leave a request that it cannot queue without an answer, so this node refuses it before.
+std::uint32_t local_capacity(const endpoint_record& endpoint) {
+  return std::min(endpoint.connections, 2 * std::max(endpoint.slots, 1U));
+}
+
 bool counts_as_failure(call_outcome outcome) {
   return outcome == call_outcome::upstream_error || outcome == call_outcome::timeout ||
          outcome == call_outcome::connection_failed;
@@ -41,6 +47,7 @@
   }
   std::erase_if(services_,
                 [&](const auto& s) { return s.second.upstreams == 0 && !document_->services.contains(s.first); });
+  splits_.set_document(*document_);
   evidence_.set_document(*document_);
   cutter_.set_document(*document_);
 }
@@ -58,6 +65,7 @@
   if (rule == nullptr) return known;
   known.name = rule->name;
   known.timeout = rule->timeout;
+  known.attempts = rule->attempts;
   known.idempotent = rule->idempotent.value_or(known.idempotent);
   return known;
 }
@@ -93,7 +101,7 @@
     candidates.push_back({.locality = choice_reason::local,
                           .load = &u->load,
                           .slots = u->endpoint.slots,
-                          .connections = u->endpoint.connections});
+                          .connections = local_capacity(u->endpoint)});
   }
   const auto index = balancer_.pick(candidates, now);
   if (!index) return refuse(refusal_reason::overloaded);
@@ -101,9 +109,11 @@
 }
 
 pick_answer traffic_core::pick_by_route(time_point now, const request_facts& facts, const route_rule& rule) {
-  const auto spec = document_->services.find(rule.service);
+  std::string service = rule.service;
+  if (!rule.split.empty()) service = facts.kept_service.empty() ? splits_.pick(rule) : facts.kept_service;
+  const auto spec = document_->services.find(service);
   if (spec == document_->services.end()) return refuse(refusal_reason::no_upstream);
-  service_traffic& traffic = services_[rule.service];
+  service_traffic& traffic = services_[service];
   if (facts.attempt == 0) {
     traffic.retries.on_call(now);
   } else if (!traffic.retries.try_retry(now)) {
@@ -119,7 +129,7 @@
     traffic.limiter.abandon();
     return refuse(refusal_reason::no_upstream);
   }
-  return reserve(std::move(chosen), rule.service, route, facts, true);
+  return reserve(std::move(chosen), service, route, facts, true);
 }
 
 std::string traffic_core::draw_version(const std::vector<version_share>& shares) {
@@ -141,8 +151,9 @@
   for (bool first = true; !left.empty(); first = false) {
     const std::string drawn = draw_version(left);
     if (drawn.empty()) return nullptr;
-    if (!cutter_.cut(spec.name, drawn, now)) {
-      if (auto chosen = choose_of_version(now, traffic, drawn, avoid_target)) return chosen;
+    const std::string& name = version_behind(spec, traffic, drawn);
+    if (!name.empty() && !cutter_.cut(spec.name, name, now)) {
+      if (auto chosen = choose_of_version(now, traffic, name, avoid_target)) return chosen;
     }
     if (first) ++counters_.shares_moved;
     std::erase_if(left, [&](const version_share& s) { return s.upstream_version == drawn; });
@@ -150,6 +161,27 @@
   return nullptr;
 }
 
+// With open versions a version that nobody has ordered may be announced beside the one in service; the one that sorts
+// first is taken for the one in service, unless a rollout has named it.
+const std::string& traffic_core::version_behind(const service_spec& spec, const service_traffic& traffic,
+                                                const std::string& share) const {
+  static const std::string none;
+  if (share != other_versions) return share;
+  const auto rollout = document_->rollouts.find(spec.name);
+  if (rollout != document_->rollouts.end() && traffic.versions.contains(rollout->second.from)) {
+    return rollout->second.from;
+  }
+  const std::string* first = &none;
+  for (const auto& [name, members] : traffic.versions) {
+    const bool named = std::find(spec.named_versions.begin(), spec.named_versions.end(), name) != spec.named_versions.end();
+    const bool usable = std::any_of(members.begin(), members.end(), [](const auto& u) { return u->usable; });
+    if (named || !usable) continue;
+    // Shorter names first: "v9" is older than "v10".
+    if (first->empty() || std::pair(name.size(), name) < std::pair(first->size(), *first)) first = &name;
+  }
+  return *first;
+}
+
 std::shared_ptr<traffic_core::upstream> traffic_core::choose_of_version(time_point now, service_traffic& traffic,
                                                                         const std::string& name,
                                                                         const std::string& avoid_target) {
@@ -168,7 +200,8 @@
                           .latency_ms = u->latency_ms,
                           .weight = u->start.weight(now),
                           .slots = u->endpoint.slots,
-                          .connections = u->endpoint.connections,
+                          .connections = u->locality == choice_reason::local ? local_capacity(u->endpoint)
+                                                                             : u->endpoint.connections,
                           .avoid = avoid});
     chosen_from.push_back(&u);
   }
@@ -191,6 +224,7 @@
   choice.mesh_address = chosen->mesh_address;
   choice.reason = chosen->locality;
   choice.idempotent = route.idempotent;
+  choice.attempts = route.attempts;
   choice.timeout = facts.deadline ? std::min(route.timeout, *facts.deadline) : route.timeout;
   ++chosen->load.own_in_flight;
   pending_.emplace(choice.ticket, pending_call{service, route.name, std::move(chosen), choice.timeout, limited});
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -34,6 +34,7 @@
 #include "traffic/retry_budget.h"
 #include "traffic/route_table.h"
 #include "traffic/slow_start.h"
+#include "traffic/split_picker.h"
 #include "traffic/version_cutter.h"
 
 namespace heatherdeck {
@@ -123,6 +124,7 @@
     std::string name;
     bool idempotent = false;
     std::chrono::milliseconds timeout{1000};
+    std::uint32_t attempts = 2;
   };
 
   pick_answer pick_for_peer(time_point now, const request_facts& facts);
@@ -131,6 +133,8 @@
                                    const std::string& avoid_target);
   std::shared_ptr<upstream> choose_of_version(time_point now, service_traffic& traffic, const std::string& name,
                                               const std::string& avoid_target);
+  const std::string& version_behind(const service_spec& spec, const service_traffic& traffic,
+                                    const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
   upstream_choice reserve(std::shared_ptr<upstream> chosen, const std::string& service, const route_facts& route,
                           const request_facts& facts, bool limited);
@@ -153,6 +157,7 @@
   std::uint64_t next_ticket_ = 1;
   balancer balancer_;
   random_source random_;
+  split_picker splits_;
   evidence_collector evidence_;
   version_cutter cutter_;
   traffic_counters counters_;
--- a/wire/http_listener.cc
+++ b/wire/http_listener.cc
@@ -113,6 +113,7 @@
       http_response answer = co_await handler(std::move(request));
       http::response<http::string_body> response(static_cast<http::status>(answer.status), http_version);
       response.set(http::field::content_type, answer.content_type);
+      for (const auto& [name, value] : answer.headers) response.set(name, value);
       response.keep_alive(keep_alive);
       response.body() = std::move(answer.body);
       response.prepare_payload();
--- a/wire/http_message.h
+++ b/wire/http_message.h
@@ -25,6 +25,7 @@
   unsigned status = 200;
   std::string content_type = "application/json";
   std::string body;
+  std::map<std::string, std::string> headers;  ///< besides those of the body
 };
 
 /// Answers one request; it may suspend, for example to wait for a change.
