--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -7,6 +7,8 @@
 #include "daemon/service_table.h"
 #include "kernel/kernel.h"
 #include "kernel/log.h"
+#include "model/directory_messages.h"
+#include "model/service_names.h"
 #include "model/settings.h"
 
 DEFINE_string(settings, "", "settings file (YAML); see docs/settings.md");
@@ -18,17 +20,31 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
+// The log level and the addresses of seeds are taken from the file again; all else needs a restart.
+void reload(kernel& k) {
+  const auto loaded = capture([] { return load_settings(FLAGS_settings); });
+  if (!loaded) {
+    log_error("settings_refused", loaded.failure());
+    return;
+  }
+  set_log_level(loaded->lowest_level);
+  const auto directory = capture([&] { return k.find<directory_message>(to_name(service_name::directory)); });
+  const bool told = directory && directory->post(use_seeds{seed_addresses(*loaded)});
+  log_event(log_level::info, "settings_reloaded", {{"seeds_told", told}});
+}
+
 int run_daemon(const settings& s) {
   init_logging("heatherdeckd", s.lowest_level);
   set_log_field("process", s.id);
   set_log_field("zone", s.availability_zone);
   kernel k;
-  k.set_drain_limit(s.drain_limit);
+  k.set_drain_limit(drain_limit_of(s));
   const outcome<void> added = capture([&] { return add_services(k, s); });
   if (!added) {
     log_error("start_failed", added.failure());
     return exit_failed;
   }
+  k.on_reload([&k] { reload(k); });
   return k.run();
 }
 
--- a/kernel/kernel.cc
+++ b/kernel/kernel.cc
@@ -125,11 +125,22 @@
     log_event(log_level::info, "stopping", {{"signal", number}});
     boost::asio::co_spawn(io_, stop(), boost::asio::detached);
   });
+  // Without a handler the signal would end the process.
+  boost::asio::co_spawn(io_, wait_for_reloads(), boost::asio::detached);
   io_.run();
   log_event(log_level::info, "stopped", {{"exit_code", exit_code_}});
   return exit_code_;
 }
 
+awaitable<void> kernel::wait_for_reloads() {
+  boost::asio::signal_set signals(io_, SIGHUP);
+  while (!stopping_) {
+    auto [ec, number] = co_await signals.async_wait(use_tuple);
+    if (ec) co_return;
+    if (reload_) reload_();
+  }
+}
+
 void kernel::request_stop(int exit_code) {
   exit_code_ = std::max(exit_code_, exit_code);
   boost::asio::co_spawn(io_, stop(), boost::asio::detached);
--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <any>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -63,6 +64,9 @@
   /// @return 0 after a clean stop, 1 when the start failed or a service reported a fatal error.
   int run();
 
+  /// @param reload called on SIGHUP while the process runs.
+  void on_reload(std::function<void()> reload) { reload_ = std::move(reload); }
+
   /// Ends `run` from inside the process; a service calls it after a fatal error.
   /// @param exit_code what `run` is to return.
   void request_stop(int exit_code);
@@ -95,6 +99,9 @@
   std::vector<std::unique_ptr<service>> services_;
   std::vector<service*> started_;
   std::map<address_key, std::any> addresses_;
+  awaitable<void> wait_for_reloads();
+
+  std::function<void()> reload_;
   duration drain_limit_ = std::chrono::seconds(30);
   int exit_code_ = 0;
   bool stopping_ = false;
--- a/model/directory_messages.h
+++ b/model/directory_messages.h
@@ -94,9 +94,14 @@
   reply<directory_view_ptr> answer;
 };
 
+/// Other mesh addresses to look for members at, from settings that were read again.
+struct use_seeds {
+  std::vector<std::string> addresses;
+};
+
 struct directory_tick {};
 
-using directory_message = std::variant<directory_tick, local_endpoint_changed, local_draining, get_members>;
+using directory_message = std::variant<directory_tick, local_endpoint_changed, local_draining, get_members, use_seeds>;
 
 /// Posted by `directory` to `traffic` (and to others that subscribe) after a change; see traffic_messages.h.
 struct directory_view {
--- a/model/settings.cc
+++ b/model/settings.cc
@@ -310,6 +310,17 @@
 
 }  // namespace
 
+std::vector<std::string> seed_addresses(const settings& s) {
+  std::vector<std::string> addresses;
+  for (const control_host& host : s.control_hosts) addresses.push_back(host.mesh_address);
+  addresses.insert(addresses.end(), s.seeds.begin(), s.seeds.end());
+  return addresses;
+}
+
+milliseconds drain_limit_of(const settings& s) {
+  return s.stop_grace.count() == 0 ? s.drain_limit : std::min(s.drain_limit, s.stop_grace * 5 / 6);
+}
+
 const std::vector<settings_key>& settings_keys() {
   static const std::vector<settings_key> keys = [] {
     std::vector<settings_key> rows;
--- a/model/settings.h
+++ b/model/settings.h
@@ -81,6 +81,13 @@
   std::vector<std::string> founders;  ///< addresses of control hosts in place of control_hosts; the ports are not used
 };
 
+/// @return mesh addresses at which this process looks for others.
+std::vector<std::string> seed_addresses(const settings& s);
+
+/// @return the longest time for all drains: drain_limit, and at most five sixths of stop_grace, so that the process
+/// ends by itself before it is killed.
+std::chrono::milliseconds drain_limit_of(const settings& s);
+
 /// One row of the table of keys.
 struct settings_key {
   std::string path;  ///< dotted path, "[]" for list items
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "kernel/enum_names.h"
 #include "kernel/mailbox.h"
@@ -60,7 +61,7 @@
   std::string service;           ///< from_peer: the service that the first node chose
   std::string upstream_version;  ///< from_peer: the version that the first node chose
   std::uint32_t attempt = 0;     ///< 0 for the first attempt
-  std::string avoid_target;      ///< the target of the failed attempt before, if any
+  std::vector<std::string> avoid_targets;  ///< targets of the failed attempts before
   std::string kept_service;      ///< later attempts: the part of a split route that the first one drew
 };
 
@@ -92,6 +93,7 @@
 struct refusal {
   refusal_reason reason = refusal_reason::no_upstream;
   std::chrono::milliseconds retry_after{0};
+  std::optional<load_report> load;  ///< of this host's upstream, when it is the one that has no room
 };
 
 using pick_answer = std::variant<refusal, upstream_choice>;
--- a/model/yaml_reader.cc
+++ b/model/yaml_reader.cc
@@ -10,9 +10,12 @@
 #include <charconv>
 #include <cmath>
 #include <istream>
+#include <optional>
 #include <set>
 #include <streambuf>
 
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
 #include <yaml-cpp/parser.h>
@@ -80,6 +83,27 @@
  public:
   explicit yaml_builder(std::shared_ptr<const yaml_source> source) : source_(std::move(source)) {}
 
+  /// Builds the same tree that the parser's events of the value's JSON text would give, without the places.
+  static yaml_node from_json(const boost::json::value& value, const std::shared_ptr<const yaml_source>& source) {
+    yaml_node node;
+    node.source_ = source;
+    if (const auto* object = value.if_object()) {
+      node.kind_ = yaml_kind::map;
+      node.entries_.reserve(object->size());
+      for (const auto& member : *object) {
+        node.entries_.push_back({std::string(member.key()), 1, 1, from_json(member.value(), source)});
+      }
+    } else if (const auto* list = value.if_array()) {
+      node.kind_ = yaml_kind::list;
+      node.items_.reserve(list->size());
+      for (const auto& item : *list) node.items_.push_back(from_json(item, source));
+    } else if (!value.is_null()) {
+      node.kind_ = yaml_kind::scalar;
+      node.text_ = value.is_string() ? std::string(value.get_string()) : boost::json::serialize(value);
+    }
+    return node;
+  }
+
   yaml_node take_root() { return std::move(root_); }
   bool has_content() const { return has_content_; }
 
@@ -194,6 +218,18 @@
   bool has_content_ = false;
 };
 
+// Sections that the program has written itself are JSON in one fixed form; its parser takes a hundredth of the time of
+// a YAML parser. Text that its own writer would not give back exactly, e.g. with a key twice, is left to YAML.
+std::optional<boost::json::value> read_written_json(std::string_view text, std::size_t max_depth) {
+  if (!text.starts_with('{')) return std::nullopt;
+  boost::system::error_code ec;
+  boost::json::parse_options options;
+  options.max_depth = max_depth;
+  boost::json::value parsed = boost::json::parse({text.data(), text.size()}, ec, {}, options);
+  if (ec || boost::json::serialize(parsed) != text) return std::nullopt;
+  return parsed;
+}
+
 result<yaml_node> read_yaml(std::string_view text, yaml_source source) {
   if (text.size() > source.max_bytes) {
     return fail(
@@ -203,6 +239,7 @@
   }
   BOOST_LEAF_CHECK(check_characters(text, source));
   const auto shared = std::make_shared<const yaml_source>(std::move(source));
+  if (const auto written = read_written_json(text, shared->max_depth)) return yaml_builder::from_json(*written, shared);
   try {
     view_buffer buffer(text);
     std::istream stream(&buffer);
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -150,6 +150,11 @@
     (void)co_await std::move(waiting);
   }
 
+  bool gone() override {
+    // Bytes of a body or of a further request say that the caller is there.
+    return stream_->buffer.size() == 0 && body_done() && !stream_->peer_is_there();
+  }
+
   void cut() override {
     keep_alive_ = false;
     // Zero linger time resets the connection: an answer whose end is the end of the connection is seen to be cut.
@@ -230,7 +235,7 @@
 awaitable<void> caller_session::refuse(request_reader& reader, unsigned status, std::string text) {
   static constexpr bool last = true;
   h1_caller caller(stream_, reader, last, *context_->dialect);
-  auto refusing = send_refusal(caller, status, run_claim::not_run, {}, std::move(text), {});
+  auto refusing = send_refusal(caller, status, run_claim::not_run, {.text = std::move(text)}, {});
   co_await std::move(refusing);
 }
 
--- a/node/directory_core.h
+++ b/node/directory_core.h
@@ -56,6 +56,9 @@
   /// The upstream on this host has changed; one whose state is `gone` is taken out.
   directory_output set_endpoint(time_point now, const endpoint_record& endpoint);
 
+  /// Looks for members at these mesh addresses from now on.
+  void use_seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
+
   /// This process takes no new work from now on.
   directory_output set_draining(time_point now);
 
--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -52,8 +52,7 @@
   options.self.role = s.node ? process_role::node : process_role::control;
   // The wall clock orders the starts of one process; a clock that went back is corrected when others know more.
   options.self.incarnation = wall_clock_milliseconds();
-  for (const control_host& host : s.control_hosts) options.seeds.push_back(host.mesh_address);
-  options.seeds.insert(options.seeds.end(), s.seeds.begin(), s.seeds.end());
+  options.seeds = seed_addresses(s);
   options.random_seed = s.seed != 0 ? s.seed ^ directory_table::id_hash(s.id) : std::random_device{}();
   return options;
 }
@@ -131,6 +130,7 @@
       std::visit(overloaded{[&](directory_tick&) { carry_out(core_.tick(now)); },
                             [&](local_endpoint_changed& m) { carry_out(core_.set_endpoint(now, m.endpoint)); },
                             [&](local_draining&) { carry_out(core_.set_draining(now)); },
+                            [&](use_seeds& m) { core_.use_seeds(std::move(m.addresses)); },
                             [&](get_members& m) { m.answer(core_.view()); }},
                  *message);
     }
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
+#include "kernel/log.h"
 #include "node/local_upstream.h"
 #include "node/mesh_upstream.h"
 #include "node/pick_ticket.h"
@@ -50,7 +51,8 @@
       : context_(std::move(context)),
         caller_(&caller),
         head_(std::move(head)),
-        core_(head_.limits, timer_service::now()) {}
+        arrived_(timer_service::now()),
+        core_(head_.limits, arrived_) {}
 
   awaitable<exchange_end> run();
 
@@ -73,6 +75,7 @@
   proxy_context_ptr context_;
   caller_link* caller_;
   request_head head_;
+  time_point arrived_;
   exchange_core core_;
   pick_ticket ticket_;
   pick_ticket next_ticket_;
@@ -81,7 +84,7 @@
   std::shared_ptr<wake_signal> limit_passed_;
   time_point sent_at_{};
   duration latency_{};
-  std::string avoid_target_;
+  std::vector<std::string> avoid_targets_;
   std::string kept_service_;
   std::string replay_;
   std::size_t replayed_ = 0;
@@ -100,7 +103,7 @@
     facts.upstream_version = head_.upstream_version;
   }
   facts.attempt = core_.attempts();
-  facts.avoid_target = avoid_target_;
+  facts.avoid_targets = avoid_targets_;
   facts.kept_service = kept_service_;
   return facts;
 }
@@ -135,7 +138,8 @@
 void exchange::complete(answer_head& answer) const {
   answer.request_id = head_.request_id;
   if (head_.limits.from_peer) {
-    if (!answer.load && ticket_) answer.load = ticket_.choice().target_load;
+    // What runs and waits at this node's gate includes what the upstream tells of itself.
+    if (ticket_ && ticket_.choice().target_load) answer.load = ticket_.choice().target_load;
     return;
   }
   answer.load.reset();
@@ -149,9 +153,19 @@
   core_.mark_answered();
   if (decision.claim != run_claim::not_run) refused.clear();  // the header says that nothing has run
   const bool come_back = decision.claim == run_claim::not_run && decision.status == 503 && !ticket_;
-  const milliseconds retry_after = come_back ? ticket_.refused().retry_after : milliseconds(0);
-  auto sending = send_refusal(*caller_, decision.status, decision.claim, std::move(refused), std::move(text),
-                              head_.request_id, retry_after);
+  log_event(log_level::info, "request_refused",
+            {{"request", head_.request_id},
+             {"status", decision.status},
+             {"reason", refused.empty() ? text : refused},
+             {"claim", to_name(decision.claim)},
+             {"attempts", core_.attempts()},
+             {"service", kept_service_},
+             {"from_peer", head_.limits.from_peer},
+             {"age_ms", std::chrono::duration_cast<milliseconds>(timer_service::now() - arrived_).count()}});
+  refusal_note note{.refused = std::move(refused), .text = std::move(text)};
+  if (come_back) note.retry_after = ticket_.refused().retry_after;
+  if (!ticket_ && head_.limits.from_peer) note.load = ticket_.refused().load;
+  auto sending = send_refusal(*caller_, decision.status, decision.claim, std::move(note), head_.request_id);
   co_await std::move(sending);
   co_return caller_->body_done() ? exchange_end::keep : exchange_end::close;
 }
@@ -261,7 +275,7 @@
   latency_ = now - sent_at_;
   exchange_decision decision = core_.judge_answer(head->status, head->claim, now, replayable_);
   if (decision.action == next_action::retry) {
-    avoid_target_ = ticket_.choice().target;
+    avoid_targets_.push_back(ticket_.choice().target);
     auto picking = pick();
     next_ticket_ = co_await std::move(picking);
     if (over_) co_return decide({attempt_end::failed});
@@ -349,6 +363,12 @@
       auto refusing = answer(core_.refuse(reason), std::string(to_name(reason)), "no upstream can be chosen");
       co_return co_await std::move(refusing);
     }
+    // The wait for a slot may have been long; a caller that has gone meanwhile must not cost the upstream any work.
+    if (caller_->gone()) {
+      ticket_.finish(call_outcome::cancelled, {}, {});
+      caller_->cut();
+      co_return exchange_end::cut;
+    }
     const upstream_choice& choice = ticket_.choice();
     kept_service_ = choice.service;
     core_.begin_attempt(choice.idempotent, choice.timeout, timer_service::now(), choice.attempts);
@@ -368,7 +388,7 @@
       co_return exchange_end::cut;
     }
     if (decision.action == next_action::retry) {
-      avoid_target_ = ticket_.choice().target;
+      avoid_targets_.push_back(ticket_.choice().target);
       continue;
     }
     if (result.end == attempt_end::caller_broke) decision.status = 400;
@@ -386,15 +406,17 @@
   co_return co_await std::move(ending);
 }
 
-awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, std::string refused,
-                             std::string text, std::string request_id, milliseconds retry_after) {
+awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, refusal_note note,
+                             std::string request_id) {
   answer_head head;
-  head.retry_after = retry_after;
+  head.retry_after = note.retry_after;
+  head.load = note.load;
   head.status = status;
   head.claim = claim;
-  head.refused = std::move(refused);
+  head.refused = std::move(note.refused);
   head.request_id = std::move(request_id);
   head.headers.emplace_back("content-type", "text/plain");
+  std::string text = std::move(note.text);
   text += '\n';
   head.body = body_kind::sized;
   head.content_length = text.size();
--- a/node/exchange.h
+++ b/node/exchange.h
@@ -28,14 +28,20 @@
   });
 };
 
+/// What a refusal says besides its status.
+struct refusal_note {
+  std::string refused;              ///< machine-readable word
+  std::string text;                 ///< in words
+  milliseconds retry_after{0};      ///< when the caller may come back; 0: not stated
+  std::optional<load_report> load;  ///< to another node: of the upstream that has no room
+};
+
 /// @param caller owned by the calling task; must outlive the operation.
 /// @param head the request; its limits say whether it came from a peer.
 awaitable<exchange_end> run_exchange(proxy_context_ptr context, caller_link& caller, request_head head);
 
 /// Answers a request that was refused before an exchange began.
-/// @param refused machine-readable word for the body.
-/// @param retry_after when the caller may come back; 0: not stated.
-awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, std::string refused,
-                             std::string text, std::string request_id, milliseconds retry_after = milliseconds(0));
+awaitable<void> send_refusal(caller_link& caller, unsigned status, run_claim claim, refusal_note note,
+                             std::string request_id);
 
 }  // namespace heatherdeck
--- a/node/h1_stream.h
+++ b/node/h1_stream.h
@@ -42,6 +42,16 @@
     socket.close(ignored);
   }
 
+  /// @return false when the peer has closed and nothing of it is left to be read.
+  bool peer_is_there() {
+    if (!socket.is_open()) return false;
+    char byte = 0;
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, ec);
+    return !ec || ec == boost::asio::error::would_block;
+  }
+
   /// @return true when the peer has neither sent anything nor closed.
   bool open_and_silent() {
     if (!socket.is_open() || buffer.size() != 0) return false;
--- a/node/links.h
+++ b/node/links.h
@@ -40,6 +40,9 @@
   /// Completes when the caller has gone. To be used only after the whole body has been read.
   virtual awaitable<void> watch_gone() = 0;
 
+  /// @return true when the caller is known to have gone; does not wait.
+  virtual bool gone() = 0;
+
   /// Ends the connection or stream at once, so that the caller sees an incomplete answer as incomplete.
   virtual void cut() = 0;
 };
--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -39,6 +39,7 @@
     auto closing = stream_->wait_closed();
     (void)co_await std::move(closing);
   }
+  bool gone() override { return stream_->closed(); }
   void cut() override { stream_->reset(cancel_code); }
 
  private:
@@ -71,7 +72,7 @@
     end = co_await std::move(exchanging);
   } else {
     peer_caller caller(stream, {});
-    auto refusing = send_refusal(caller, 400, run_claim::not_run, {}, head.failure().text, {});
+    auto refusing = send_refusal(caller, 400, run_claim::not_run, {.text = head.failure().text}, {});
     co_await std::move(refusing);
   }
   if (end == exchange_end::cut) {
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -18,6 +18,7 @@
 #include "node/proxy_context.h"
 #include "node/session_messages.h"
 #include "wire/endpoint.h"
+#include "wire/wake_signal.h"
 
 namespace heatherdeck {
 namespace {
@@ -111,7 +112,7 @@
 }
 
 awaitable<void> proxy_service::state::accept(std::shared_ptr<state> self) {
-  while (!self->draining) {
+  while (self->acceptor.is_open()) {
     if (self->sessions.size() >= max_sessions) {
       (void)co_await self->changed.async_receive(use_tuple);
       continue;
@@ -164,7 +165,6 @@
 
 void proxy_service::state::begin_draining() {
   draining = true;
-  if (acceptor.is_open()) accept_backlog();
   if (directory) directory.post(local_draining{});
   context->traffic.post(stop_new_work{});
   if (context->mesh) context->mesh.post(refuse_new_streams{});
@@ -173,7 +173,7 @@
 }
 
 proxy_service::proxy_service(const settings& s, const http_dialect& spoken)
-    : listen_(s.caller_listen), node_id_(s.id), caller_service_(s.caller_service), dialect_(&spoken) {}
+    : listen_(s.caller_listen), node_id_(s.id), caller_service_(s.caller_service), dialect_(&spoken), accept_while_draining_(s.stop_grace / 2) {}
 
 proxy_service::~proxy_service() { stop(); }
 
@@ -223,9 +223,18 @@
 awaitable<void> proxy_service::drain() {
   const auto self = state_;
   self->begin_draining();
+  if (accept_while_draining_ > duration::zero() && self->acceptor.is_open()) {
+    auto over = std::make_shared<wake_signal>(self->executor);
+    const subscription limit = self->context->timers->after(accept_while_draining_, [over] { over->set(); });
+    auto waiting = over->wait();
+    (void)co_await std::move(waiting);
+  }
+  if (self->acceptor.is_open()) self->accept_backlog();
   while (!self->sessions.empty()) (void)co_await self->changed.async_receive(use_tuple);
 }
 
+bool proxy_service::ready() const { return !state_->draining; }
+
 void proxy_service::stop() {
   if (!state_) return;
   boost::system::error_code ignored;
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -6,7 +6,8 @@
 ///
 /// Listens on `caller_listen` and takes incoming streams of kind `call`. Each connection and stream has a task of its
 /// own; the service only counts them. Needs "traffic" and "pool"; uses "mesh" and "directory" when they run.
-/// `drain` serves the accepted backlog, announces that the process is leaving and waits for all sessions.
+/// `drain` announces that the process is leaving, goes on to accept callers for half of stop_grace, since they learn from
+/// the readiness only after some time, and then waits for all sessions.
 #pragma once
 
 #include <cstdint>
@@ -30,6 +31,8 @@
   void publish(kernel& k) override;
   result<void> start(kernel& k) override;
   awaitable<void> drain() override;
+  /// @return false from the beginning of the drain on.
+  bool ready() const override;
   void stop() override;
   boost::json::value dump() const override;
 
@@ -48,6 +51,7 @@
   std::string caller_service_;
   const http_dialect* dialect_;
   duration idle_limit_ = std::chrono::seconds(60);
+  duration accept_while_draining_;
   std::shared_ptr<state> state_;
 };
 
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "model/document_compiler.h"
 #include "model/document_delta.h"
 #include "model/document_digest.h"
 
@@ -182,7 +181,7 @@
     return refuse(next.current,
                   {error_kind::corrupt, "the document's digest does not match", "a snapshot is sent", {}});
   }
-  outcome<compiled_document_ptr> compiled = capture([&] { return compile_document(next); });
+  outcome<compiled_document_ptr> compiled = capture([&] { return compiler_.compile(next); });
   if (!compiled) return refuse(next.current, compiled.failure());
   state_ = std::move(next);
   digest_ = actual;
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -23,6 +23,7 @@
 #include "model/compiled_document.h"
 #include "model/directory_messages.h"
 #include "model/distribution_messages.h"
+#include "model/document_compiler.h"
 #include "model/settings.h"
 
 namespace heatherdeck {
@@ -123,6 +124,7 @@
   document_state state_;
   digest digest_;
   compiled_document_ptr compiled_;
+  document_compiler compiler_;  ///< keeps the parsed sections, so that a change costs one section
   std::optional<version> floor_;  ///< highest version confirmed by a quorum since the process started
   counters counts_;
 };
--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -70,7 +70,7 @@
     EXPECT_EQ(answer["hd-outcome"], "not-run");
   });
   EXPECT_EQ(h.traffic->asked.size(), max_attempts) << "a request that has not run is tried elsewhere";
-  EXPECT_EQ(h.traffic->asked[1].avoid_target, "certdesk-1");
+  EXPECT_EQ(h.traffic->asked[1].avoid_targets, std::vector<std::string>{"certdesk-1"});
   EXPECT_EQ(h.traffic->asked[1].attempt, 1U);
 }
 
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -143,7 +143,7 @@
   two_versions();
   request_facts retry = lookup();
   retry.attempt = 1;
-  retry.avoid_target = "t1";
+  retry.avoid_targets = {"t1"};
   int allowed = 0;
   for (int i = 0; i < 50; ++i) {
     const pick_answer answer = core.pick(now, retry);
--- a/traffic/concurrency_limiter.h
+++ b/traffic/concurrency_limiter.h
@@ -43,6 +43,9 @@
   /// @return false when the request must be refused.
   bool admit(work_class work);
 
+  /// Counts a request as in flight without a limit.
+  void enter() { ++in_flight_; }
+
   /// Ends an admitted request.
   /// @param latency to the first byte of the answer.
   void finish(time_point now, call_outcome outcome, std::chrono::microseconds latency);
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -21,12 +21,6 @@
 constexpr double failure_latency_ratio = 4;
 constexpr double assumed_latency_ms = 10;
 
-// Requests that the upstream on this host is given at a time: those it works on and as many again that wait there. An
-// upstream may leave a request that it cannot queue without an answer, so this node refuses it before.
-std::uint32_t local_capacity(const endpoint_record& endpoint) {
-  return std::min(endpoint.connections, 2 * std::max(endpoint.slots, 1U));
-}
-
 bool counts_as_failure(call_outcome outcome) {
   return outcome == call_outcome::upstream_error || outcome == call_outcome::timeout ||
          outcome == call_outcome::connection_failed;
@@ -66,21 +60,29 @@
   known.name = rule->name;
   known.timeout = rule->timeout;
   known.attempts = rule->attempts;
+  known.priority = rule->priority;
+  known.objective = rule->objective;
   known.idempotent = rule->idempotent.value_or(known.idempotent);
   return known;
 }
 
 pick_answer traffic_core::pick(time_point now, const request_facts& facts) {
+  std::optional<pick_answer> answer = pick(now, facts, 0);
+  return answer ? std::move(*answer) : pick_answer(refuse(refusal_reason::overloaded));
+}
+
+std::optional<pick_answer> traffic_core::pick(time_point now, const request_facts& facts, std::uint64_t waiter) {
   ++counters_.picks;
   if (!document_) return refuse(refusal_reason::no_document);
   if (facts.deadline && facts.deadline->count() <= 0) return refuse(refusal_reason::deadline);
-  if (facts.from_peer) return pick_for_peer(now, facts);
+  if (facts.from_peer) return pick_for_peer(now, facts, waiter);
   const route_rule* rule = routes_.match(facts);
   if (rule == nullptr) return refuse(refusal_reason::no_route);
-  return pick_by_route(now, facts, *rule);
+  return pick_by_route(now, facts, *rule, waiter);
 }
 
-pick_answer traffic_core::pick_for_peer(time_point now, const request_facts& facts) {
+std::optional<pick_answer> traffic_core::pick_for_peer(time_point now, const request_facts& facts,
+                                                       std::uint64_t waiter) {
   if (stopping_) return refuse(refusal_reason::draining);
   const auto found = services_.find(facts.service);
   if (found == services_.end()) return refuse(refusal_reason::no_upstream);
@@ -101,14 +103,70 @@
     candidates.push_back({.locality = choice_reason::local,
                           .load = &u->load,
                           .slots = u->endpoint.slots,
-                          .connections = local_capacity(u->endpoint)});
+                          .connections = u->endpoint.connections});
   }
   const auto index = balancer_.pick(candidates, now);
   if (!index) return refuse(refusal_reason::overloaded);
-  return reserve(local[*index], facts.service, facts_of(routes_.match(facts), facts), facts, false);
+  return enter_gate(now, {facts.service, facts_of(routes_.match(facts), facts), facts, local[*index], now, false},
+                    waiter);
+}
+
+refusal traffic_core::refuse_full(const upstream& target) {
+  refusal full = refuse(refusal_reason::overloaded);
+  full.retry_after = target.gate.retry_after();
+  full.load = load_report{target.gate.running(), static_cast<std::uint32_t>(target.gate.waiting())};
+  return full;
+}
+
+// The upstream on this host takes no more than its slots; what can wait for one in time does.
+std::optional<pick_answer> traffic_core::enter_gate(time_point now, waiting_pick asked, std::uint64_t waiter) {
+  upstream& target = *asked.target;
+  target.gate.set_slots(target.endpoint.slots);
+  const auto patience = asked.facts.deadline ? std::min(asked.route.timeout, *asked.facts.deadline) : asked.route.timeout;
+  const auto useful = asked.route.objective.count() > 0 ? std::min(asked.route.objective, patience) : patience;
+  const gate_request request{waiter, asked.route.name, asked.route.priority, now + useful, now + patience};
+  const gate_verdict verdict = target.gate.arrive(now, request);
+  if (verdict == gate_verdict::run) {
+    return reserve(asked.target, asked.service, asked.route, asked.facts, asked.limited);
+  }
+  if (verdict == gate_verdict::wait && waiter != 0) {
+    waiting_.emplace(waiter, std::move(asked));
+    return std::nullopt;
+  }
+  if (verdict == gate_verdict::wait) target.gate.withdraw(waiter);
+  return refuse_full(target);
 }
 
-pick_answer traffic_core::pick_by_route(time_point now, const request_facts& facts, const route_rule& rule) {
+std::vector<std::pair<std::uint64_t, pick_answer>> traffic_core::take_answers(time_point now) {
+  std::vector<std::pair<std::uint64_t, pick_answer>> answers;
+  for (const auto& [key, u] : upstreams_) {
+    if (u->locality != choice_reason::local) continue;
+    const bool leaving = u->endpoint.state == upstream_state::draining;
+    for (const std::uint64_t id : leaving ? u->gate.take_all() : u->gate.take_expired(now)) {
+      const auto asked = waiting_.extract(id);
+      if (asked.empty()) continue;
+      if (asked.mapped().limited) services_[asked.mapped().service].limiter.abandon();
+      answers.emplace_back(id, leaving ? refuse(refusal_reason::draining) : refuse_full(*u));
+    }
+    for (const std::uint64_t id : u->gate.take_ready(now)) {
+      const auto found = waiting_.extract(id);
+      if (found.empty()) {
+        u->gate.leave({}, {});
+        continue;
+      }
+      waiting_pick& asked = found.mapped();
+      // The time spent waiting is gone from what the request has left.
+      const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - asked.arrived);
+      if (asked.facts.deadline) *asked.facts.deadline -= std::min(waited, *asked.facts.deadline);
+      asked.route.timeout -= std::min(waited, asked.route.timeout);
+      answers.emplace_back(id, reserve(asked.target, asked.service, asked.route, asked.facts, asked.limited));
+    }
+  }
+  return answers;
+}
+
+std::optional<pick_answer> traffic_core::pick_by_route(time_point now, const request_facts& facts,
+                                                       const route_rule& rule, std::uint64_t waiter) {
   std::string service = rule.service;
   if (!rule.split.empty()) service = facts.kept_service.empty() ? splits_.pick(rule) : facts.kept_service;
   const auto spec = document_->services.find(service);
@@ -121,15 +179,30 @@
   }
   const route_facts route = facts_of(&rule, facts);
   const bool hurried = facts.deadline && *facts.deadline <= short_deadline;
-  if (!traffic.limiter.admit(!route.idempotent || hurried ? work_class::reserved : work_class::ordinary)) {
+  const work_class work = !route.idempotent || hurried ? work_class::reserved : work_class::ordinary;
+  // The gate of the upstream's own node refuses what it cannot serve; this limit is only for an operators' ceiling.
+  if (!spec->second.in_flight_limit) {
+    traffic.limiter.enter();
+  } else if (!traffic.limiter.admit(work)) {
     return refuse(refusal_reason::overloaded);
   }
-  std::shared_ptr<upstream> chosen = choose(now, spec->second, traffic, facts.avoid_target);
+  std::vector<std::string> avoid = facts.avoid_targets;
+  std::shared_ptr<upstream> chosen = choose(now, spec->second, traffic, avoid);
   if (!chosen) {
     traffic.limiter.abandon();
     return refuse(refusal_reason::no_upstream);
   }
-  return reserve(std::move(chosen), service, route, facts, true);
+  if (chosen->locality != choice_reason::local) return reserve(std::move(chosen), service, route, facts, true);
+  std::optional<pick_answer> entered = enter_gate(now, {service, route, facts, chosen, now, true}, waiter);
+  if (!entered || std::holds_alternative<upstream_choice>(*entered)) return entered;
+  // The own upstream is full; another one is asked before the caller is refused.
+  avoid.push_back(chosen->endpoint.target);
+  std::shared_ptr<upstream> other = choose(now, spec->second, traffic, avoid);
+  if (other && other->locality != choice_reason::local) {
+    return reserve(std::move(other), service, route, facts, true);
+  }
+  traffic.limiter.abandon();
+  return entered;
 }
 
 std::string traffic_core::draw_version(const std::vector<version_share>& shares) {
@@ -146,14 +219,14 @@
 
 std::shared_ptr<traffic_core::upstream> traffic_core::choose(time_point now, const service_spec& spec,
                                                              service_traffic& traffic,
-                                                             const std::string& avoid_target) {
+                                                             const std::vector<std::string>& avoid) {
   std::vector<version_share> left = spec.shares;
   for (bool first = true; !left.empty(); first = false) {
     const std::string drawn = draw_version(left);
     if (drawn.empty()) return nullptr;
     const std::string& name = version_behind(spec, traffic, drawn);
     if (!name.empty() && !cutter_.cut(spec.name, name, now)) {
-      if (auto chosen = choose_of_version(now, traffic, name, avoid_target)) return chosen;
+      if (auto chosen = choose_of_version(now, traffic, name, avoid)) return chosen;
     }
     if (first) ++counters_.shares_moved;
     std::erase_if(left, [&](const version_share& s) { return s.upstream_version == drawn; });
@@ -184,7 +257,7 @@
 
 std::shared_ptr<traffic_core::upstream> traffic_core::choose_of_version(time_point now, service_traffic& traffic,
                                                                         const std::string& name,
-                                                                        const std::string& avoid_target) {
+                                                                        const std::vector<std::string>& avoid) {
   const auto members = traffic.versions.find(name);
   if (members == traffic.versions.end()) return nullptr;
   std::vector<balance_candidate> candidates;
@@ -193,16 +266,14 @@
     if (!u->usable) continue;
     const auto standing = traffic.ejector.standing_of(u->key, now);
     if (standing == outlier_ejector::standing::ejected) continue;
-    const bool avoid = u->suspect || standing == outlier_ejector::standing::avoided ||
-                       (!avoid_target.empty() && u->endpoint.target == avoid_target);
+    const bool tried = std::find(avoid.begin(), avoid.end(), u->endpoint.target) != avoid.end();
     candidates.push_back({.locality = u->locality,
                           .load = &u->load,
                           .latency_ms = u->latency_ms,
                           .weight = u->start.weight(now),
                           .slots = u->endpoint.slots,
-                          .connections = u->locality == choice_reason::local ? local_capacity(u->endpoint)
-                                                                             : u->endpoint.connections,
-                          .avoid = avoid});
+                          .connections = u->endpoint.connections,
+                          .avoid = tried || u->suspect || standing == outlier_ejector::standing::avoided});
     chosen_from.push_back(&u);
   }
   const auto index = balancer_.pick(candidates, now);
@@ -227,6 +298,9 @@
   choice.attempts = route.attempts;
   choice.timeout = facts.deadline ? std::min(route.timeout, *facts.deadline) : route.timeout;
   ++chosen->load.own_in_flight;
+  if (choice.local) {
+    choice.target_load = load_report{chosen->gate.running(), static_cast<std::uint32_t>(chosen->gate.waiting())};
+  }
   pending_.emplace(choice.ticket, pending_call{service, route.name, std::move(chosen), choice.timeout, limited});
   return choice;
 }
@@ -240,6 +314,10 @@
   const pending_call call = std::move(found->second);
   pending_.erase(found);
   if (call.target->load.own_in_flight > 0) --call.target->load.own_in_flight;
+  if (call.target->locality == choice_reason::local) {
+    const bool tells = result.outcome == call_outcome::ok;
+    call.target->gate.leave(call.route, tells ? duration(result.latency) : duration::zero());
+  }
   if (result.load) call.target->load.report(*result.load, now);
   learn(now, call, result);
 }
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -35,6 +35,7 @@
 #include "traffic/route_table.h"
 #include "traffic/slow_start.h"
 #include "traffic/split_picker.h"
+#include "traffic/upstream_gate.h"
 #include "traffic/version_cutter.h"
 
 namespace heatherdeck {
@@ -66,8 +67,16 @@
   void use_members(const std::vector<member_record>& members, time_point now);
 
   /// Chooses an upstream for one attempt and reserves its slot, or says why there is none.
+  /// @param waiter the asker's number, if it can wait for a slot of the upstream on this host.
+  /// @return nothing when the answer comes later, from `take_answers`.
+  std::optional<pick_answer> pick(time_point now, const request_facts& facts, std::uint64_t waiter);
+
+  /// The same for an asker that cannot wait: it is refused as overloaded.
   pick_answer pick(time_point now, const request_facts& facts);
 
+  /// @return the answers for askers that have waited; call it after every other call.
+  std::vector<std::pair<std::uint64_t, pick_answer>> take_answers(time_point now);
+
   /// Releases the slot and learns from the result.
   void finish(time_point now, const finish_call& result);
 
@@ -102,6 +111,7 @@
     load_estimate load;
     double latency_ms = 0;
     slow_start start;
+    upstream_gate gate;  ///< only of the upstream on this host
   };
 
   struct service_traffic {
@@ -125,14 +135,29 @@
     bool idempotent = false;
     std::chrono::milliseconds timeout{1000};
     std::uint32_t attempts = 2;
+    std::uint32_t priority = 0;
+    std::chrono::milliseconds objective{0};
+  };
+
+  /// An asker whose request waits at the gate.
+  struct waiting_pick {
+    std::string service;
+    route_facts route;
+    request_facts facts;
+    std::shared_ptr<upstream> target;
+    time_point arrived{};
+    bool limited = false;
   };
 
-  pick_answer pick_for_peer(time_point now, const request_facts& facts);
-  pick_answer pick_by_route(time_point now, const request_facts& facts, const route_rule& rule);
+  std::optional<pick_answer> pick_for_peer(time_point now, const request_facts& facts, std::uint64_t waiter);
+  std::optional<pick_answer> pick_by_route(time_point now, const request_facts& facts, const route_rule& rule,
+                                           std::uint64_t waiter);
+  std::optional<pick_answer> enter_gate(time_point now, waiting_pick asked, std::uint64_t waiter);
+  refusal refuse_full(const upstream& target);
   std::shared_ptr<upstream> choose(time_point now, const service_spec& spec, service_traffic& traffic,
-                                   const std::string& avoid_target);
+                                   const std::vector<std::string>& avoid);
   std::shared_ptr<upstream> choose_of_version(time_point now, service_traffic& traffic, const std::string& name,
-                                              const std::string& avoid_target);
+                                              const std::vector<std::string>& avoid);
   const std::string& version_behind(const service_spec& spec, const service_traffic& traffic,
                                     const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
@@ -154,6 +179,7 @@
   std::map<std::string, service_traffic> services_;
   std::map<std::string, std::shared_ptr<upstream>> upstreams_;  ///< by node id and target
   std::unordered_map<std::uint64_t, pending_call> pending_;
+  std::map<std::uint64_t, waiting_pick> waiting_;  ///< by the asker's number
   std::uint64_t next_ticket_ = 1;
   balancer balancer_;
   random_source random_;
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -79,12 +79,25 @@
                  [&](const traffic_tick&) { tick(now); },
                  [&](use_document& m) { core_.use(std::move(m.document)); },
                  [&](const directory_view& m) { core_.use_members(*m.members, now); },
-                 [&](const pick_upstream& m) { m.answer(core_.pick(now, m.facts)); },
+                 [&](pick_upstream& m) { on_pick(now, std::move(m)); },
                  [&](const finish_call& m) { core_.finish(now, m); },
                  [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
                  [&](const stop_new_work&) { core_.stop_new_work(); },
              },
              message);
+  for (auto& [id, answer] : core_.take_answers(now)) {
+    if (auto asker = waiting_.extract(id)) asker.mapped()(std::move(answer));
+  }
+}
+
+void traffic_service::on_pick(time_point now, pick_upstream asked) {
+  const std::uint64_t id = next_waiter_++;
+  std::optional<pick_answer> answer = core_.pick(now, asked.facts, id);
+  if (answer) {
+    asked.answer(std::move(*answer));
+  } else {
+    waiting_.emplace(id, std::move(asked.answer));
+  }
 }
 
 void traffic_service::tick(time_point now) {
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -12,6 +12,8 @@
 
 #include "kernel/kernel.h"
 #include "model/publisher_messages.h"
+#include <map>
+
 #include "model/settings.h"
 #include "model/traffic_messages.h"
 #include "traffic/traffic_core.h"
@@ -34,9 +36,12 @@
   explicit traffic_service(traffic_identity identity) : core_(std::move(identity)) {}
   awaitable<void> run();
   void handle(traffic_message message);
+  void on_pick(time_point now, pick_upstream asked);
   void tick(time_point now);
 
   traffic_core core_;
+  std::map<std::uint64_t, reply<pick_answer>> waiting_;  ///< askers that wait for a slot, by number
+  std::uint64_t next_waiter_ = 1;
   std::unique_ptr<mailbox<traffic_message>> inbox_;
   address<subscriber_message> subscriber_;
   subscription ticks_;
--- a/wire/h2_stream.cc
+++ b/wire/h2_stream.cc
@@ -172,6 +172,8 @@
   co_return outcome<void>();
 }
 
+bool h2_stream::closed() const { return state_->failure.has_value() || state_->closed; }
+
 bool h2_stream::may_have_been_sent() const { return state_->may_have_been_sent; }
 
 }  // namespace heatherdeck
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -79,6 +79,9 @@
   /// @return success when both directions have ended, else the failure.
   awaitable<outcome<void>> wait_closed();
 
+  /// @return true when the stream has failed or ended in both directions; does not wait.
+  bool closed() const;
+
   /// Ends both directions at once with an h2 error code (8 is CANCEL, 7 is REFUSED_STREAM).
   void reset(std::uint32_t code);
 
