--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -79,6 +79,8 @@
 
   // A read that the leader has not confirmed within this many election time-outs is refused, so the asker can go on.
   static constexpr int read_patience = 2;
+  // The first election after a start comes this many times earlier, because no leader need be waited for.
+  static constexpr int early_election = 3;
 
   raft_core(raft_config config, time_point now);
 
--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -78,6 +78,7 @@
   bool keyed = false;       ///< the section is a map of routes: the path must begin with the prefix as it is written
   std::string method;                          ///< upper case; empty matches any
   std::map<std::string, std::string> headers;  ///< lower-case name to exact value
+  route_kind kind = route_kind::safe;          ///< only of keyed routes; see also `idempotent`
   std::string service;                         ///< the first of `split`, if there is one
   std::vector<weighted_service> split;         ///< empty: all requests go to `service`
   std::chrono::milliseconds timeout{1000};
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -233,6 +233,7 @@
   BOOST_LEAF_CHECK(read_path_prefix(*prefix, out.rule));
   BOOST_LEAF_AUTO(kind_node, node.need("kind"));
   BOOST_LEAF_AUTO(kind, kind_node->as_enum<route_kind>());
+  out.rule.kind = kind;
   out.rule.idempotent = kind != route_kind::unsafe;
   BOOST_LEAF_AUTO(timeout_node, node.need("timeout_ms"));
   BOOST_LEAF_AUTO(timeout, timeout_node->as_number(1, max_route_timeout_ms));
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -60,6 +60,7 @@
   bool from_peer = false;        ///< arrived from another node: only this host's upstream may serve it
   std::string service;           ///< from_peer: the service that the first node chose
   std::string upstream_version;  ///< from_peer: the version that the first node chose
+  std::chrono::milliseconds age{0};  ///< since the first node took the request
   std::uint32_t attempt = 0;     ///< 0 for the first attempt
   std::vector<std::string> avoid_targets;  ///< targets of the failed attempts before
   std::string kept_service;      ///< later attempts: the part of a split route that the first one drew
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -70,6 +70,7 @@
   void note_progress();
   attempt_result decide(attempt_result result);
   request_facts facts() const;
+  milliseconds age() const;
   duration time_for(duration most) const;
 
   proxy_context_ptr context_;
@@ -93,10 +94,15 @@
   bool over_ = false;  // the attempt has been decided: `upload` must not write any more
 };
 
+milliseconds exchange::age() const {
+  return head_.age + std::chrono::duration_cast<milliseconds>(timer_service::now() - arrived_);
+}
+
 request_facts exchange::facts() const {
   request_facts facts{.host = head_.host, .path = head_.target, .method = head_.method};
   for (const auto& [name, value] : head_.headers) facts.headers.emplace(name, value);
   facts.deadline = core_.time_left(timer_service::now());
+  facts.age = age();
   facts.from_peer = head_.limits.from_peer;
   if (facts.from_peer) {
     facts.service = head_.service;
@@ -161,7 +167,7 @@
              {"attempts", core_.attempts()},
              {"service", kept_service_},
              {"from_peer", head_.limits.from_peer},
-             {"age_ms", std::chrono::duration_cast<milliseconds>(timer_service::now() - arrived_).count()}});
+             {"age_ms", age().count()}});
   refusal_note note{.refused = std::move(refused), .text = std::move(text)};
   if (come_back) note.retry_after = ticket_.refused().retry_after;
   if (!ticket_ && head_.limits.from_peer) note.load = ticket_.refused().load;
@@ -203,7 +209,9 @@
   // The head leaves with the opening of the stream, so the deadline is looked at here.
   if (!core_.may_send(timer_service::now()))
     co_return error{error_kind::unreachable, "the deadline has passed", {}, {}};
-  auto opening = open_mesh_upstream(context_, choice, head_, limits, timeout);
+  request_head forwarded = head_;
+  forwarded.age = age();
+  auto opening = open_mesh_upstream(context_, choice, forwarded, limits, timeout);
   auto opened = co_await std::move(opening);
   const auto failed = opened ? exchange_failure::closed : failure_of(opened.failure().kind);
   if (opened || failed != exchange_failure::refused) core_.mark_sent();
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -55,6 +55,12 @@
   head.caller_service = text;
   return true;
 }
+bool read_age(request_head& head, std::string_view text) {
+  std::uint64_t age = 0;
+  if (!read_number(text, 86'400'000, age)) return false;
+  head.age = milliseconds(age);
+  return true;
+}
 bool read_expect(request_head& head, std::string_view text) {
   head.expects_continue = lower_case(text) == "100-continue";
   return head.expects_continue;
@@ -83,6 +89,7 @@
     {"hd-service", read_service},
     {"hd-upstream-version", read_upstream_version},
     {"hd-caller-service", read_caller_service},
+    {"hd-age-ms", read_age},
     {"hd-stream", drop},
     {"hd-body", drop},
     {"hd-outcome", drop},
@@ -337,6 +344,7 @@
   if (!head.host.empty()) fields.emplace_back("host", head.host);
   fields.emplace_back("hd-service", choice.service);
   fields.emplace_back("hd-upstream-version", choice.upstream_version);
+  if (head.age.count() > 0) fields.emplace_back("hd-age-ms", std::to_string(head.age.count()));
   if (!head.caller_service.empty()) fields.emplace_back("hd-caller-service", head.caller_service);
   add_limits(fields, head, limits, native_dialect());
   if (head.body == body_kind::sized) fields.emplace_back("content-length", std::to_string(head.content_length));
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -45,6 +45,7 @@
   std::string request_id;
   std::string service;           ///< from a peer: hd-service
   std::string upstream_version;  ///< from a peer: hd-upstream-version
+  milliseconds age{0};           ///< from a peer: hd-age-ms, time that the request has spent at the first node
   std::string caller_service;    ///< service on whose host the request began; from a peer: hd-caller-service
   exchange_limits limits;
   header_list headers;  ///< end-to-end fields, without host
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -15,6 +15,8 @@
 
 constexpr milliseconds shortest_backoff{100};
 constexpr milliseconds longest_backoff{5'000};
+// A node without a document serves nobody, so it asks more often; a control host admits 64 askers at a time.
+constexpr milliseconds longest_backoff_without_document{600};
 constexpr std::uint32_t most_doublings = 6;
 constexpr int silent_periods = 2;
 // Time after which a node tries a nearer control host again; the jitter spreads the return after a zone has recovered.
@@ -72,8 +74,8 @@
   at_nearest_ = next_ % sources_.size() == 0;
   tried_ = s.host_id;
   ++next_;
-  const milliseconds backoff =
-      std::min(longest_backoff, shortest_backoff * (1U << std::min(failures_, most_doublings)));
+  const milliseconds longest = has_document() ? longest_backoff : longest_backoff_without_document;
+  const milliseconds backoff = std::min(longest, shortest_backoff * (1U << std::min(failures_, most_doublings)));
   const milliseconds delay = failures_ == 0 && !has_document() ? milliseconds(0) : jitter(backoff);
   ++failures_;
   useful_ = false;
--- a/traffic/balancer.h
+++ b/traffic/balancer.h
@@ -43,12 +43,27 @@
   bool avoid = false;  ///< chosen only when all others are avoided too, e.g. after a failed connection
 };
 
+/// How far a request may go to avoid a wait.
+enum class balance_reach {
+  free,  ///< to a farther class for a free slot
+  near,  ///< it waits in the nearest class: its answer is large, and bytes between regions are dear
+};
+
+template <>
+struct enum_table<balance_reach> {
+  static constexpr auto entries = std::to_array<enum_entry<balance_reach>>({
+      {balance_reach::free, "free"},
+      {balance_reach::near, "near"},
+  });
+};
+
 class balancer {
  public:
   explicit balancer(std::uint64_t seed) : random_(seed) {}
 
   /// @return the index of the chosen candidate, or nothing when none can take another connection.
-  std::optional<std::size_t> pick(std::span<const balance_candidate> candidates, time_point now);
+  std::optional<std::size_t> pick(std::span<const balance_candidate> candidates, time_point now,
+                                  balance_reach reach = balance_reach::free);
 
  private:
   random_source random_;
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -123,8 +123,9 @@
   upstream& target = *asked.target;
   target.gate.set_slots(target.endpoint.slots);
   const auto patience = asked.facts.deadline ? std::min(asked.route.timeout, *asked.facts.deadline) : asked.route.timeout;
-  const auto useful = asked.route.objective.count() > 0 ? std::min(asked.route.objective, patience) : patience;
-  const gate_request request{waiter, asked.route.name, asked.route.priority, now + useful, now + patience};
+  const auto objective_left = asked.route.objective - std::min(asked.facts.age, asked.route.objective);
+  const auto useful = asked.route.objective.count() > 0 ? std::min(objective_left, patience) : patience;
+  const gate_request request{waiter, asked.route.name, asked.route.priority, now + useful};
   const gate_verdict verdict = target.gate.arrive(now, request);
   if (verdict == gate_verdict::run) {
     return reserve(asked.target, asked.service, asked.route, asked.facts, asked.limited);
@@ -148,7 +149,7 @@
       if (asked.mapped().limited) services_[asked.mapped().service].limiter.abandon();
       answers.emplace_back(id, leaving ? refuse(refusal_reason::draining) : refuse_full(*u));
     }
-    for (const std::uint64_t id : u->gate.take_ready(now)) {
+    for (const std::uint64_t id : u->gate.take_ready()) {
       const auto found = waiting_.extract(id);
       if (found.empty()) {
         u->gate.leave({}, {});
@@ -187,7 +188,8 @@
     return refuse(refusal_reason::overloaded);
   }
   std::vector<std::string> avoid = facts.avoid_targets;
-  std::shared_ptr<upstream> chosen = choose(now, spec->second, traffic, avoid);
+  const balance_reach reach = rule.kind == route_kind::download ? balance_reach::near : balance_reach::free;
+  std::shared_ptr<upstream> chosen = choose(now, spec->second, traffic, avoid, reach);
   if (!chosen) {
     traffic.limiter.abandon();
     return refuse(refusal_reason::no_upstream);
@@ -197,7 +199,7 @@
   if (!entered || std::holds_alternative<upstream_choice>(*entered)) return entered;
   // The own upstream is full; another one is asked before the caller is refused.
   avoid.push_back(chosen->endpoint.target);
-  std::shared_ptr<upstream> other = choose(now, spec->second, traffic, avoid);
+  std::shared_ptr<upstream> other = choose(now, spec->second, traffic, avoid, reach);
   if (other && other->locality != choice_reason::local) {
     return reserve(std::move(other), service, route, facts, true);
   }
@@ -219,14 +221,15 @@
 
 std::shared_ptr<traffic_core::upstream> traffic_core::choose(time_point now, const service_spec& spec,
                                                              service_traffic& traffic,
-                                                             const std::vector<std::string>& avoid) {
+                                                             const std::vector<std::string>& avoid,
+                                                             balance_reach reach) {
   std::vector<version_share> left = spec.shares;
   for (bool first = true; !left.empty(); first = false) {
     const std::string drawn = draw_version(left);
     if (drawn.empty()) return nullptr;
     const std::string& name = version_behind(spec, traffic, drawn);
     if (!name.empty() && !cutter_.cut(spec.name, name, now)) {
-      if (auto chosen = choose_of_version(now, traffic, name, avoid)) return chosen;
+      if (auto chosen = choose_of_version(now, traffic, name, avoid, reach)) return chosen;
     }
     if (first) ++counters_.shares_moved;
     std::erase_if(left, [&](const version_share& s) { return s.upstream_version == drawn; });
@@ -257,7 +260,8 @@
 
 std::shared_ptr<traffic_core::upstream> traffic_core::choose_of_version(time_point now, service_traffic& traffic,
                                                                         const std::string& name,
-                                                                        const std::vector<std::string>& avoid) {
+                                                                        const std::vector<std::string>& avoid,
+                                                                        balance_reach reach) {
   const auto members = traffic.versions.find(name);
   if (members == traffic.versions.end()) return nullptr;
   std::vector<balance_candidate> candidates;
@@ -276,7 +280,7 @@
                           .avoid = tried || u->suspect || standing == outlier_ejector::standing::avoided});
     chosen_from.push_back(&u);
   }
-  const auto index = balancer_.pick(candidates, now);
+  const auto index = balancer_.pick(candidates, now, reach);
   return index ? *chosen_from[*index] : nullptr;
 }
 
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -155,9 +155,9 @@
   std::optional<pick_answer> enter_gate(time_point now, waiting_pick asked, std::uint64_t waiter);
   refusal refuse_full(const upstream& target);
   std::shared_ptr<upstream> choose(time_point now, const service_spec& spec, service_traffic& traffic,
-                                   const std::vector<std::string>& avoid);
+                                   const std::vector<std::string>& avoid, balance_reach reach);
   std::shared_ptr<upstream> choose_of_version(time_point now, service_traffic& traffic, const std::string& name,
-                                              const std::vector<std::string>& avoid);
+                                              const std::vector<std::string>& avoid, balance_reach reach);
   const std::string& version_behind(const service_spec& spec, const service_traffic& traffic,
                                     const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
--- a/traffic/upstream_gate.cc
+++ b/traffic/upstream_gate.cc
@@ -62,14 +62,12 @@
   std::erase_if(waiting_, [id](const gate_request& r) { return r.id == id; });
 }
 
-std::vector<std::uint64_t> upstream_gate::take_ready(time_point now) {
+std::vector<std::uint64_t> upstream_gate::take_ready() {
   std::vector<std::uint64_t> ready;
   while (running_ < slots_ && !waiting_.empty()) {
-    const auto order = [&](const gate_request& r) {
-      return std::tuple(now + estimate(r.route) > r.objective, r.rank, r.objective);
-    };
-    const auto best = std::min_element(waiting_.begin(), waiting_.end(),
-                                       [&](const gate_request& a, const gate_request& b) { return order(a) < order(b); });
+    const auto best = std::min_element(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
+      return std::tie(a.rank, a.objective) < std::tie(b.rank, b.objective);
+    });
     ready.push_back(best->id);
     waiting_.erase(best);
     ++running_;
@@ -80,7 +78,7 @@
 std::vector<std::uint64_t> upstream_gate::take_expired(time_point now) {
   std::vector<std::uint64_t> expired;
   std::erase_if(waiting_, [&](const gate_request& r) {
-    if (now + estimate(r.route) <= r.deadline) return false;
+    if (now + estimate(r.route) <= r.objective) return false;
     expired.push_back(r.id);
     return true;
   });
--- a/traffic/upstream_gate.h
+++ b/traffic/upstream_gate.h
@@ -13,11 +13,11 @@
 ///       case gate_verdict::refuse: ...                     // it would be late; another upstream may do better
 ///     }
 ///     gate.leave(now, "lookup", 42ms);                     // a run has ended
-///     for (std::uint64_t id : gate.take_ready(now)) ...    // may run now; counted as running
-///     for (std::uint64_t id : gate.take_expired(now)) ...  // cannot be answered in time any more
+///     for (std::uint64_t id : gate.take_ready())     ...    // may run now; counted as running
+///     for (std::uint64_t id : gate.take_expired(now)) ...  // cannot meet their objective any more
 ///
-/// Order: requests that can still meet their objective before others, then the more urgent rank, then the earlier
-/// objective. Pure.
+/// Order: the more urgent rank, then the earlier objective. A request that cannot meet its objective any more is refused
+/// rather than held, because under an overload it would only be held until its caller leaves. Pure.
 #pragma once
 
 #include <chrono>
@@ -46,8 +46,7 @@
   std::uint64_t id = 0;
   std::string route;
   std::uint32_t rank = 0;  ///< 0 is the most urgent
-  time_point objective{};      ///< by when an answer is of full use
-  time_point deadline{};       ///< by when the caller leaves
+  time_point objective{};  ///< by when an answer is of full use
 };
 
 class upstream_gate {
@@ -66,7 +65,7 @@
   /// A waiting request is not wanted any more.
   void withdraw(std::uint64_t id);
 
-  std::vector<std::uint64_t> take_ready(time_point now);
+  std::vector<std::uint64_t> take_ready();
   std::vector<std::uint64_t> take_expired(time_point now);
 
   /// Takes out everything that waits.
