Tests of admission, whole configurations, dialects and formation; joiners no longer answer answers

Change: only the founder that may form the log acts on formation answers; a node with a document waits two keep-alives for an election and 1 s at most between attempts; short rollouts have shorter steps; the adaptive limit stays where routes state no objective.

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -113,6 +113,7 @@
   bool hears_leader() const;
   bool self_votes() const;
   void election_timer_expired();
+  bool may_form_log() const;
   void announce_store();
   void on_announcement(const raft_message& message);
   void form_log();
--- a/consensus/raft_election.cc
+++ b/consensus/raft_election.cc
@@ -33,11 +33,14 @@
 
 // --- formation -----------------------------------------------------------------------------------------------------
 
+bool raft_core::may_form_log() const {
+  return config_.forms_log && !config_.founders.empty() && config_.founders.front().host_id == config_.host_id;
+}
+
 // Tells the founders which store this host has. The founder that forms the log collects the answers; on all other
 // hosts the message only makes the store known to the leader.
 void raft_core::announce_store() {
-  const bool forms = !config_.founders.empty() && config_.founders.front().host_id == config_.host_id;
-  if (log_.voters().empty() && forms && config_.forms_log && hard_.term == 0 && !log_exists_) {
+  if (log_.voters().empty() && may_form_log() && hard_.term == 0 && !log_exists_) {
     election_deadline_ = now_ + config_.heartbeat;
     untouched_[config_.host_id] = config_.store_id;
     if (untouched_.size() == config_.founders.size()) return form_log();
@@ -69,7 +72,8 @@
     untouched_.clear();
     return;
   }
-  if (log_exists_ || find_member(config_.founders, message.from) == nullptr) return;
+  // On any other host the answers decide nothing; acting on them there would announce its store once for each answer.
+  if (!may_form_log() || log_exists_ || find_member(config_.founders, message.from) == nullptr) return;
   untouched_[message.from] = message.from_store;
   if (untouched_.size() == config_.founders.size()) announce_store();
 }
--- a/control/rollout_core.cc
+++ b/control/rollout_core.cc
@@ -86,13 +86,16 @@
 std::size_t rollout_core::warm(const std::string& service, const std::string& upstream_version, time_point now) const {
   // An empty version stands for all but the new one.
   const auto rollout = rollouts_.find(service);
+  const duration ready_for = rollout == rollouts_.end()
+                                 ? duration(warm_after)
+                                 : std::min<duration>(warm_after, rollout->second.spec.finish_within / 4);
   const auto matches = [&](const std::string& announced) {
     if (!upstream_version.empty()) return announced == upstream_version;
     return rollout == rollouts_.end() || announced != rollout->second.state.to;
   };
   return static_cast<std::size_t>(std::count_if(ready_upstreams_.begin(), ready_upstreams_.end(), [&](const auto& u) {
     return u.second.service == service && matches(u.second.upstream_version) &&
-           now - u.second.ready_since >= warm_after;
+           now - u.second.ready_since >= ready_for;
   }));
 }
 
--- a/control/rollout_core.h
+++ b/control/rollout_core.h
@@ -38,7 +38,7 @@
 
 class rollout_core {
  public:
-  /// An upstream counts as warm after it has been ready for this long.
+  /// An upstream counts as warm after it has been ready for this long, or for a quarter of a shorter rollout.
   static constexpr std::chrono::seconds warm_after{10};
   /// How long a node's local cut holds back a raise of the share.
   static constexpr std::chrono::seconds cut_concern{20};
--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -22,7 +22,8 @@
 // Calls of the new version that a step must have seen when there is time enough.
 constexpr double calls_for_step = 60;
 constexpr std::chrono::seconds longest_hold{15};
-constexpr std::chrono::seconds shortest_hold{2};
+// One period of evidence: in a rollout of some seconds each step is held for just one.
+constexpr std::chrono::seconds shortest_hold{1};
 // With fewer expected calls than this in a step a fault hurts next to nobody, and waiting for them would take for ever.
 constexpr double negligible_calls = 3;
 // An upstream works at half of its capacity at most in a service that can lose an availability zone, so it can take
@@ -45,6 +46,11 @@
   return std::clamp<duration>(tenth, shortest_hold, longest_hold);
 }
 
+// A comparison must leave time to finish when it confirms nothing.
+duration longest_probe(const plan_facts& facts) {
+  return std::min<duration>(rollout_planner::probe_time, std::chrono::duration_cast<duration>(facts.wanted.finish_within) / 6);
+}
+
 }  // namespace
 
 double rollout_planner::planned_part() const { return 0.95 - 0.3 * std::clamp(convergence_weight_, 0.0, 1.0); }
@@ -120,7 +126,7 @@
   const duration since_step = facts.now - facts.last_step;
   if (facts.share < whole_traffic) {
     const bool open = facts.evidence >= evidence_to_go_on || facts.cut_recently;
-    if (open || since_step < probe_time) return wait("comparing with the old version");
+    if (open || since_step < longest_probe(facts)) return wait("comparing with the old version");
     return {plan_action::set_share, whole_traffic, rollout_status::watching, "the suspicion was not confirmed"};
   }
   if (const auto step = probe(facts)) return *step;
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr milliseconds shortest_backoff{100};
-constexpr milliseconds longest_backoff{5'000};
+// A node that has lost its source learns of the next change at most this much later, which must stay well below the
+// time in which a change is to be in force (2 s on the smallest bound that a platform gives).
+constexpr milliseconds longest_backoff{1'000};
 // A node without a document serves nobody, so it asks more often; a control host admits 64 askers at a time.
 constexpr milliseconds longest_backoff_without_document{600};
 constexpr std::uint32_t most_doublings = 6;
@@ -84,6 +86,7 @@
 
 void subscriber_core::on_connected(time_point now) {
   source_ = tried_;
+  without_quorum_since_.reset();
   last_heard_ = now;
   first_message_ = true;
   return_at_ = now + return_interval + jitter(return_interval);
@@ -146,7 +149,13 @@
 // Only the first message on a stream answers the node's question for a confirmed version. A later keep-alive tells that
 // the host hears from a quorum; the host may lag all the same, so it confirms nothing.
 subscriber_core::reaction subscriber_core::on_offer(const keepalive& message) {
-  if (!message.confirmed) return {.leave_reason = "the control host has no quorum"};
+  if (!message.confirmed) {
+    // During an election no host has a quorum, so a node that has a document does not go elsewhere at once.
+    if (has_document() && !without_quorum_since_) without_quorum_since_ = last_heard_;
+    if (has_document() && last_heard_ - *without_quorum_since_ < silent_periods * keepalive_) return {};
+    return {.leave_reason = "the control host has no quorum"};
+  }
+  without_quorum_since_.reset();
   if (has_document()) {
     mark_useful();
   } else if (first_message_) {
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -119,6 +119,7 @@
   bool useful_ = false;         ///< the present source has shown that it has a quorum
   std::string source_;
   time_point last_heard_;
+  std::optional<time_point> without_quorum_since_;  ///< the source tells that it has no quorum since then
   time_point return_at_;
   bool at_nearest_ = false;
   document_state state_;
--- a/testing/announcement_test.cc
+++ b/testing/announcement_test.cc
@@ -33,6 +33,62 @@
   EXPECT_EQ(said->load.in_flight, 3U);
 }
 
+const std::string ordered =
+    R"({"service":"orders","version":"v1","address":"10.1.0.38:8145","zone":"alex-a","slots":9,"state":"ready",)"
+    R"("warmup_left_ms":0,"sequence":4,"born":1700000000000})";
+
+announcement said_by(const std::string& target, const std::string& state, std::uint64_t born, std::uint64_t sequence) {
+  std::string text = ordered;
+  text.replace(text.find("ready"), 5, state);
+  text.replace(text.find("1700000000000"), 13, std::to_string(born));
+  text.replace(text.find("\"sequence\":4"), 12, "\"sequence\":" + std::to_string(sequence));
+  const auto said = capture([&] { return parse_announcement(text, target); });
+  EXPECT_TRUE(said) << said.failure().message();
+  return said ? *said : announcement{};
+}
+
+TEST(announcement, target_may_stand_in_the_call) {
+  const announcement said = said_by("i-7f3a", "ready", 5, 4);
+  EXPECT_EQ(said.endpoint.target, "i-7f3a");
+  EXPECT_EQ(said.order, (announcement_order{5, 4}));
+  EXPECT_GT(said.endpoint.connections, 0U);
+}
+
+// An announcement that a partition held up would bring a draining or ended target back.
+TEST(announcement, late_ones_change_nothing) {
+  announcement_core core;
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, said_by("i-1", "ready", 100, 4)));
+  auto changes = core.put(now, said_by("i-1", "draining", 100, 5));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U);
+  changes = core.put(now, said_by("i-1", "ready", 100, 3));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty());
+  ASSERT_TRUE(core.remove("i-1"));
+  changes = core.put(now, said_by("i-1", "ready", 100, 4));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty());
+  // The same name after a new start counts again.
+  changes = core.put(now, said_by("i-1", "ready", 200, 1));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U);
+}
+
+TEST(announcement, another_service_is_refused_on_a_host_that_has_one) {
+  announcement_core core(500ms, "stock");
+  EXPECT_FALSE(core.put(time_point{1h}, said_by("i-1", "ready", 100, 4)));
+}
+
+// A lease shorter than the pauses of a slow announcer would make healthy targets come and go.
+TEST(announcement, lease_follows_the_period) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, said_by("i-1", "ready", 100, 4)));
+  EXPECT_TRUE(core.tick(now + 5900ms).endpoints.empty());
+  EXPECT_EQ(core.tick(now + 6000ms).endpoints.size(), 1U);
+}
+
 // A wrong announcement that is accepted in part offers traffic to an upstream that does not exist.
 TEST(announcement, refuses_what_is_not_exactly_an_announcement) {
   const std::string bad[] = {"",
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -160,6 +160,38 @@
   EXPECT_EQ(core.held(), (version{1, 10}));
 }
 
+// During an election no host has a quorum; a node that leaves at once waits out a backoff and is late with the first
+// change of the new leader.
+TEST(subscriber_core, with_a_document_it_waits_for_an_election) {
+  subscriber_core core = subscriber_core::make(node_settings(2, 7));
+  core.next_source();
+  core.on_connected({});
+  const document_state state = state_at(10, "100");
+  ASSERT_NE(core.on_message(snapshot_offer{state, digest_of(state), true}, {}).document, nullptr);
+  const time_point lost{1s};
+  EXPECT_TRUE(core.on_message(keepalive{{1, 10}, false}, lost).leave_reason.empty());
+  EXPECT_TRUE(core.on_message(keepalive{{1, 10}, false}, lost + 5s).leave_reason.empty());
+  EXPECT_FALSE(core.on_message(keepalive{{1, 10}, false}, lost + 10s).leave_reason.empty());
+}
+
+// Control hosts that joined after the settings were written must be used, nearest first.
+TEST(subscriber_core, takes_its_sources_from_the_directory) {
+  subscriber_core core = subscriber_core::make(node_settings(1, 7));
+  member_record near;
+  near.node_id = "10.1.0.9";
+  near.availability_zone = "dar-1";
+  near.region = "dar";
+  near.mesh_address = "10.1.0.9:7001";
+  near.role = process_role::control;
+  member_record node = near;
+  node.node_id = "10.1.0.3";
+  node.role = process_role::node;
+  core.use_members({node});
+  EXPECT_EQ(core.next_source().host_id, "c0") << "a view without control hosts changes nothing";
+  core.use_members({node, near});
+  EXPECT_EQ(core.next_source().mesh_address, "10.1.0.9:7001");
+}
+
 TEST(subscriber_core, leaves_a_host_without_quorum_and_a_silent_one) {
   subscriber_core core = subscriber_core::make(node_settings(2, 7));
   core.next_source();
--- a/testing/ledger.cmake
+++ b/testing/ledger.cmake
@@ -7,3 +7,4 @@
 add_dependencies(cli_golden_test heatherdeck)
 target_compile_definitions(cli_golden_test PRIVATE
   HD_GOLDEN_FOLDER="${CMAKE_CURRENT_SOURCE_DIR}/golden/cli" HD_CLI_PROGRAM="$<TARGET_FILE:heatherdeck>")
+hd_test(configuration_test hd_control hd_traffic)
--- /dev/null
+++ b/testing/platform.cmake
@@ -0,0 +1,1 @@
+hd_test(dialect_test hd_platform)
--- a/testing/proxy_harness.h
+++ b/testing/proxy_harness.h
@@ -82,7 +82,9 @@
 class proxy_harness {
  public:
   /// @param with_mesh runs the real mesh service too; its port is in `mesh->port()`.
-  explicit proxy_harness(upstream_script script, duration idle_limit = std::chrono::seconds(60), bool with_mesh = false)
+  /// @param spoken by callers and the upstream.
+  explicit proxy_harness(upstream_script script, duration idle_limit = std::chrono::seconds(60), bool with_mesh = false,
+                         const http_dialect& spoken = native_dialect())
       : upstream_(k.io(), {boost::asio::ip::address_v4::loopback(), 0}), script_(std::move(script)) {
     auto added = std::make_unique<fake_traffic>();
     traffic = added.get();
@@ -104,13 +106,14 @@
     s.caller_listen = "127.0.0.1:0";
     s.mesh_listen = "127.0.0.1:0";
     s.mesh_key = "key of the test";
+    s.caller_service = "orders";
     if (with_mesh) {
       auto meshed = std::move(*mesh_service::make(s));
       mesh = meshed.get();
       EXPECT_TRUE(k.add(std::move(meshed)));
     }
     EXPECT_TRUE(k.add(std::move(*pool_service::make(s))));
-    auto made = std::move(*proxy_service::make(s));
+    auto made = std::move(*proxy_service::make(s, spoken));
     proxy = static_cast<proxy_service*>(made.get());
     proxy->set_idle_limit(idle_limit);
     EXPECT_TRUE(k.add(std::move(made)));
--- a/testing/raft_schedule_test.cc
+++ b/testing/raft_schedule_test.cc
@@ -16,6 +16,8 @@
   std::vector<fault> faults;
   std::uint64_t seeds;
   std::size_t hosts = 3;
+  std::size_t founders = 0;
+  std::size_t tolerated_losses = 0;
 };
 
 const schedule schedules[] = {
@@ -36,6 +38,16 @@
       fault::duplicate},
      500,
      5},
+    // Three founders of six hosts; the leader admits the others and replaced disks, two of which are lost at once.
+    {"admission", {fault::kill}, 300, 6, 3, 2},
+    {"admission_and_lost_disks", {fault::lost_disk}, 600, 6, 3, 2},
+    {"admission_and_all",
+     {fault::kill, fault::lost_disk, fault::one_way_cut, fault::two_way_cut, fault::freeze, fault::reorder,
+      fault::duplicate},
+     400,
+     6,
+     3,
+     2},
 };
 
 class raft_schedule : public testing::TestWithParam<schedule> {};
@@ -48,7 +60,9 @@
   std::uint64_t failures = 0;
   for (std::uint64_t seed = 1; seed <= s.seeds; ++seed) {
     if (only != nullptr && std::to_string(seed) != only) continue;
-    const std::string failure = raft_simulation::run({.seed = seed, .faults = s.faults, .hosts = s.hosts}, &sum);
+    const std::string failure = raft_simulation::run(
+        {.seed = seed, .faults = s.faults, .hosts = s.hosts, .founders = s.founders, .tolerated_losses = s.tolerated_losses},
+        &sum);
     if (failure.empty()) continue;
     if (++failures <= 5) ADD_FAILURE() << s.name << ": " << failure;
   }
--- a/testing/raft_simulation.cc
+++ b/testing/raft_simulation.cc
@@ -39,10 +39,11 @@
 
 raft_simulation::raft_simulation(const plan& p) : plan_(p), random_(p.seed * 0x9E3779B97F4A7C15ULL) {
   now_ += std::chrono::hours(1);
-  for (std::size_t i = 0; i < p.hosts; ++i) founders_.push_back({fmt::format("c{}", i), {}, "", false});
+  const std::size_t founders = p.founders == 0 ? p.hosts : p.founders;
+  for (std::size_t i = 0; i < founders; ++i) founders_.push_back({fmt::format("c{}", i), {}, "", false});
   hosts_.resize(p.hosts);
   for (std::size_t i = 0; i < p.hosts; ++i) {
-    hosts_[i].id = founders_[i].host_id;
+    hosts_[i].id = fmt::format("c{}", i);
     hosts_[i].disk.store_id = fmt::format("s{}", next_store_++);
     start(hosts_[i]);
   }
@@ -115,6 +116,11 @@
   config.window = 16;
   config.trailing_entries = 4;
   config.codec = wire_entry_codec();
+  if (plan_.founders != 0) {
+    config.admits_hosts = true;
+    config.least_voters = 2 * plan_.tolerated_losses + 1;
+    config.forms_log = std::stoul(h.disk.store_id.substr(1)) <= plan_.hosts;  // only the first store of a host
+  }
   outcome<raft_core> made = capture([&] { return raft_core::make(config, h.disk, now_); });
   if (!made) return fail_with("a host does not start: " + made.failure().message());
   h.core.emplace(std::move(*made));
@@ -122,6 +128,13 @@
   h.timer_at = time_point::max();
   h.applied = h.hash = h.image_at = 0;
   const std::size_t index = index_of(h.id);
+  if (plan_.founders != 0) {
+    hosts_learned learned;
+    for (std::size_t i = 0; i < plan_.hosts; ++i) {
+      if (i != index) learned.hosts.push_back({fmt::format("c{}", i), {}, "", false});
+    }
+    for (raft_action& action : h.core->step(now_, std::move(learned))) carry_out(index, action);
+  }
   if (h.disk.image) {
     raft_action restore = restore_state{h.disk.image};
     carry_out(index, restore);
@@ -337,6 +350,7 @@
       for (host& every : hosts_) kill(every, false);
       return;
     case fault::lost_disk:
+      if (plan_.tolerated_losses > 0) return lose_disks_at_once();
       if (may_lose_disk(h)) kill(h, true);
       return;
     case fault::one_way_cut:
@@ -358,6 +372,21 @@
   }
 }
 
+// As many disks as are tolerated at the same moment, while the other hosts lose power in half of the cases.
+void raft_simulation::lose_disks_at_once() {
+  const std::size_t first = random_() % hosts_.size();
+  if (!may_lose_disk(hosts_[first])) return;
+  const bool all_lose_power = draw(50);
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    host& h = hosts_[(first + i) % hosts_.size()];
+    if (i < plan_.tolerated_losses) {
+      kill(h, true);
+    } else if (all_lose_power) {
+      kill(h, false);
+    }
+  }
+}
+
 void raft_simulation::ask() {
   at(draw_ms(5, 60), [this] { ask(); });
   const std::size_t index = index_of(draw_host().id);
@@ -377,6 +406,7 @@
 
 // The operator admits a host whose store has been replaced, and promotes it when it has caught up.
 void raft_simulation::administer() {
+  if (plan_.founders != 0) return;  // the leader admits hosts by itself
   at(draw_ms(50, 400), [this] { administer(); });
   for (host& h : hosts_) {
     if (!h.core || h.core->role() != raft_role::leader) continue;
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -50,6 +50,8 @@
       {"log_level: loud\n", "loud", "node.yaml:12"},
       {"data_folder: {a: 1}\n", "", "node.yaml:12"},
       {"seeds: [nowhere]\n", "nowhere", "node.yaml:12"},
+      {"seeds: [\"10.1.0.1x:7001\"]\n", "10.1.0.1x", "node.yaml:12"},
+      {"dialect: latin\n", "latin", "node.yaml:12"},
       {"id: again\n", "id", "node.yaml:12"},
   };
   for (const refusal_case& c : cases) {
@@ -62,6 +64,38 @@
   }
 }
 
+std::string with_founders() {
+  std::string text = node_yaml;
+  text.erase(text.find("control_hosts"));
+  return text + "founders: [\"10.1.0.40:8144\", \"10.2.0.42:8144\"]\n";
+}
+
+// Every process must derive the same ids and ports, or the founders never recognise each other.
+TEST(settings, founders_are_known_by_their_addresses) {
+  const auto s = parse(with_founders());
+  ASSERT_TRUE(s) << s.failure().message();
+  ASSERT_EQ(s->control_hosts.size(), 2U);
+  EXPECT_EQ(s->control_hosts[0].id, "10.1.0.40");
+  EXPECT_EQ(s->control_hosts[0].mesh_address, "10.1.0.40:7001");
+  EXPECT_EQ(seed_addresses(*s).size(), 2U);
+  EXPECT_FALSE(parse(std::string(node_yaml) + "founders: [\"10.1.0.40:8144\"]\n"));
+}
+
+TEST(settings, one_source_of_the_mesh_key) {
+  EXPECT_FALSE(parse(std::string(node_yaml) + "mesh_key: 0123456789abcdef\n"));
+  std::string inline_key = node_yaml;
+  inline_key.replace(inline_key.find("mesh_key_file: mesh.key"), 23, "mesh_key: 0123456789abcdef");
+  EXPECT_TRUE(parse(inline_key));
+}
+
+// A process that still drains when it is killed cuts what is in flight.
+TEST(settings, drain_ends_before_the_process_is_killed) {
+  const auto s = parse(std::string(node_yaml) + "stop_grace_ms: 6000\n");
+  ASSERT_TRUE(s);
+  EXPECT_EQ(drain_limit_of(*s), std::chrono::milliseconds(5000));
+  EXPECT_EQ(drain_limit_of(*parse(node_yaml)), std::chrono::milliseconds(30'000));
+}
+
 TEST(settings, role_needs_its_listeners) {
   std::string text = node_yaml;
   text.replace(text.find("roles: [node]"), 13, "roles: [control]");
--- a/traffic/slow_start.h
+++ b/traffic/slow_start.h
@@ -17,6 +17,7 @@
 class slow_start {
  public:
   static constexpr std::chrono::seconds period{10};
+  static constexpr std::chrono::seconds settling_period{4};
   /// The first weight; with none a cold upstream would get no request that could warm it.
   static constexpr double lowest_weight = 0.1;
 
@@ -29,6 +30,10 @@
   /// @return true while the upstream counts as cold.
   bool cold(time_point now) const { return since_ && now - *since_ < period; }
 
+  /// @return true while its latency still tells of the cold start rather than of the version; the platforms served have
+  /// cold starts of 3 s.
+  bool settling(time_point now) const { return since_ && now - *since_ < settling_period; }
+
   /// @return the part of a warm upstream's requests, from lowest_weight to 1.
   double weight(time_point now) const {
     if (!cold(now)) return 1;
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -181,8 +181,9 @@
   const route_facts route = facts_of(&rule, facts);
   const bool hurried = facts.deadline && *facts.deadline <= short_deadline;
   const work_class work = !route.idempotent || hurried ? work_class::reserved : work_class::ordinary;
-  // The gate of the upstream's own node refuses what it cannot serve; this limit is only for an operators' ceiling.
-  if (!spec->second.in_flight_limit) {
+  // Where a route states its objective, the gate of the upstream's own node admits by it. The adaptive limit takes the
+  // mean latency of all routes of a service for its measure, which routes of 15 and of 360 ms make useless.
+  if (route.objective.count() > 0 && !spec->second.in_flight_limit) {
     traffic.limiter.enter();
   } else if (!traffic.limiter.admit(work)) {
     return refuse(refusal_reason::overloaded);
@@ -344,7 +345,7 @@
   const std::string& name = target.endpoint.upstream_version;
   if (local) {
     evidence_.record(
-        {call.service, name, call.route, result.outcome, result.latency, call.timeout, target.start.cold(now)});
+        {call.service, name, call.route, result.outcome, result.latency, call.timeout, target.start.settling(now)});
   }
   // A failed connection to another node tells of that node or of the way to it, not of the version.
   const bool tells_of_version =
