--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -263,7 +263,9 @@
   request_head head = std::move(std::get<request_head>(converted));
   ++counts_.requests;
   if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
+  // A caller must not pass for another host or for an older request.
   head.caller_service = context_->caller_service;
+  head.age = milliseconds(0);
   h1_caller caller(stream_, reader, draining_, *context_->dialect);
   caller.describe(head);
   auto exchanging = run_exchange(context_, caller, std::move(head));
