Requests that wait for an upstream that ends are refused

Cause: a new view drops an upstream together with its gate, so a request that waited there was never answered, and a planned stop waited for it. Found by reading; the test failed first (0 answers instead of 1).

Change: take_answers refuses what waits for an upstream that is not in the view any more.

--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -70,6 +70,22 @@
   }
 };
 
+// A request that waits for a slot of an upstream that ends meanwhile would wait for ever, and with it a planned stop.
+TEST_F(traffic_core_test, requests_that_wait_for_an_upstream_that_ends_are_refused) {
+  core.use(document({{"v1", whole_traffic}}));
+  endpoint_record one_slot = endpoint("t1", "v1");
+  one_slot.slots = 1;
+  core.use_members({member("n1", "dar-1", {one_slot})}, now);
+  ASSERT_EQ(chosen().target, "t1");
+  ASSERT_FALSE(core.pick(now, lookup(), 7)) << "the only slot is taken, so the second request waits";
+  core.use_members({member("n1", "dar-1", {})}, now);
+  const auto answers = core.take_answers(now);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers.front().first, 7U);
+  EXPECT_TRUE(std::holds_alternative<refusal>(answers.front().second));
+  EXPECT_TRUE(core.take_answers(now).empty());
+}
+
 // Shares that are not kept make the limits of a rollout's steps void.
 TEST_F(traffic_core_test, shares_are_kept_within_sampling_error) {
   core.use(document({{"v1", 9'500}, {"v2", 500}}));
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -141,6 +141,15 @@
 
 std::vector<std::pair<std::uint64_t, pick_answer>> traffic_core::take_answers(time_point now) {
   std::vector<std::pair<std::uint64_t, pick_answer>> answers;
+  // An upstream that has ended, or was replaced under its key, has left the view together with its gate.
+  std::erase_if(waiting_, [&](const auto& item) {
+    const waiting_pick& asked = item.second;
+    const auto known = upstreams_.find(asked.target->key);
+    if (known != upstreams_.end() && known->second == asked.target) return false;
+    if (asked.limited) services_[asked.service].limiter.abandon();
+    answers.emplace_back(item.first, refuse(refusal_reason::draining));
+    return true;
+  });
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != choice_reason::local) continue;
     const bool leaving = u->endpoint.state == upstream_state::draining;
