Nodes without a document wait at their control host for the election

Change: the publisher asks for the confirmation again every 50 ms, for 0.8 s from the subscription on. Test: node_without_a_document_waits_for_the_next_confirmation.

--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -42,6 +42,12 @@
   return std::nullopt;
 }
 
+bool publisher_core::may_wait(std::uint64_t id, time_point now) const {
+  const auto found = subscriptions_.find(id);
+  if (found == subscriptions_.end() || !found->second.first) return false;
+  return found->second.applied.none() && now - found->second.applied_since < limits_.first_patience;
+}
+
 void publisher_core::end_first(subscription& s) {
   if (!s.first) return;
   s.first = false;
--- a/control/publisher_core.h
+++ b/control/publisher_core.h
@@ -33,6 +33,9 @@
     std::size_t handshakes = 64;  ///< subscriptions that wait for their first offer at a time
     milliseconds keepalive{5'000};
     milliseconds retry_spread{2'000};  ///< a refused node is told to come back within this time
+    /// A node without a document waits this long here for a confirmation. During an election no other host could
+    /// confirm either; shorter than the two keep-alives (1 s) after which a node leaves a silent host.
+    milliseconds first_patience{800};
   };
 
   /// One message for one subscription. Subscriptions that get equal content share the message.
@@ -56,6 +59,9 @@
   /// @param confirmed true when a quorum has confirmed the state after the node asked.
   std::optional<offer> first_offer(std::uint64_t id, bool confirmed, time_point now);
 
+  /// @return true while a node without a document may go on waiting here after a confirmation has failed.
+  bool may_wait(std::uint64_t id, time_point now) const;
+
   /// @return the next offer, when the document has changed in the meantime.
   std::optional<offer> on_applied(std::uint64_t id, const applied_report& report, time_point now);
 
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -26,6 +26,8 @@
 constexpr auto tick_period = 500ms;
 constexpr auto confirm_timeout = 2s;
 constexpr auto status_timeout = 400ms;
+// During an election a confirmation fails at once; a few tries fit into the round trips of a new leader's first commit.
+constexpr auto confirm_pause = 50ms;
 constexpr auto longest_wait = 60s;
 
 }  // namespace
@@ -65,6 +67,7 @@
 
 void publisher_service::stop() {
   tick_.cancel();
+  confirm_again_.cancel();
   inbox_->close();
   streams_->close();
   outgoing_.clear();
@@ -141,10 +144,21 @@
   } else {
     log_event(log_level::debug, "confirmation_failed", {{"reason", m.state.failure().message()}});
   }
-  // Without a confirmation the node is told so and looks for another control host.
+  // Without a confirmation the node is told so and looks for another control host, unless it can wait for the next one.
   for (const std::uint64_t id : waiting) {
-    if (const auto offer = core_.first_offer(id, m.state.has_value(), now)) send(*offer);
+    if (!m.state && core_.may_wait(id, now)) {
+      confirm_next_.push_back(id);
+    } else if (const auto offer = core_.first_offer(id, m.state.has_value(), now)) {
+      send(*offer);
+    }
   }
+  if (confirm_next_.empty()) return;
+  if (m.state) return begin_confirmation();
+  confirm_again_ =
+      kernel_->timers().after(confirm_pause, [inbox = inbox_->address()] { inbox.post(confirmation_due{}); });
+}
+
+void publisher_service::handle(confirmation_due&&) {
   if (!confirm_next_.empty()) begin_confirmation();
 }
 
--- a/control/publisher_service.h
+++ b/control/publisher_service.h
@@ -54,6 +54,7 @@
   void handle(subscription_message&& m);
   void handle(subscription_closed&& m);
   void handle(confirmation_finished&& m);
+  void handle(confirmation_due&& m);
   void handle(quorum_reported&& m);
   void on_node(std::uint64_t id, const subscribe_request& request);
   void on_node(std::uint64_t id, const applied_report& report);
@@ -75,6 +76,7 @@
   address<consensus_message> consensus_;
   address<rollout_message> rollout_;
   subscription tick_;
+  subscription confirm_again_;
   std::map<std::uint64_t, address<shared_frame>> outgoing_;
   std::map<std::uint64_t, subscribe_request> peers_;  ///< who each subscription is, for evidence
   std::vector<std::uint64_t> confirm_next_;           ///< wait for a confirmation that has not begun
--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -63,6 +63,9 @@
   outcome<document_state_ptr> state;
 };
 
+/// The pause after a confirmation that failed is over.
+struct confirmation_due {};
+
 /// Whether this control host hears from a leader that has a quorum.
 struct quorum_reported {
   bool present = false;
@@ -70,7 +73,7 @@
 
 using publisher_message =
     std::variant<publisher_tick, document_changed, get_subscribers, wait_applied, subscription_opened,
-                 subscription_message, subscription_closed, confirmation_finished, quorum_reported>;
+                 subscription_message, subscription_closed, confirmation_finished, confirmation_due, quorum_reported>;
 
 /// Posted by `traffic` to `subscriber` once a second while there is evidence.
 struct send_evidence {
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -41,6 +41,21 @@
 
 subscribe_request request_of(const version& have) { return {"n1", "dar-1", have, {}, have.none()}; }
 
+// After a power failure nodes went from host to host with growing pauses, while all hosts waited for the same election.
+TEST(publisher_core, node_without_a_document_waits_for_the_next_confirmation) {
+  publisher_core core({}, 1);
+  const time_point now{};
+  core.set_document(std::make_shared<document_state>(state_at(10, "100")), now);
+  ASSERT_FALSE(core.open(1, request_of({}), now));
+  ASSERT_FALSE(core.open(2, request_of({1, 10}), now));
+  EXPECT_TRUE(core.may_wait(1, now + 700ms));
+  EXPECT_FALSE(core.may_wait(1, now + 800ms)) << "a host that is cut off must not keep the node for long";
+  EXPECT_FALSE(core.may_wait(2, now)) << "a node with a document serves meanwhile and needs no patience";
+  EXPECT_FALSE(core.may_wait(3, now));
+  ASSERT_TRUE(core.first_offer(1, true, now));
+  EXPECT_FALSE(core.may_wait(1, now));
+}
+
 // A queue of offers to a slow node would grow with every change, and each would be applied in turn.
 TEST(publisher_core, slow_node_gets_one_combined_delta) {
   publisher_core core({}, 1);
