Control hosts that are gone for good leave the group

Cause: a replaced control host stayed a voter for ever; after two replacements a group of six has eight voters, a quorum of five, and cannot bear the loss of two hosts. Change: the leader removes a member that has been silent for 3 s while 2t+1 voters are left, and learners likewise; a host that was only cut off campaigns when it is back and is admitted again.

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -16,8 +16,9 @@
 ///   was asked under its own store id;
 /// - a new log is formed by the first of `founders`, once, after every founder has answered that its store is untouched
 ///   (term 0). A host with a replaced disk therefore never forms a second log; it waits to be admitted;
-/// - with `admits_hosts` the leader adds every host that announces a store, as a learner first, and replaces the lost
-///   store of a host that announces a new one; one change at a time.
+/// - with `admits_hosts` the leader adds every host that announces a store, as a learner first, replaces the lost store
+///   of a host that announces a new one, and removes a member that has been silent for `gone_after` while
+///   `least_voters` are left; one change at a time. A removed host that comes back is added again.
 #pragma once
 
 #include <cstdint>
@@ -118,6 +119,7 @@
   bool may_form_log() const;
   void announce_store();
   void on_announcement(const raft_message& message);
+  void note_unadmitted(const raft_message& message);
   void form_log();
   void start_pre_vote();
   void start_election();
@@ -146,6 +148,7 @@
   // raft_admission.cc: membership without an operator
   void admit_hosts();
   std::optional<change_asked> next_admission() const;
+  std::optional<change_asked> next_removal() const;
 
   // raft_follower.cc: what a leader sends, and reads on the way to it
   bool accept_leader(const raft_message& message);
--- a/consensus/raft_election.cc
+++ b/consensus/raft_election.cc
@@ -60,12 +60,16 @@
 }
 
 void raft_core::on_announcement(const raft_message& message) {
+  note_unadmitted(message);
+  send(answer_to(message, vote_answer{true, false}));
+}
+
+void raft_core::note_unadmitted(const raft_message& message) {
   const voter* member = find_member(log_.voters(), message.from);
   const bool admitted = member != nullptr && member->store_id == message.from_store;
   if (!log_.voters().empty() && !admitted && !replaced_stores_.contains(message.from_store)) {
     unadmitted_[message.from] = message.from_store;
   }
-  send(answer_to(message, vote_answer{true, false}));
 }
 
 void raft_core::on_formation_answer(const raft_message& message) {
@@ -143,6 +147,8 @@
   // Without a store id it is no request but an announcement; the answer tells whether this store is untouched.
   if (message.to_store.empty()) return on_announcement(message);
   const bool complete = log_.covered_by(request.last_index, request.last_term);
+  // A host that was removed while it was away does not know it and campaigns.
+  if (request.pre_vote && hears_leader()) note_unadmitted(message);
   if (request.pre_vote) {
     const bool granted = message.term > hard_.term && complete && !hears_leader();
     // Hosts that start together ask together; without an order among them they split the votes.
--- a/consensus/raft_types.h
+++ b/consensus/raft_types.h
@@ -75,6 +75,9 @@
   bool forms_log = true;         ///< false: this host only joins a log that exists
   bool admits_hosts = false;     ///< as leader, takes announced hosts into the membership by itself
   std::size_t least_voters = 0;  ///< fewer voters accept no command: it would not be on enough disks
+  /// A leader that admits hosts removes a member after this silence. Shorter than the 4 s after which a platform counts
+  /// on the successor of a host that it has removed; a host that was only away is admitted again.
+  std::chrono::milliseconds gone_after{3000};
   std::chrono::milliseconds heartbeat{100};
   std::chrono::milliseconds election_timeout{600};  ///< least value; the drawn value is at most twice this
   std::chrono::milliseconds lease{500};             ///< must be shorter than election_timeout
--- a/testing/raft_schedule_test.cc
+++ b/testing/raft_schedule_test.cc
@@ -49,6 +49,15 @@
      6,
      3,
      2},
+    // Hosts that go for good: without removals they raise the quorum until the group cannot bear another loss.
+    {"admission_and_replaced_hosts", {fault::replaced_host}, 300, 6, 3, 2},
+    {"replaced_hosts_and_all",
+     {fault::replaced_host, fault::kill, fault::lost_disk, fault::one_way_cut, fault::two_way_cut, fault::freeze,
+      fault::reorder, fault::duplicate},
+     400,
+     6,
+     3,
+     2},
 };
 
 class raft_schedule : public testing::TestWithParam<schedule> {};
@@ -73,7 +82,7 @@
   std::cout << s.name << ": seeds " << s.seeds << ", failed " << failures << ", steps " << sum.steps << ", committed "
             << sum.committed << ", elections " << sum.elections << ", reads " << sum.reads << ", restores "
             << sum.restores << ", unknown outcomes " << sum.unknown << ", lost disks " << sum.lost_disks
-            << ", promotions asked " << sum.promoted << "\n";
+            << ", promotions asked " << sum.promoted << ", replaced hosts " << sum.replaced << "\n";
   EXPECT_EQ(failures, 0U);
   EXPECT_GT(sum.committed, 0U);
 }
--- a/testing/raft_simulation.cc
+++ b/testing/raft_simulation.cc
@@ -18,6 +18,9 @@
 }
 // Small limits, so that short schedules reach snapshots, chunks and windows.
 constexpr std::uint64_t entries_per_image = 12;
+// Short enough for the run, longer than any election; ids have one digit.
+constexpr milliseconds gone_after{1500};
+constexpr std::size_t most_hosts = 10;
 }  // namespace
 
 std::string raft_simulation::run(const plan& p, figures* sum) {
@@ -33,6 +36,7 @@
     sum->unknown += f.unknown;
     sum->lost_disks += f.lost_disks;
     sum->promoted += f.promoted;
+    sum->replaced += f.replaced;
   }
   return failure;
 }
@@ -41,6 +45,7 @@
   now_ += std::chrono::hours(1);
   const std::size_t founders = p.founders == 0 ? p.hosts : p.founders;
   for (std::size_t i = 0; i < founders; ++i) founders_.push_back({fmt::format("c{}", i), {}, "", false});
+  hosts_.reserve(most_hosts);
   hosts_.resize(p.hosts);
   for (std::size_t i = 0; i < p.hosts; ++i) {
     hosts_[i].id = fmt::format("c{}", i);
@@ -107,25 +112,62 @@
       committed_at_heal = committed_.size();
       for (host& h : hosts_) {
         h.frozen_until = {};
-        if (!h.core) start(h);
+        if (!h.core && !h.gone) start(h);
       }
     }
     next.action();
     // The group works again when commands that were proposed after the faults are committed.
-    if (healed_ && committed_.size() >= committed_at_heal + 20 && now_ > heal_at + std::chrono::seconds(1)) break;
+    const bool settled = now_ > heal_at + std::chrono::seconds(1) && membership_problem().empty();
+    if (healed_ && committed_.size() >= committed_at_heal + 20 && settled) break;
   }
   const bool excused = disk_lost_before_formation_ && committed_.empty();
   if (healed_ && !excused && committed_.size() < committed_at_heal + 20) {
     fail_with(fmt::format("only {} entries were committed after the faults", committed_.size() - committed_at_heal));
-    for (const host& h : hosts_) {
-      failure_ += fmt::format("; {} ({}) {} term {} last {} commit {}, members", h.id, h.disk.store_id,
-                              to_name(h.core->role()), h.core->term(), h.core->log().last_index(), h.core->commit());
-      for (const voter& v : h.core->log().voters()) failure_ += fmt::format(" {}/{}", v.host_id, v.store_id);
-    }
+    failure_ += describe_hosts();
+  }
+  if (healed_ && failure_.empty() && !excused) {
+    if (const std::string problem = membership_problem(); !problem.empty()) fail_with(problem + describe_hosts());
   }
   return failure_;
 }
 
+std::string raft_simulation::describe_hosts() const {
+  std::string text;
+  for (const host& h : hosts_) {
+    if (!h.core) continue;
+    text += fmt::format("; {} ({}) {} term {} last {} commit {}, members", h.id, h.disk.store_id,
+                        to_name(h.core->role()), h.core->term(), h.core->log().last_index(), h.core->commit());
+    for (const voter& v : h.core->log().voters()) {
+      text += fmt::format(" {}/{}{}", v.host_id, v.store_id, v.learner ? " (learner)" : "");
+    }
+  }
+  return text;
+}
+
+std::size_t raft_simulation::present() const {
+  return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(), [](const host& h) { return !h.gone; }));
+}
+
+// After replacements the group must consist of the hosts that are there, all voting: a member that is gone for good
+// would raise the quorum for ever.
+std::string raft_simulation::membership_problem() const {
+  if (figures_.replaced == 0) return {};
+  const raft_core* leader = nullptr;
+  for (const host& h : hosts_) {
+    const bool leads = h.core && h.core->role() == raft_role::leader;
+    if (leads && (leader == nullptr || h.core->term() > leader->term())) leader = &*h.core;
+  }
+  if (leader == nullptr) return "no host leads";
+  for (const voter& member : leader->log().voters()) {
+    if (hosts_[index_of(member.host_id)].gone) return member.host_id + " is gone and still a member";
+    if (member.learner) return member.host_id + " has not been promoted";
+  }
+  if (leader->log().voters().size() != present()) {
+    return fmt::format("{} of {} hosts are members", leader->log().voters().size(), present());
+  }
+  return {};
+}
+
 // --- hosts and disks -----------------------------------------------------------------------------------------------
 
 void raft_simulation::start(host& h) {
@@ -142,6 +184,7 @@
   if (plan_.founders != 0) {
     config.admits_hosts = true;
     config.least_voters = 2 * plan_.tolerated_losses + 1;
+    config.gone_after = gone_after;
     config.forms_log = std::stoul(h.disk.store_id.substr(1)) <= plan_.hosts;  // only the first store of a host
   }
   outcome<raft_core> made = capture([&] { return raft_core::make(config, h.disk, now_); });
@@ -153,8 +196,8 @@
   const std::size_t index = index_of(h.id);
   if (plan_.founders != 0) {
     hosts_learned learned;
-    for (std::size_t i = 0; i < plan_.hosts; ++i) {
-      if (i != index) learned.hosts.push_back({fmt::format("c{}", i), {}, "", false});
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (i != index && !hosts_[i].gone) learned.hosts.push_back({fmt::format("c{}", i), {}, "", false});
     }
     for (raft_action& action : h.core->step(now_, std::move(learned))) carry_out(index, action);
   }
@@ -181,7 +224,7 @@
   }
   const std::size_t index = index_of(h.id);
   at(draw_ms(1, 900), [this, index] {
-    if (!hosts_[index].core) start(hosts_[index]);
+    if (!hosts_[index].core && !hosts_[index].gone) start(hosts_[index]);
   });
 }
 
@@ -346,7 +389,7 @@
 // --- what happens to the group -------------------------------------------------------------------------------------
 
 // A quorum of the stores must survive: the next disk may be lost only when every member of the committed
-// membership votes with an intact store.
+// membership votes with an intact store; a host that is gone counts as lost until it is no member.
 bool raft_simulation::may_lose_disk(const host& h) const {
   const raft_core* leader = nullptr;
   for (const host& other : hosts_) {
@@ -357,7 +400,10 @@
   if (leader->log().voters_index() > leader->commit()) return false;
   const std::vector<voter>* voters = &leader->log().voters();
   return std::all_of(hosts_.begin(), hosts_.end(),
-                     [&](const host& other) { return is_voter(*voters, other.id, other.disk.store_id); }) &&
+                     [&](const host& other) {
+                       if (other.gone) return find_member(*voters, other.id) == nullptr;
+                       return is_voter(*voters, other.id, other.disk.store_id);
+                     }) &&
          h.core.has_value();
 }
 
@@ -389,12 +435,36 @@
     case fault::freeze:
       h.frozen_until = now_ + draw_ms(50, 2500);
       return;
+    case fault::replaced_host:
+      return replace_host(h);
     case fault::reorder:
     case fault::duplicate:
       return;  // acts on every message
   }
 }
 
+// A host goes for good with its disk, and an empty one at another address comes for it. The others learn of it as from
+// gossip.
+void raft_simulation::replace_host(host& h) {
+  if (hosts_.size() >= most_hosts || committed_.empty() || !may_lose_disk(h)) return;
+  ++figures_.replaced;
+  kill(h, true);
+  h.gone = true;
+  host added;
+  added.id = fmt::format("c{}", hosts_.size());
+  added.disk.store_id = fmt::format("s{}", next_store_++);
+  hosts_.push_back(std::move(added));
+  start(hosts_.back());
+  const std::size_t index = hosts_.size() - 1;
+  for (std::size_t i = 0; i < index; ++i) {
+    hosts_learned learned;
+    for (std::size_t j = 0; j < hosts_.size(); ++j) {
+      if (j != i && !hosts_[j].gone) learned.hosts.push_back({hosts_[j].id, {}, "", false});
+    }
+    feed(i, hosts_[i].generation, std::move(learned));
+  }
+}
+
 // As many disks as are tolerated at the same moment, while the other hosts lose power in half of the cases.
 void raft_simulation::lose_disks_at_once() {
   const std::size_t first = random_() % hosts_.size();
--- a/testing/raft_simulation.h
+++ b/testing/raft_simulation.h
@@ -19,7 +19,7 @@
 
 namespace heatherdeck {
 
-enum class fault { kill, lost_disk, one_way_cut, two_way_cut, freeze, reorder, duplicate };
+enum class fault { kill, lost_disk, one_way_cut, two_way_cut, freeze, reorder, duplicate, replaced_host };
 
 template <>
 struct enum_table<fault> {
@@ -31,6 +31,7 @@
       {fault::freeze, "freeze"},
       {fault::reorder, "reorder"},
       {fault::duplicate, "duplicate"},
+      {fault::replaced_host, "replaced_host"},
   });
 };
 
@@ -56,6 +57,7 @@
     std::uint64_t unknown = 0;
     std::uint64_t lost_disks = 0;
     std::uint64_t promoted = 0;
+    std::uint64_t replaced = 0;
   };
 
   /// @return an empty text, or the first broken rule with seed and virtual time.
@@ -71,6 +73,7 @@
     stored_state disk;
     std::vector<persist_state> writing;
     std::optional<raft_core> core;
+    bool gone = false;  ///< for good
     time_point frozen_until{};
     time_point timer_at = time_point::max();
     std::uint64_t applied = 0;
@@ -117,6 +120,10 @@
   void administer();
   bool may_lose_disk(const host& h) const;
   void lose_disks_at_once();
+  void replace_host(host& h);
+  std::size_t present() const;
+  std::string membership_problem() const;
+  std::string describe_hosts() const;
   std::size_t index_of(const std::string& id) const;
 
   plan plan_;
