Large answers stay in the region while its upstreams shed requests

Change: an upstream that has only refused lately is still preferred to another region for downloads. Test: near_reach_prefers_a_refusing_candidate_to_another_region.

--- a/testing/upstream_choice_test.cc
+++ b/testing/upstream_choice_test.cc
@@ -64,6 +64,18 @@
   EXPECT_EQ(choose.pick(candidates, start_time), 0U);
 }
 
+// While all targets shed a part of their requests, half of the large answers crossed regions.
+TEST(balancer, near_reach_prefers_a_refusing_candidate_to_another_region) {
+  load_estimate idle;
+  std::vector<balance_candidate> candidates{{.locality = choice_reason::region, .load = &idle, .refusing = true},
+                                            {.locality = choice_reason::remote, .load = &idle}};
+  balancer choose(seed);
+  for (int i = 0; i < 50; ++i) EXPECT_EQ(choose.pick(candidates, start_time, balance_reach::near), 0U);
+  EXPECT_EQ(choose.pick(candidates, start_time, balance_reach::free), 1U);
+  candidates[0].avoid = true;
+  EXPECT_EQ(choose.pick(candidates, start_time, balance_reach::near), 1U);
+}
+
 TEST(slow_start, weight_grows_to_one_in_ten_seconds) {
   slow_start start;
   EXPECT_EQ(start.weight(start_time), 1);
--- a/traffic/balancer.h
+++ b/traffic/balancer.h
@@ -41,6 +41,8 @@
   std::uint32_t slots = 20;  ///< requests that the target works on at a time
   std::uint32_t connections = 130;
   bool avoid = false;  ///< chosen only when all others are avoided too, e.g. after a failed connection
+  bool refusing =
+      false;  ///< has refused a request lately; the same, but within reach `near` better than another region
 };
 
 /// How far a request may go to avoid a wait.
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -299,7 +299,8 @@
                           .weight = u->start.weight(now),
                           .slots = u->endpoint.slots,
                           .connections = u->endpoint.connections,
-                          .avoid = tried || u->suspect || standing == outlier_ejector::standing::avoided});
+                          .avoid = tried || u->suspect,
+                          .refusing = standing == outlier_ejector::standing::avoided});
     chosen_from.push_back(&u);
   }
   const auto index = balancer_.pick(candidates, now, reach);
