Logs go to standard output, bounded and without waiting for their reader

Cause: a log line was one blocking write to standard error, without a bound on the lines of an event; a reader that stopped would have stopped every task, and an overload wrote a line for each refusal.

--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -1,7 +1,6 @@
 // A glog sink writes every message as one JSON line. Our own events reach the sink as ready JSON objects; text from
-// libraries that use glog is wrapped in an object. Invariant: one line is written by one write call, so lines of
-// several threads do not mix. Repetition is counted per event and error kind with one map entry each; both are fixed
-// sets, so the map is bounded.
+// libraries that use glog is wrapped in an object. Invariant: a line never waits for its reader (see line_output.h).
+// Repetition is counted per event and error kind with one map entry each; both are fixed sets, so the maps are bounded.
 #include "kernel/log.h"
 
 #include <chrono>
@@ -14,6 +13,8 @@
 #include <glog/logging.h>
 #include <unistd.h>
 
+#include "kernel/line_output.h"
+
 namespace heatherdeck {
 namespace {
 
@@ -21,6 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto repeat_interval = 1s;
+// 50 lines a second of one event take about 0.1% of a core; an overload refuses hundreds of requests a second.
+constexpr std::uint32_t most_lines_in_interval = 50;
 constexpr int severity_above_fatal = 4;  // keeps glog itself from printing to stderr
 
 struct repeat_count {
@@ -28,10 +31,19 @@
   std::uint64_t left_out = 0;
 };
 
+/// Lines of one event in the present interval.
+struct event_count {
+  std::chrono::steady_clock::time_point since{};
+  std::uint32_t written = 0;
+  std::uint64_t left_out = 0;
+};
+
 struct log_state {
   log_level lowest = log_level::info;
   boost::json::object fields;
   std::map<std::pair<std::string, error_kind>, repeat_count> repeats;
+  std::map<std::string, event_count, std::less<>> events;
+  line_output output{STDOUT_FILENO};
 };
 
 log_state& state() {
@@ -46,10 +58,14 @@
               fmt::format(".{:03}", std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000));
 }
 
-void write_line(std::string line) {
-  line += '\n';
-  // A failed write of a log line has no better place to be reported.
-  [[maybe_unused]] const ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
+void write_line(std::string_view line) {
+  line_output& out = state().output;
+  if (const std::uint64_t dropped = out.take_dropped(); dropped > 0) {
+    boost::json::object notice{
+        {"time", utc_time()}, {"level", "warning"}, {"event", "log_lines_dropped"}, {"lines", dropped}};
+    out.write(boost::json::serialize(notice));
+  }
+  out.write(line);
 }
 
 class json_sink : public google::LogSink {
@@ -58,7 +74,7 @@
             const google::LogMessageTime& /*time*/, const char* message, std::size_t length) override {
     const std::string_view text(message, length);
     if (text.starts_with('{')) {
-      write_line(std::string(text));
+      write_line(text);
       return;
     }
     boost::json::object wrapped{{"time", utc_time()},
@@ -93,7 +109,8 @@
 
 }  // namespace
 
-void init_logging(const char* program, log_level lowest) {
+void init_logging(const char* program, log_level lowest, log_stream stream) {
+  if (stream == log_stream::standard_error) state().output = line_output(STDERR_FILENO);
   google::InitGoogleLogging(program);
   for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity) {
     google::SetLogDestination(severity, "");
@@ -110,7 +127,20 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
   if (level < state().lowest) return;
-  write_event(level, event, fields, {});
+  const auto now = std::chrono::steady_clock::now();
+  const auto found = state().events.find(event);
+  event_count& count = found != state().events.end() ? found->second : state().events[std::string(event)];
+  if (now - count.since >= repeat_interval) {
+    count.since = now;
+    count.written = 0;
+  }
+  if (++count.written > most_lines_in_interval) {
+    ++count.left_out;
+    return;
+  }
+  boost::json::object extra;
+  if (count.left_out > 0) extra["left_out"] = std::exchange(count.left_out, 0);
+  write_event(level, event, fields, std::move(extra));
 }
 
 void log_error(std::string_view event, const error& e, std::initializer_list<log_field> fields) {
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -8,7 +8,9 @@
 ///
 /// A line: {"time":"2026-01-31T08:00:00.123Z","level":"info","event":"document_applied","node":"dar-1-03",...}.
 /// The same error event (name and kind) is written at most once a second; the next line tells how many were left out
-/// in the member `repeated`.
+/// in the member `repeated`. Of any other event at most 50 lines are written in a second; the next line tells in the
+/// member `left_out` how many were not. A reader that does not keep up loses lines and never delays the process: the
+/// event `log_lines_dropped` tells their number.
 #pragma once
 
 #include <initializer_list>
@@ -47,8 +49,19 @@
   log_field(std::string_view field_name, const char* text) : log_field(field_name, std::string_view(text)) {}
 };
 
-/// Sends all glog output of the process to stderr as JSON lines. Call once, from `main`.
-void init_logging(const char* program, log_level lowest);
+enum class log_stream { standard_output, standard_error };
+
+template <>
+struct enum_table<log_stream> {
+  static constexpr auto entries = std::to_array<enum_entry<log_stream>>({
+      {log_stream::standard_output, "standard_output"},
+      {log_stream::standard_error, "standard_error"},
+  });
+};
+
+/// Sends all glog output of the process to a stream as JSON lines. Call once, from `main`.
+/// @param stream standard error for tools that print their result.
+void init_logging(const char* program, log_level lowest, log_stream stream = log_stream::standard_output);
 
 /// Changes the lowest level that is written.
 void set_log_level(log_level lowest);
--- a/tools/load_main.cc
+++ b/tools/load_main.cc
@@ -37,7 +37,7 @@
   using namespace heatherdeck;
   gflags::SetUsageMessage("heatherdeck_load --addresses=127.0.0.1:8080 --host=orders --paths=/track --rate=500");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  init_logging("heatherdeck_load", log_level::warning);
+  init_logging("heatherdeck_load", log_level::warning, log_stream::standard_error);
   load_plan plan;
   plan.addresses = split(FLAGS_addresses);
   plan.host = FLAGS_host;
--- a/tools/mesh_lib.sh
+++ b/tools/mesh_lib.sh
@@ -42,7 +42,7 @@
     echo "mesh_key_file: mesh.key"
     cat "$work/control_hosts.yaml" "$work/amina.pub"
   } >"$work/c$i.yaml"
-  "$bin/daemon/heatherdeckd" --settings="$work/c$i.yaml" 2>>"$work/c$i.log" &
+  "$bin/daemon/heatherdeckd" --settings="$work/c$i.yaml" >>"$work/c$i.log" 2>&1 &
   pids[c$i]=$!
 }
 
@@ -60,7 +60,7 @@
     echo "mesh_key_file: mesh.key"
     cat "$work/control_hosts.yaml"
   } >"$work/n$i.yaml"
-  "$bin/daemon/heatherdeckd" --settings="$work/n$i.yaml" 2>>"$work/n$i.log" &
+  "$bin/daemon/heatherdeckd" --settings="$work/n$i.yaml" >>"$work/n$i.log" 2>&1 &
   pids[n$i]=$!
 }
 
