Downloads stay in a region that serves, also when its upstreams are full

Change: within reach 'near' another region is used only when the own one has no upstream that answers; the caller is told when to come back. Test: near_reach_stays_in_a_region_that_serves.

--- a/traffic/balancer.cc
+++ b/traffic/balancer.cc
@@ -60,17 +60,18 @@
 std::optional<std::size_t> balancer::pick(std::span<const balance_candidate> candidates, time_point now,
                                           balance_reach reach) {
   const auto other_region = [](const balance_candidate& c) { return c.locality == choice_reason::remote; };
-  const bool region_serves = reach == balance_reach::near &&
-                             std::any_of(candidates.begin(), candidates.end(),
-                                         [&](const auto& c) { return !other_region(c) && !c.avoid && can_connect(c); });
+  const bool region_serves =
+      reach == balance_reach::near &&
+      std::any_of(candidates.begin(), candidates.end(), [&](const auto& c) { return !other_region(c) && !c.suspect; });
   index_list eligible;
   for (const preference& wanted : preferences) {
     std::optional<choice_reason> nearest;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
       const balance_candidate& c = candidates[i];
-      if ((c.avoid || c.refusing) != wanted.avoid || !can_connect(c) || has_free_slot(c, now) != wanted.free_slot)
+      if ((c.suspect || c.tried || c.refusing) != wanted.avoid || !can_connect(c) ||
+          has_free_slot(c, now) != wanted.free_slot)
         continue;
-      if (region_serves && other_region(c)) continue;
+      if (region_serves && (other_region(c) || c.tried)) continue;
       // The upstream on the own host competes with the others of its zone; otherwise a node with many callers would
       // overload it.
       const choice_reason locality = std::max(c.locality, choice_reason::zone);
--- a/traffic/balancer.h
+++ b/traffic/balancer.h
@@ -40,15 +40,15 @@
   double weight = 1;         ///< below 1 during a slow start
   std::uint32_t slots = 20;  ///< requests that the target works on at a time
   std::uint32_t connections = 130;
-  bool avoid = false;  ///< chosen only when all others are avoided too, e.g. after a failed connection
-  bool refusing =
-      false;  ///< has refused a request lately; the same, but within reach `near` better than another region
+  bool suspect = false;   ///< its node has been silent: chosen only when there is no other
+  bool tried = false;     ///< this request has been there: the same
+  bool refusing = false;  ///< has refused a request lately, or a connection failed: the same
 };
 
 /// How far a request may go to avoid a wait.
 enum class balance_reach {
   free,  ///< to a farther class for a free slot
-  near,  ///< it waits in the nearest class: its answer is large, and bytes between regions are dear
+  near,  ///< not to another region while its own serves, even when all upstreams there are busy: its answer is large
 };
 
 template <>
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -213,7 +213,8 @@
   std::shared_ptr<upstream> chosen = choose(now, spec->second, traffic, avoid, reach);
   if (!chosen) {
     traffic.limiter.abandon();
-    return refuse(refusal_reason::no_upstream);
+    // Upstreams that have been tried are there, but have no room now.
+    return refuse(avoid.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
   }
   if (chosen->locality != choice_reason::local) return reserve(std::move(chosen), service, route, facts, true);
   std::optional<pick_answer> entered = enter_gate(now, {service, route, facts, chosen, now, true}, waiter);
@@ -299,7 +300,8 @@
                           .weight = u->start.weight(now),
                           .slots = u->endpoint.slots,
                           .connections = u->endpoint.connections,
-                          .avoid = tried || u->suspect,
+                          .suspect = u->suspect,
+                          .tried = tried,
                           .refusing = standing == outlier_ejector::standing::avoided});
     chosen_from.push_back(&u);
   }
