--- a/cli/command.cc
+++ b/cli/command.cc
@@ -52,6 +52,10 @@
      "ADMIN is the admin_listen of the process. Requests in flight are finished.\n"
      "    heatherdeck drain 127.0.0.1:7002\n",
      run_drain},
+    {"explain", "ID FILE...", 2, any_number, "show what the logs of several processes say of one request",
+     "Prints the lines that name the request in the order of their times and marks the one that decided its answer.\n"
+     "    heatherdeck explain 9c41d07be2a35f68 n1.log n2.log\n",
+     run_explain},
     {"keygen", "", 0, 0, "create an operator's key pair",
      "Writes the secret key to the file of --out and prints the lines for the control hosts' settings.\n"
      "    heatherdeck keygen --operator=amina --out=amina.key\n",
--- a/cli/command.h
+++ b/cli/command.h
@@ -41,6 +41,7 @@
 awaitable<exit_code> run_dump(command_context context);
 awaitable<exit_code> run_drain(command_context context);
 awaitable<exit_code> run_members(command_context context);
+awaitable<exit_code> run_explain(command_context context);
 awaitable<exit_code> run_keygen(command_context context);
 
 /// @return all commands, in the order of the help.
--- a/testing/cli_golden_test.cc
+++ b/testing/cli_golden_test.cc
@@ -103,7 +103,7 @@
       : folder_(fs::temp_directory_path() / ("heatherdeck-golden-" + name + "-" + std::to_string(getpid()))) {
     fs::create_directories(folder_);
     for (const auto& file : fs::directory_iterator(golden_folder)) {
-      if (file.path().extension() == ".yaml") fs::copy(file.path(), folder_);
+      if (file.path().extension() == ".yaml" || file.path().extension() == ".jsonl") fs::copy(file.path(), folder_);
     }
     host_ = std::make_unique<control_host_process>(folder_);
   }
@@ -164,7 +164,8 @@
   EXPECT_EQ(played, recorded.str());
 }
 
-INSTANTIATE_TEST_SUITE_P(sessions, cli_golden, testing::Values("check", "usage", "submit", "rollout", "rollback"));
+INSTANTIATE_TEST_SUITE_P(sessions, cli_golden,
+                         testing::Values("check", "usage", "submit", "rollout", "rollback", "explain"));
 
 }  // namespace
 }  // namespace heatherdeck
