--- a/tools/mesh_lib.sh
+++ b/tools/mesh_lib.sh
@@ -69,7 +69,7 @@
   local i=$1 service=$2 version=$3
   "$bin/testing/heatherdeck_upstream" --listen="127.0.0.1:$(node_port "$i" 5)" \
     --announce_to="127.0.0.1:$(node_port "$i" 3)" --service="$service" --upstream_version="$version" \
-    --target="$service-n$i" "${@:4}" 2>>"$work/u$i.log" &
+    --target="$service-n$i" "${@:4}" >>"$work/u$i.log" 2>&1 &
   pids[u$i]=$!
 }
 
