--- a/node/dialect.cc
+++ b/node/dialect.cc
@@ -5,12 +5,18 @@
 #include "node/message_head.h"
 
 namespace heatherdeck {
+namespace {
+
+// The mesh's own field for the kind of a stream: a head drops it, whoever sends it.
+constexpr std::string_view dropped_name = "hd-stream";
+
+}  // namespace
 
 std::string_view http_dialect::own_request_name(std::string_view lower_name) const {
   if (lower_name == request_id) return "hd-request-id";
   if (lower_name == deadline_ms) return "hd-deadline-ms";
   const bool set_by_nodes = lower_name == caller_service || lower_name == expected_target;
-  if (set_by_nodes && !lower_name.empty()) return "hd-stream";
+  if (set_by_nodes && !lower_name.empty()) return dropped_name;
   return lower_name;
 }
 
--- a/testing/upstream_choice_test.cc
+++ b/testing/upstream_choice_test.cc
@@ -64,8 +64,8 @@
   EXPECT_EQ(choose.pick(candidates, start_time), 0U);
 }
 
-// While the upstreams of a region shed requests or are full, large answers crossed regions, and the transfer
-// cost more than the answers were worth. They stay in their own region instead.
+// Guards large answers against another region while the own one serves: an upstream that sheds requests or is full was
+// avoided like one that fails.
 TEST(balancer, near_reach_stays_in_a_region_that_serves) {
   load_estimate idle;
   std::vector<balance_candidate> candidates{{.locality = choice_reason::region, .load = &idle, .refusing = true},
--- a/traffic/balancer.cc
+++ b/traffic/balancer.cc
@@ -68,9 +68,8 @@
     std::optional<choice_reason> nearest;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
       const balance_candidate& c = candidates[i];
-      if ((c.suspect || c.tried || c.refusing) != wanted.avoid || !can_connect(c) ||
-          has_free_slot(c, now) != wanted.free_slot)
-        continue;
+      const bool avoided = c.suspect || c.tried || c.refusing;
+      if (avoided != wanted.avoid || !can_connect(c) || has_free_slot(c, now) != wanted.free_slot) continue;
       if (region_serves && (other_region(c) || c.tried)) continue;
       // The upstream on the own host competes with the others of its zone; otherwise a node with many callers would
       // overload it.
