Rollouts of seconds: bound what a bad version may get

A slow version of a service whose calls take over 64 ms was never seen: all its calls and those of the old version were in the last latency bucket.

Change: rollout_spec::max_exposure bounds the integral of the share over time (the platform passes a tenth of the time ordered; setting rollout_exposure). The ramp then starts late and takes quick steps, a step that does not fit is made smaller, and every host counts the exposure from the documents, so that it outlives a change of the leader. Nodes report and the leader decides every 200 ms in a rollout of seconds (a fiftieth of the finish time, up to 1 s), and calls from before a step no longer count for it. Latency histograms have 16 buckets, up to 32 s.

--- a/cli/submit_command.cc
+++ b/cli/submit_command.cc
@@ -218,7 +218,7 @@
   bool rolled_back = false;
   for (const rollout_view& view : status.rollouts) {
     if (view.state.started_in != accepted) continue;
-    if (view.state.status == rollout_status::running || view.state.status == rollout_status::watching) return {};
+    if (view.state.active()) return {};
     rolled_back = rolled_back || view.state.status == rollout_status::rolled_back;
   }
   return rolled_back ? exit_code::rolled_back : exit_code::done;
--- a/control/ledger.cc
+++ b/control/ledger.cc
@@ -55,7 +55,7 @@
 
 bool same_plan(const rollout_spec& a, const rollout_spec& b) {
   return a.from == b.from && a.to == b.to && a.finish_within == b.finish_within && a.watch_period == b.watch_period &&
-         a.max_first_share == b.max_first_share;
+         a.max_first_share == b.max_first_share && a.max_exposure == b.max_exposure;
 }
 
 basis_points share_of(const compiled_document& document, const std::string& service, const std::string& name) {
--- a/control/rollout_core.cc
+++ b/control/rollout_core.cc
@@ -1,7 +1,7 @@
 // Each tracked rollout has a judge and the times that the planner needs. The times are read on this host, because
 // steady clocks of different hosts cannot be compared. Invariants: no proposal outside a term of leadership; every
 // rollout step carries the document version it was decided on, so that the ledger refuses it when the rollout has
-// changed since. Cost per second: closing one window of each judge.
+// changed since. Cost per tick: closing one window of each judge.
 #include "control/rollout_core.h"
 
 #include <algorithm>
@@ -11,18 +11,21 @@
 
 namespace heatherdeck {
 
-bool rollout_core::is_active(const rollout_state& state) {
-  return state.status == rollout_status::running || state.status == rollout_status::watching;
-}
-
 bool rollout_core::active() const {
-  return std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& r) { return is_active(r.second.state); });
+  return std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& r) { return r.second.state.active(); });
 }
 
 version_judge rollout_core::new_judge(const rollout_spec& spec) const {
-  const auto seconds =
-      static_cast<std::size_t>(std::max<std::int64_t>(60, (spec.finish_within + spec.watch_period).count()));
-  return {spec.from, spec.to, {.windows = seconds}};
+  const std::chrono::milliseconds length =
+      std::max<std::chrono::milliseconds>(std::chrono::seconds(60), spec.finish_within + spec.watch_period);
+  judge_options options{.windows = static_cast<std::size_t>(length / tick_period_)};
+  // Upstreams of one service differ in speed. In the few seconds of such a rollout this does not average out, so only a
+  // version that is several times slower counts as slow.
+  if (spec.max_exposure) {
+    options.slow_edge_shifts = {0, 2, 1};
+    options.tolerated_slow_odds = 2;
+  }
+  return {spec.from, spec.to, options};
 }
 
 void rollout_core::track(const rollout_state& state, const rollout_spec& spec, time_point now) {
@@ -31,24 +34,33 @@
   r.first_seen = planner_.estimated_start(spec, state.share, now);
   r.last_step = now;
   r.watching_since = now;
+  r.exposure_counted_to = now;
   rollouts_.insert_or_assign(state.service, std::move(r));
 }
 
 void rollout_core::update_tracked(tracked_rollout& r, const rollout_state& state, const rollout_spec& spec,
                                   time_point now) {
+  count_exposure(r, now);
   if (state.share != r.state.share) {
     if (state.share > r.state.share) r.judge.reset_drift();
     if (state.share < r.state.share) ++r.comparisons;
     r.judge.begin_step();
     r.last_step = now;
+    r.settling = true;
   }
   if (state.status == rollout_status::watching && r.state.status == rollout_status::running) r.watching_since = now;
   r.state = state;
   r.spec = spec;
 }
 
+void rollout_core::count_exposure(tracked_rollout& r, time_point now) {
+  if (r.state.active()) r.exposure += (now - r.exposure_counted_to) * r.state.share / full_share;
+  r.exposure_counted_to = now;
+}
+
 void rollout_core::set_document(const document_state& state, const compiled_document& compiled, time_point now) {
   current_ = state.document_version;
+  tick_period_ = compiled.evidence_period();
   std::erase_if(rollouts_, [&](const auto& r) { return !state.rollouts.contains(r.first); });
   for (const auto& [service, next] : state.rollouts) {
     rollout_spec spec{.service = service, .from = next.from, .to = next.to};
@@ -112,7 +124,7 @@
 void rollout_core::add_evidence(const std::string& availability_zone, const evidence_report& report, time_point now) {
   for (const evidence_row& row : report.rows) {
     const auto found = rollouts_.find(row.service);
-    if (found != rollouts_.end() && is_active(found->second.state)) found->second.judge.add(availability_zone, row);
+    if (found != rollouts_.end() && found->second.state.active()) found->second.judge.add(availability_zone, row);
   }
   for (const auto& [service, upstream_version] : report.disabled_locally) {
     const auto found = rollouts_.find(service);
@@ -136,23 +148,31 @@
           .threshold = r.judge.threshold(),
           .comparisons = r.comparisons,
           .drift_detected = r.judge.drift_detected(),
-          .cut_recently = r.last_cut != time_point{} && now - r.last_cut < local_cut_hold};
+          .cut_recently = r.last_cut != time_point{} && now - r.last_cut < local_cut_hold,
+          .exposure = r.exposure};
 }
 
-std::vector<rollout_proposal> rollout_core::on_second(time_point now) {
+std::vector<rollout_proposal> rollout_core::on_tick(time_point now) {
   std::vector<rollout_proposal> proposals;
   if (!leading_) return proposals;
   for (auto& [service, r] : rollouts_) {
-    if (!is_active(r.state)) continue;
+    if (!r.state.active()) continue;
+    count_exposure(r, now);
+    // A report takes one period at the node and one at the control host that forwards it; what arrives earlier counts
+    // calls at the previous share.
+    if (r.settling && now - r.last_step >= 2 * tick_period_) {
+      r.settling = false;
+      r.judge.restart_step_counts();
+    }
     r.judge.close_window();
     const planner_decision step = planner_.next(make_input(r, now));
     r.reason = step.reason;
     if (step.action == plan_action::withdraw) {
       const std::string reason = r.judge.summary();
-      proposals.push_back({service, withdraw_version{service, r.state.to, reason}, reason});
+      proposals.push_back({service, withdraw_version{service, r.state.to, reason}, step.reason, reason});
     } else if (step.action == plan_action::set_share) {
-      proposals.push_back(
-          {service, set_rollout_step{service, r.state.to, step.share, step.status, current_}, step.reason});
+      proposals.push_back({service, set_rollout_step{service, r.state.to, step.share, step.status, current_},
+                           step.reason, r.judge.summary()});
     }
   }
   return proposals;
@@ -165,9 +185,9 @@
     const auto since = r.state.status == rollout_status::watching ? r.watching_since : r.first_seen;
     const auto length = r.state.status == rollout_status::watching ? r.spec.watch_period : r.spec.finish_within;
     const auto left = std::chrono::duration_cast<std::chrono::seconds>(length - (now - since));
-    if (is_active(r.state)) row.time_left = std::max(left, std::chrono::seconds(0));
+    if (r.state.active()) row.time_left = std::max(left, std::chrono::seconds(0));
     row.evidence = leading_ ? r.judge.summary() : "evidence is collected on the leader";
-    if (leading_ && is_active(r.state)) {
+    if (leading_ && r.state.active()) {
       row.evidence +=
           fmt::format("; {} warm upstreams of {}, {} of {}; {}", count_warm_upstreams(service, r.state.to, now),
                       r.state.to, count_warm_upstreams(service, r.state.from, now), r.state.from, r.reason);
--- a/control/rollout_core.h
+++ b/control/rollout_core.h
@@ -7,7 +7,7 @@
 ///     core.set_members(*view, now);
 ///     core.begin_term(now);                             // this host has become the leader
 ///     core.add_evidence("dar-1", report, now);
-///     for (const rollout_proposal& p : core.on_second(now)) propose(p.command);
+///     for (const rollout_proposal& p : core.on_tick(now)) propose(p.command);     // every core.tick_period()
 ///
 /// Every control host tracks documents and members, so that a new leader knows how long a rollout has run and which
 /// upstreams are warm. Each term of leadership starts without evidence, and a share is raised only on evidence since
@@ -34,6 +34,7 @@
   std::string service;
   ledger_command command;
   std::string reason;
+  std::string evidence;  ///< counts and e-value on which it was decided, as a text for operators
 };
 
 class rollout_core {
@@ -68,9 +69,12 @@
   /// Adds what nodes of one availability zone have reported.
   void add_evidence(const std::string& availability_zone, const evidence_report& report, time_point now);
 
-  /// Closes the evidence window of the second and plans the next steps; called once a second.
+  /// Closes the evidence window and plans the next steps; called every tick_period().
   /// @return the commands to propose; none unless leading.
-  std::vector<rollout_proposal> on_second(time_point now);
+  std::vector<rollout_proposal> on_tick(time_point now);
+
+  /// @return the time between two calls of on_tick; see compiled_document::evidence_period.
+  std::chrono::milliseconds tick_period() const { return tick_period_; }
 
   /// @return all rollouts as operators see them.
   std::vector<rollout_view> views(time_point now) const;
@@ -82,7 +86,12 @@
     time_point first_seen{};
     time_point last_step{};  ///< when the share last changed, or the term began
     time_point watching_since{};
-    time_point last_cut{};          ///< last report of a local cut; time_point{}: none
+    time_point last_cut{};  ///< last report of a local cut; time_point{}: none
+    /// Integral of the share over time, since this host first saw the rollout. Counted from the documents and not from
+    /// evidence, so that it outlives a change of the leader.
+    duration exposure{};
+    time_point exposure_counted_to{};
+    bool settling = false;          ///< evidence may still hold calls from before the last step
     std::uint32_t comparisons = 0;  ///< how often the share was lowered to compare the versions
     version_judge judge;
     std::string reason;  ///< of the last decision
@@ -93,18 +102,19 @@
     time_point ready_since{};
   };
 
-  static bool is_active(const rollout_state& state);
   version_judge new_judge(const rollout_spec& spec) const;
   void track(const rollout_state& state, const rollout_spec& spec, time_point now);
   void update_tracked(tracked_rollout& r, const rollout_state& state, const rollout_spec& spec, time_point now);
   std::size_t count_warm_upstreams(const std::string& service, const std::string& upstream_version,
                                    time_point now) const;
   planner_input make_input(const tracked_rollout& r, time_point now) const;
+  static void count_exposure(tracked_rollout& r, time_point now);
 
   rollout_planner planner_;
   version current_;
   std::map<std::string, tracked_rollout> rollouts_;        ///< by service
   std::map<std::string, known_upstream> ready_upstreams_;  ///< by node id and upstream instance
+  std::chrono::milliseconds tick_period_ = compiled_document::max_evidence_period;
   bool members_known_ = false;
   bool leading_ = false;
 };
--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -2,6 +2,10 @@
 // so a fault can affect the same fraction of the calls before it is found, whichever step it appears in; that bounds
 // the cost of a fault whose time of appearance is unknown. Invariant: a raise needs calls of the new version since the
 // last step, unless fewer than `negligible_calls` are expected in a step. Cost: O(1).
+//
+// With a bound of exposure the cost of a fault is the integral of the share until the withdrawal is in force. A
+// geometric ramp spends most of it at large shares that have shown all they can show; there, each share is held only
+// until a verdict on it is possible, and the time that is left over is spent at the first share.
 #include "control/rollout_planner.h"
 
 #include <algorithm>
@@ -46,6 +50,7 @@
 }
 
 duration hold_time(const planner_input& input) {
+  if (input.spec.max_exposure) return rollout_planner::bounded_step_time;
   const duration twentieth = std::chrono::duration_cast<duration>(input.spec.finish_within) / 20;
   return std::clamp<duration>(twentieth, min_hold, max_hold);
 }
@@ -63,6 +68,7 @@
 time_point rollout_planner::estimated_start(const rollout_spec& spec, basis_points share, time_point now) const {
   const double first = std::clamp(static_cast<double>(spec.max_first_share) / full_share, 1e-4, 1.0);
   if (share == 0 || first >= 1) return now;
+  if (spec.max_exposure) return now - std::max(duration{}, spec.finish_within - bounded_ramp_time(share));
   const double reached = static_cast<double>(share) / full_share;
   const double fraction = std::clamp(1 - std::log(reached) / std::log(first), 0.0, 1.0);
   const auto elapsed = std::chrono::duration<double>(fraction * ramp_fraction() * seconds(spec.finish_within));
@@ -100,6 +106,28 @@
   return static_cast<basis_points>(std::lround(std::pow(first, 1 - fraction) * full_share));
 }
 
+basis_points rollout_planner::next_bounded_share(basis_points share) {
+  if (share >= bounded_share_before_all) return full_share;
+  const auto grown = static_cast<basis_points>(static_cast<double>(share) * max_growth_factor);
+  return std::min(grown, bounded_share_before_all);
+}
+
+// Time that the ramp needs from this share to all traffic.
+duration rollout_planner::bounded_ramp_time(basis_points share) {
+  duration time{};
+  for (basis_points reached = std::max<basis_points>(share, 1); reached < full_share;
+       reached = next_bounded_share(reached)) {
+    time += bounded_step_time;
+  }
+  return time;
+}
+
+// Returns the largest share whose calls until a verdict do not exceed the bound.
+basis_points rollout_planner::max_bounded_share(const planner_input& input) {
+  const double left = seconds(*input.spec.max_exposure - input.exposure);
+  return static_cast<basis_points>(std::clamp(left / seconds(verdict_delay), 0.0, 1.0) * full_share);
+}
+
 planner_decision rollout_planner::running(const planner_input& input) const {
   if (input.warm_new == 0) return wait("no warm upstream of the new version");
   if (input.share == 0) {
@@ -111,11 +139,23 @@
   if (input.cut_recently) return wait("a node has recently cut the new version off");
   const duration hold = hold_time(input);
   if (input.now - input.last_step < hold - tick_tolerance) return wait("the last step is too recent");
-  const double growth = input.share < min_share_before_all
+  const bool bounded = input.spec.max_exposure.has_value();
+  const basis_points next_bounded = next_bounded_share(input.share);
+  const double growth = bounded ? next_bounded
+                        : input.share < min_share_before_all
                             ? std::min<double>(input.share * max_growth_factor, max_share_before_all)
                             : full_share;
   const double limit = std::min<double>(growth, capacity_bound(input));
-  const auto target = static_cast<basis_points>(std::min<double>(ramp(input), limit));
+  const basis_points planned = !bounded                    ? ramp(input)
+                               : next_bounded < full_share ? max_bounded_share(input)
+                                                           : full_share;
+  const auto target = static_cast<basis_points>(std::min<double>(planned, limit));
+  if (bounded && input.now + tick_tolerance < input.started + input.spec.finish_within - bounded_ramp_time(input.share))
+    return wait("the rest of the ramp fits into the time left");
+  if (bounded && planned < input.share + input.share / 4) {
+    return wait(fmt::format("a larger share may exceed the bound of exposure: {:.0f} of {} ms are spent",
+                            1000 * seconds(input.exposure), input.spec.max_exposure->count()));
+  }
   if (target <= input.share)
     return wait(limit <= input.share ? "too few warm upstreams of the new version"
                                      : "the ramp has not reached the next step");
--- a/control/rollout_planner.h
+++ b/control/rollout_planner.h
@@ -14,6 +14,11 @@
 /// 3. the share follows a geometric ramp that ends some time before the finish time: the share at which a fault of any
 ///    size appears is then in proportion to the time spent so far, and every step shows at least part of the load of
 ///    the next one;
+///    With a bound of exposure (rollout_spec::max_exposure) the ramp starts as late as the finish time allows and takes
+///    its steps quickly: the longer the share is small, the less a version gets that turns out to be bad. A step that
+///    would exceed the bound before a verdict on it can be in force is not made. The step to all traffic is exempt: it
+///    needs a share of `bounded_share_before_all` without a sign of a fault, and a rollout could never finish
+///    otherwise;
 /// 4. a step is at most `max_growth_factor` times the previous share, is held for a minimum time, needs calls of the
 ///    new version since the last step, and is bounded by the warm upstreams of the new version.
 #pragma once
@@ -58,6 +63,7 @@
   std::uint32_t comparisons = 0;  ///< how often the share was lowered for a comparison
   bool drift_detected = false;    ///< see version_judge::drift_detected
   bool cut_recently = false;      ///< a node has cut the new version off in the last seconds
+  duration exposure{};            ///< what the new version has received so far, in time at full traffic
 };
 
 /// What to do next; `share` and `status` are the new ones of the rollout when the action is set_share.
@@ -81,6 +87,14 @@
   static constexpr basis_points min_share_before_all = 9'000;
   static constexpr basis_points max_share_before_all = 9'500;
   static constexpr std::chrono::seconds comparison_time{25};  ///< longest time of one comparison
+  /// As max_share_before_all, with a bound of exposure. The old version keeps a fifth of the calls, so that a verdict
+  /// takes less than a second; with a twentieth it takes several.
+  static constexpr basis_points bounded_share_before_all = 8'000;
+  /// Time from the first calls at a new share to the moment at which a withdrawal is in force at the nodes: calls end,
+  /// nodes report, the leader decides, a quorum accepts, nodes apply.
+  static constexpr std::chrono::milliseconds verdict_delay{900};
+  /// Time between two steps of a rollout with a bound of exposure.
+  static constexpr std::chrono::milliseconds bounded_step_time{1000};
 
   /// @param convergence_weight 0 to 1: 1 favours an early finish, 0 uses nearly all of the time to collect evidence.
   explicit rollout_planner(double convergence_weight = 0.5) : convergence_weight_(convergence_weight) {}
@@ -99,6 +113,9 @@
   planner_decision watching(const planner_input& input) const;
   std::optional<planner_decision> comparison_step(const planner_input& input) const;
   basis_points ramp(const planner_input& input) const;
+  static basis_points next_bounded_share(basis_points share);
+  static duration bounded_ramp_time(basis_points share);
+  static basis_points max_bounded_share(const planner_input& input);
 
   double convergence_weight_;
 };
--- a/control/rollout_service.cc
+++ b/control/rollout_service.cc
@@ -1,7 +1,8 @@
 // One task receives all messages; while it waits for an answer, evidence queues in its mailbox, which has room for some
 // seconds of evidence from a whole fleet. Invariant: a proposal is made only when the consensus service has just
 // answered that this host leads with a quorum, in the term for which the core collects evidence. Cost: one request a
-// second to the directory, and one to the consensus service while there are rollouts; one more for each proposal.
+// second to the directory, and one a tick to the consensus service while there are rollouts; one more for each
+// proposal.
 #include "control/rollout_service.h"
 
 #include <algorithm>
@@ -22,7 +23,9 @@
 
 constexpr std::size_t inbox_capacity = 8192;
 constexpr std::size_t stream_capacity = 64;
-constexpr milliseconds tick_period = 1000ms;
+constexpr milliseconds members_period = 1000ms;
+// A timer may fire a little early or late with respect to the previous question.
+constexpr milliseconds members_tolerance = 50ms;
 constexpr milliseconds ask_timeout = 400ms;
 constexpr milliseconds propose_timeout = 2000ms;
 
@@ -82,14 +85,14 @@
     BOOST_LEAF_AUTO(mesh, k.find<mesh_message>(to_name(service_name::mesh)));
     link_ = std::make_unique<evidence_link>(k.timers(), k.executor(), mesh);
   }
-  ticks_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(rollout_tick{}); });
+  schedule_tick();
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   boost::asio::co_spawn(k.executor(), accept_streams(), boost::asio::detached);
   return {};
 }
 
 void rollout_service::stop() {
-  ticks_.cancel();
+  next_tick_.cancel();
   link_.reset();
   inbox_->close();
   streams_->close();
@@ -100,6 +103,7 @@
     outcome<rollout_message> message = co_await inbox_->receive();
     if (!message) co_return;
     if (std::holds_alternative<rollout_tick>(*message)) {
+      schedule_tick();
       co_await tick();
       continue;
     }
@@ -107,6 +111,11 @@
   }
 }
 
+void rollout_service::schedule_tick() {
+  next_tick_ =
+      kernel_->timers().after(core_.tick_period(), [inbox = inbox_->address()] { inbox.post(rollout_tick{}); });
+}
+
 awaitable<void> rollout_service::accept_streams() {
   for (;;) {
     outcome<incoming_stream> incoming = co_await streams_->receive();
@@ -121,7 +130,9 @@
     log_error("document_not_compiled", compiled.failure(), {{"version", changed.state->document_version.text()}});
     return;
   }
+  const milliseconds period_before = core_.tick_period();
   core_.set_document(*changed.state, **compiled, timer_service::now());
+  if (core_.tick_period() < period_before) schedule_tick();
 }
 
 void rollout_service::handle(evidence_received&& received) {
@@ -171,7 +182,11 @@
 
 awaitable<void> rollout_service::tick() {
   const bool idle = !core_.active() && to_forward_.empty();
-  if (directory_) co_await ask_members();
+  const time_point now = timer_service::now();
+  if (directory_ && now - members_asked_at_ + members_tolerance >= members_period) {
+    members_asked_at_ = now;
+    co_await ask_members();
+  }
   if (idle) {
     // A term of leadership that begins while there is no rollout must not be mistaken for the previous one later.
     core_.end_term();
@@ -184,7 +199,7 @@
   }
   update_leadership(*status, timer_service::now());
   forward(*status);
-  std::vector<rollout_proposal> proposals = core_.on_second(timer_service::now());
+  std::vector<rollout_proposal> proposals = core_.on_tick(timer_service::now());
   for (rollout_proposal& proposal : proposals) {
     rollout_proposal next = std::move(proposal);
     co_await propose(std::move(next));
@@ -205,7 +220,12 @@
   auto answer = co_await ask<command_result>(kernel_->timers(), kernel_->executor(), ledger_, propose_timeout, make);
   const bool accepted = answer && answer->ok();
   if (accepted) {
-    log_event(log_level::info, "rollout_step", {{"service", proposal.service}, {"reason", proposal.reason}});
+    const auto* step = std::get_if<set_rollout_step>(&proposal.command);
+    log_event(log_level::info, "rollout_step",
+              {{"service", proposal.service},
+               {"share", step == nullptr ? 0 : step->share},
+               {"reason", proposal.reason},
+               {"evidence", proposal.evidence}});
     co_return;
   }
   ++refused_proposals_;
--- a/control/rollout_service.h
+++ b/control/rollout_service.h
@@ -6,9 +6,10 @@
 ///     auto views = co_await ask<std::vector<rollout_view>>(timers, executor, rollout, 1s, make_get_rollouts);
 ///
 /// It gets document_changed from "ledger" and evidence_received from "publisher". Once a second it asks "directory" for
-/// the members and, while there are rollouts or evidence, "consensus" for its status. The leader then decides; before
-/// each proposal it asks "consensus" again, because the process may have been suspended in between. Other hosts send
-/// the evidence of the second, summed by availability zone, to the leader.
+/// the members and, while there are rollouts or evidence, "consensus" for its status; in a rollout of seconds it ticks
+/// more often (rollout_core::tick_period). The leader then decides; before each proposal it asks "consensus" again,
+/// because the process may have been suspended in between. Other hosts send the evidence since the last tick, summed by
+/// availability zone, to the leader.
 #pragma once
 
 #include <map>
@@ -43,6 +44,7 @@
   awaitable<void> run();
   awaitable<void> accept_streams();
   awaitable<void> tick();
+  void schedule_tick();
   awaitable<void> propose(rollout_proposal proposal);
   awaitable<std::optional<consensus_status>> ask_status();
   awaitable<void> ask_members();
@@ -62,7 +64,8 @@
   address<consensus_message> consensus_;
   address<ledger_message> ledger_;
   address<directory_message> directory_;
-  subscription ticks_;
+  subscription next_tick_;
+  time_point members_asked_at_{};
   std::uint64_t term_ = 0;                             ///< Raft term of the last term of leadership
   std::map<std::string, evidence_report> to_forward_;  ///< by availability zone
   std::uint64_t proposals_ = 0;
--- a/control/version_judge.cc
+++ b/control/version_judge.cc
@@ -150,7 +150,9 @@
     if (!s.variants.contains(zone)) s.variants.emplace(zone, s.variants.at(std::string(no_zone)));
   }
   std::array<std::size_t, rates> edges{};
-  for (std::size_t rate = 1; rate < rates; ++rate) edges[rate] = quantile_edge(s.baseline, slow_fractions[rate]);
+  for (std::size_t rate = 1; rate < rates; ++rate)
+    edges[rate] = std::min(quantile_edge(s.baseline, slow_fractions[rate]) + options_.slow_edge_shifts[rate],
+                           latency_buckets - 1);
   if (!force) follow_drift(s, edges);
   if (sparse(s) && !force && s.window_age < max_window_seconds) return;
   for (std::size_t rate = 0; rate < rates; ++rate) test(s, rate, edges[rate]);
--- a/control/version_judge.h
+++ b/control/version_judge.h
@@ -4,12 +4,12 @@
 ///
 ///     version_judge judge("v1", "v2", {});
 ///     judge.add("dar-1", row);                  // rows of the current second, from any node
-///     judge.close_window();                     // once a second
+///     judge.close_window();                     // once a second, more often in a short rollout
 ///     if (judge.e_value() >= judge.threshold()) withdraw(judge.summary());
 ///
 /// Series: all calls together, and each route by itself, so that a fault on a route with one call in a hundred is not
-/// diluted. In each series three rates are compared: failures, calls slower than the old version's median, and calls
-/// slower than its 95% quantile; both quantiles are taken from earlier windows.
+/// diluted. In each series three rates are compared: failures, calls slower than a multiple of the old version's
+/// median, and calls slower than a multiple of its 95% quantile; both quantiles are taken from earlier windows.
 ///
 /// Strata: the versions are compared within an availability zone. A zone that has only the new version is compared with
 /// the zones that have only the old one. A single faulty zone, or a single faulty host in it, must not be attributed to
@@ -44,7 +44,10 @@
   double false_rollback = 0.005;         ///< probability that a good version is ever judged bad
   double tolerated_failure_odds = 1.25;  ///< odds ratio of failure, new to old, up to which a version is good
   double tolerated_slow_odds = 1.5;      ///< the same for slow calls; higher, as bucket edges amplify small changes
-  std::size_t windows = 900;             ///< seconds in which a fault may begin: finish time and watch time
+  /// Factors on the median and the 95% quantile above which a call counts as slow, as powers of two; the first element
+  /// is unused.
+  std::array<std::size_t, 3> slow_edge_shifts{};
+  std::size_t windows = 900;  ///< windows in which a fault may begin: finish time and watch time
 };
 
 /// Numbers of calls and failures of both versions.
@@ -89,6 +92,9 @@
   /// one, and resets calls_since_step. The e-value is kept.
   void begin_step();
 
+  /// Counts calls_since_step from now on, without a change of the share.
+  void restart_step_counts() { calls_since_step_ = {}; }
+
   /// @return a text for operators, e.g. "v2 failed 9 of 120 calls, v1 2 of 4000; evidence 31 of 200 (route lookup)".
   std::string summary() const;
 
--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -8,6 +8,7 @@
 ///     traffic.post(update_document{next});                    // std::shared_ptr<const compiled_document>
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -99,6 +100,9 @@
   std::chrono::seconds finish_within{600};  ///< time until `to` should have all traffic
   std::chrono::seconds watch_period{300};   ///< observation after that, during which a rollback is still possible
   basis_points max_first_share = 100;       ///< largest share of the first step
+  /// Bound of what `to` may receive before it is known to be good, in time at the full traffic of the service (the
+  /// integral of the share over time). None: the ramp alone bounds it.
+  std::optional<std::chrono::milliseconds> max_exposure;
 };
 
 /// The whole document, ready for look-ups.
@@ -110,6 +114,21 @@
   std::map<std::string, service_spec> services;           ///< by name
   std::map<std::string, rollout_spec> rollouts;           ///< by service
   std::map<std::string, rollout_state> rollout_progress;  ///< by service
+
+  static constexpr std::chrono::milliseconds min_evidence_period{200};
+  static constexpr std::chrono::milliseconds max_evidence_period{1000};
+
+  /// @return how often nodes report evidence and the leader decides: a fiftieth of the shortest finish time of the
+  ///   rollouts in progress, so that a rollout of seconds gets a verdict within each of its steps.
+  std::chrono::milliseconds evidence_period() const {
+    std::chrono::milliseconds period = max_evidence_period;
+    for (const auto& [service, progress] : rollout_progress) {
+      const auto plan = rollouts.find(service);
+      if (plan == rollouts.end() || !progress.active()) continue;
+      period = std::min(period, std::chrono::milliseconds(plan->second.finish_within) / 50);
+    }
+    return std::max(period, min_evidence_period);
+  }
 };
 
 using compiled_document_ptr = std::shared_ptr<const compiled_document>;
--- a/model/distribution_messages.h
+++ b/model/distribution_messages.h
@@ -40,7 +40,7 @@
 };
 
 /// Buckets of a latency histogram; see evidence_row.
-inline constexpr std::size_t latency_buckets = 8;
+inline constexpr std::size_t latency_buckets = 16;
 
 /// Call counts of one upstream version on one route at one node since the node's previous report.
 struct evidence_row {
--- a/model/document.h
+++ b/model/document.h
@@ -80,6 +80,9 @@
   std::string reason;  ///< why it was rolled back, for operators; empty otherwise
   version started_in;  ///< document version that added the rollout
 
+  /// @return true until the rollout is done or rolled back.
+  bool active() const { return status == rollout_status::running || status == rollout_status::watching; }
+
   bool operator==(const rollout_state&) const = default;
 };
 
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -298,7 +298,8 @@
 }
 
 result<parsed_rollout> read_rollout(const std::string& service, const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"from", "to", "finish_within_s", "watch_s", "max_first_share"}));
+  BOOST_LEAF_CHECK(
+      node.expect_keys({"from", "to", "finish_within_s", "watch_s", "max_first_share", "max_exposure_ms"}));
   parsed_rollout out;
   out.where = node.where();
   out.spec.service = service;
@@ -322,6 +323,10 @@
   if (const yaml_node* first = node.find("max_first_share")) {
     BOOST_LEAF_ASSIGN(out.spec.max_first_share, read_percent(*first, 0.01));
   }
+  if (const yaml_node* exposure = node.find("max_exposure_ms")) {
+    BOOST_LEAF_AUTO(value, exposure->as_unsigned(1, week_s * 1000));
+    out.spec.max_exposure = std::chrono::milliseconds(value);
+  }
   return out;
 }
 
--- a/model/settings.cc
+++ b/model/settings.cc
@@ -285,8 +285,9 @@
 }
 
 std::vector<std::string_view> top_level_keys() {
-  std::vector<std::string_view> keys{"roles", "log_level", "convergence_weight", "control_hosts", "operators",
-                                     "seeds", "founders",  "form_log",           "dialect"};
+  std::vector<std::string_view> keys{
+      "roles",     "log_level", "convergence_weight", "rollout_exposure", "control_hosts",
+      "operators", "seeds",     "founders",           "form_log",         "dialect"};
   for (const text_row& row : text_rows) keys.push_back(row.path);
   for (const milliseconds_row& row : milliseconds_rows) keys.push_back(row.path);
   for (const number_row& row : number_rows) keys.push_back(row.path);
@@ -348,6 +349,9 @@
         {"convergence_weight", "fraction", "0 to 1", fmt::format("{}", defaults.convergence_weight),
          "1 favours fast convergence and rollback of bad versions, 0 favours few control bytes and good versions in "
          "time"},
+        {"rollout_exposure", "fraction", "0 to 1", fmt::format("{}", defaults.rollout_exposure),
+         "role control: part of a service's requests that a bad version may get in a rollout that is ordered through "
+         "configuration_listen"},
         {"control_hosts[].id", "text", std::string(range_of(text_rule::name)), "required", "id of a control host"},
         {"control_hosts[].availability_zone", "text", std::string(range_of(text_rule::name)), "required",
          "its availability zone"},
@@ -402,6 +406,9 @@
   if (const yaml_node* weight = root.find("convergence_weight")) {
     BOOST_LEAF_ASSIGN(s.convergence_weight, weight->as_double(0.0, 1.0));
   }
+  if (const yaml_node* exposure = root.find("rollout_exposure")) {
+    BOOST_LEAF_ASSIGN(s.rollout_exposure, exposure->as_double(0.0, 1.0));
+  }
   if (const yaml_node* flag = root.find("form_log")) {
     BOOST_LEAF_ASSIGN(s.form_log, flag->as_bool());
   }
--- a/testing/rollout_core_test.cc
+++ b/testing/rollout_core_test.cc
@@ -66,7 +66,7 @@
   std::vector<rollout_proposal> run_second(const evidence_report& report = {}) {
     now += 1s;
     core.add_evidence("dar-1", report, now);
-    auto proposals = core.on_second(now);
+    auto proposals = core.on_tick(now);
     for (const rollout_proposal& p : proposals) {
       if (const auto* step = std::get_if<set_rollout_step>(&p.command)) {
         share = step->share;
@@ -118,7 +118,7 @@
     core.set_members(members(4, now < begin + 1500ms ? 0 : 4), now);
     const auto calls = static_cast<std::uint32_t>(440 * share / full_share);
     core.add_evidence("dar-1", report_of(440 - calls, calls, 0), now);
-    for (const rollout_proposal& p : core.on_second(now)) {
+    for (const rollout_proposal& p : core.on_tick(now)) {
       const auto* step = std::get_if<set_rollout_step>(&p.command);
       ASSERT_NE(step, nullptr) << p.reason;
       share = step->share;
--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -6,6 +6,7 @@
 
 hd_test(traffic_core_test hd_traffic)
 hd_test(rollout_core_test hd_control)
+hd_test(rollout_exposure_test hd_control hd_traffic)
 hd_test(route_table_test hd_traffic)
 hd_test(upstream_choice_test hd_traffic)
 hd_test(overload_test hd_call_simulation)
--- a/traffic/evidence_collector.cc
+++ b/traffic/evidence_collector.cc
@@ -33,8 +33,7 @@
 void evidence_collector::set_document(const compiled_document& document) {
   services_.clear();
   for (const auto& [service, progress] : document.rollout_progress) {
-    const bool active = progress.status == rollout_status::running || progress.status == rollout_status::watching;
-    if (active) services_.insert(service);
+    if (progress.active()) services_.insert(service);
   }
   std::erase_if(rows_, [&](const auto& row) { return !collects(std::get<0>(row.first)); });
 }
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -17,7 +17,8 @@
 
 constexpr std::size_t inbox_capacity = 8192;
 constexpr milliseconds tick_period{200};
-constexpr std::uint32_t ticks_per_evidence_report = 5;
+// Evidence is sent at the tick nearest to the period that the document asks for.
+constexpr milliseconds evidence_tolerance = tick_period / 2;
 
 template <class... Handlers>
 struct overloaded_handlers : Handlers... {
@@ -77,7 +78,10 @@
   const time_point now = timer_service::now();
   std::visit(overloaded_handlers{
                  [&](const traffic_tick&) { tick(now); },
-                 [&](update_document& m) { core_.set_document(std::move(m.document)); },
+                 [&](update_document& m) {
+                   evidence_period_ = m.document->evidence_period();
+                   core_.set_document(std::move(m.document));
+                 },
                  [&](const directory_changed& m) { core_.set_members(*m.members, now); },
                  [&](pick_upstream& m) { on_pick(now, std::move(m)); },
                  [&](const finish_call& m) { core_.finish(now, m); },
@@ -104,8 +108,8 @@
   for (const auto& [service, upstream_version] : core_.tick(now)) {
     log_event(log_level::warning, "version_cut_locally", {{"service", service}, {"version", upstream_version}});
   }
-  if (++ticks_since_evidence_ < ticks_per_evidence_report) return;
-  ticks_since_evidence_ = 0;
+  if (now - evidence_taken_at_ + evidence_tolerance < evidence_period_) return;
+  evidence_taken_at_ = now;
   auto report = core_.take_evidence();
   if (!report || !subscriber_) return;
   if (!subscriber_.post(send_evidence{std::move(*report)})) ++evidence_dropped_;
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -45,7 +45,8 @@
   std::unique_ptr<mailbox<traffic_message>> inbox_;
   address<subscriber_message> subscriber_;
   subscription ticks_;
-  std::uint32_t ticks_since_evidence_ = 0;
+  milliseconds evidence_period_ = compiled_document::max_evidence_period;
+  time_point evidence_taken_at_{};
   std::uint64_t evidence_dropped_ = 0;  ///< reports dropped because the subscriber's mailbox was full
 };
 
--- a/traffic/version_circuit_breaker.cc
+++ b/traffic/version_circuit_breaker.cc
@@ -24,7 +24,7 @@
 void version_circuit_breaker::set_document(const compiled_document& document) {
   std::map<std::string, watched_rollout> next;
   for (const auto& [service, progress] : document.rollout_progress) {
-    if (progress.status != rollout_status::running && progress.status != rollout_status::watching) continue;
+    if (!progress.active()) continue;
     const auto known = rollouts_.find(service);
     const bool same =
         known != rollouts_.end() && known->second.from == progress.from && known->second.to == progress.to;
