Queueing: short queues, the own region first, and versions that retries keep

Cause, shown by caller_experiment (new: several nodes with the production traffic_core, callers that come back): a request could spend all of its slack in the admission queue, so under overload every answer came close to its objective and a tenth of the less urgent ones after it; a waiting request ran although half of such runs would be late; and a request left its region as soon as an estimate half a second old showed no free slot there.

Change: a request may spend 0.3 of its slack in the queue, admission and expiry count one mean deviation of the service time, and a target of the own region is tried before one of another region also when it seems full.

--- a/control/rollout_core.cc
+++ b/control/rollout_core.cc
@@ -35,6 +35,7 @@
   r.last_step = now;
   r.watching_since = now;
   r.exposure_counted_to = now;
+  r.judge_from = now;
   rollouts_.insert_or_assign(state.service, std::move(r));
 }
 
@@ -58,6 +59,15 @@
   r.exposure_counted_to = now;
 }
 
+// The new version's part of the calls that were served, as time at full traffic. It exceeds the integral of the share
+// when the old version is overloaded and refuses more of its calls.
+duration rollout_core::observed_exposure(const tracked_rollout& r, time_point now) {
+  const call_totals& calls = r.judge.totals();
+  if (calls.new_calls == 0) return {};
+  const auto all = static_cast<double>(calls.new_calls + calls.old_calls);
+  return std::chrono::duration_cast<duration>((now - r.judge_from) * (static_cast<double>(calls.new_calls) / all));
+}
+
 void rollout_core::set_document(const document_state& state, const compiled_document& compiled, time_point now) {
   current_ = state.document_version;
   tick_period_ = compiled.evidence_period();
@@ -116,6 +126,7 @@
   leading_ = true;
   for (auto& [service, r] : rollouts_) {
     r.judge = new_judge(r.spec);
+    r.judge_from = now;
     r.last_step = now;
     r.last_cut = {};
   }
@@ -149,7 +160,7 @@
           .comparisons = r.comparisons,
           .drift_detected = r.judge.drift_detected(),
           .cut_recently = r.last_cut != time_point{} && now - r.last_cut < local_cut_hold,
-          .exposure = r.exposure};
+          .exposure = std::max(r.exposure, observed_exposure(r, now))};
 }
 
 std::vector<rollout_proposal> rollout_core::on_tick(time_point now) {
--- a/control/rollout_core.h
+++ b/control/rollout_core.h
@@ -91,6 +91,7 @@
     /// evidence, so that it outlives a change of the leader.
     duration exposure{};
     time_point exposure_counted_to{};
+    time_point judge_from{};        ///< when the judge began to collect evidence
     bool settling = false;          ///< evidence may still hold calls from before the last step
     std::uint32_t comparisons = 0;  ///< how often the share was lowered to compare the versions
     version_judge judge;
@@ -109,6 +110,7 @@
                                    time_point now) const;
   planner_input make_input(const tracked_rollout& r, time_point now) const;
   static void count_exposure(tracked_rollout& r, time_point now);
+  static duration observed_exposure(const tracked_rollout& r, time_point now);
 
   rollout_planner planner_;
   version current_;
--- a/control/version_judge.h
+++ b/control/version_judge.h
@@ -88,6 +88,9 @@
   /// @return the calls since the last begin_step.
   const call_totals& calls_since_step() const { return calls_since_step_; }
 
+  /// @return all calls since the construction.
+  const call_totals& totals() const { return total_; }
+
   /// To be called when the share has changed: ends the window, so that calls before and after the change never share
   /// one, and resets calls_since_step. The e-value is kept.
   void begin_step();
--- /dev/null
+++ b/testing/caller_simulation.cc
@@ -0,0 +1,339 @@
+// Discrete-event simulation. Every message between a caller, its node and another node is an event; the decisions are
+// those of the production traffic_core at each node. Invariant: each pick is finished exactly once. The bound is the
+// worth of the requests that fit into the capacity, the most valuable for their work first: no schedule earns more.
+// Cost: O(log events) for each event.
+#include "testing/caller_simulation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "traffic/traffic_core.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double client_ms = 1;
+constexpr double zone_ms = 0.2;
+constexpr double region_ms = 1.4;
+constexpr double remote_ms = 12;
+constexpr std::size_t zones = 6;
+constexpr std::size_t regions = 3;
+constexpr std::uint32_t node_attempts = 3;  // of one node for one request, as exchange_core
+constexpr double tick_ms = 200;
+
+struct request_state {
+  std::size_t route = 0;
+  std::size_t host = 0;
+  double first_sent_ms = 0;
+  double work_ms = 0;
+  std::uint32_t tries = 0;  // of the caller
+  // The present try:
+  double received_ms = 0;
+  double age_ms = 0;  // inferred by the first node
+  std::uint32_t attempts = 0;
+  std::vector<std::string> tried;
+  std::uint64_t pick_id = 0;
+  bool over = false;
+};
+
+class caller_run {
+ public:
+  explicit caller_run(const caller_simulation_options& o) : o_(o), random_(o.seed), engine_(o.seed) {
+    document_ = std::make_shared<compiled_document>();
+    double mean_work = 0;
+    for (const simulated_route& r : o.routes) {
+      document_->routes.push_back({.name = r.name,
+                                   .path_prefix = "/" + r.name + "/",
+                                   .service = "gallery",
+                                   .timeout = milliseconds(std::llround(r.timeout_ms)),
+                                   .objective = milliseconds(std::llround(r.objective_ms)),
+                                   .priority = r.priority,
+                                   .idempotent = r.idempotent});
+      result_.routes.push_back({.name = r.name});
+      mean_work += r.share * r.work_ms;
+    }
+    document_->services["gallery"] = {.name = "gallery", .versions = {"v1"}, .shares = {{"v1", full_share}}};
+    double speed_sum = 0;
+    for (std::size_t i = 0; i < o.upstreams; ++i) {
+      speeds_.push_back(o.speeds[i % o.speeds.size()]);
+      speed_sum += speeds_.back();
+    }
+    capacity_per_ms_ = speed_sum * o.slots / (mean_work * o.full_slowdown);
+    for (std::size_t host = 0; host < o.hosts; ++host) {
+      nodes_.push_back(std::make_unique<traffic_core>(traffic_identity{.node_id = node_id(host),
+                                                                       .availability_zone = zone_of(host),
+                                                                       .region = region_of(host),
+                                                                       .seed = o.seed + host}));
+      nodes_.back()->set_document(document_);
+      nodes_.back()->set_members(members(o.upstreams), time());
+    }
+  }
+
+  caller_result run() {
+    const double end_ms = o_.seconds * 1000;
+    const double rate = capacity_per_ms_ * o_.load;
+    for (double at = exponential(1 / rate); at < end_ms; at += exponential(1 / rate)) add_request(at);
+    for (double at = tick_ms; at < end_ms + 3000; at += tick_ms) push(at, [this] { tick(); });
+    if (o_.lost_from_s > 0) push(o_.lost_from_s * 1000, [this] { lose_upstreams(); });
+    while (!events_.empty()) {
+      now_ms_ = events_.top().at_ms;
+      const auto action = events_.top().action;
+      events_.pop();
+      action();
+    }
+    finish_bound(end_ms);
+    return result_;
+  }
+
+ private:
+  struct event {
+    double at_ms = 0;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const event& other) const { return std::tie(at_ms, order) > std::tie(other.at_ms, other.order); }
+  };
+
+  time_point time() const { return time_point{} + 1h + std::chrono::microseconds(std::llround(now_ms_ * 1000)); }
+  double exponential(double mean) { return -mean * std::log(1 - random_.fraction()); }
+  void push(double at, std::function<void()> action) { events_.push({at, next_order_++, std::move(action)}); }
+  void after(double ms, std::function<void()> action) { push(now_ms_ + ms, std::move(action)); }
+
+  static std::string node_id(std::size_t host) { return "n" + std::to_string(host); }
+  static std::string zone_of(std::size_t host) { return "z" + std::to_string(host % zones); }
+  static std::string region_of(std::size_t host) { return "r" + std::to_string(host % zones % regions); }
+  static double distance_ms(std::size_t a, std::size_t b) {
+    if (zone_of(a) == zone_of(b)) return zone_ms;
+    return region_of(a) == region_of(b) ? region_ms : remote_ms;
+  }
+
+  std::vector<member_record> members(std::size_t upstreams) const {
+    std::vector<member_record> rows;
+    for (std::size_t host = 0; host < o_.hosts; ++host) {
+      member_record row{.node_id = node_id(host), .availability_zone = zone_of(host), .region = region_of(host)};
+      if (host < upstreams) {
+        row.endpoints = {{.service = "gallery",
+                          .upstream_version = "v1",
+                          .target = std::to_string(host),
+                          .state = upstream_state::ready,
+                          .slots = o_.slots,
+                          .connections = 400}};
+      }
+      rows.push_back(std::move(row));
+    }
+    return rows;
+  }
+
+  void lose_upstreams() {
+    const std::size_t left = o_.upstreams / 2;
+    for (auto& node : nodes_) node->set_members(members(left), time());
+    for (std::size_t host = 0; host < o_.hosts; ++host) take_answers(host);
+  }
+
+  void tick() {
+    for (std::size_t host = 0; host < o_.hosts; ++host) {
+      nodes_[host]->tick(time());
+      take_answers(host);
+    }
+  }
+
+  void add_request(double at) {
+    auto r = std::make_shared<request_state>();
+    double drawn = random_.fraction();
+    while (r->route + 1 < o_.routes.size() && drawn >= o_.routes[r->route].share) drawn -= o_.routes[r->route++].share;
+    const simulated_route& route = o_.routes[r->route];
+    r->host = random_.below(o_.hosts);
+    r->first_sent_ms = at;
+    std::lognormal_distribution<double> work(std::log(route.work_ms) - route.spread * route.spread / 2, route.spread);
+    r->work_ms = work(engine_);
+    ++result_.routes[r->route].asked;
+    result_.owed += route.worth;
+    offered_.emplace_back(route.worth, r->work_ms);
+    push(at + client_ms, [this, r] { arrive(r); });
+  }
+
+  double time_left(const request_state& r) const {
+    return o_.routes[r.route].deadline_ms - (now_ms_ - r.first_sent_ms);
+  }
+
+  request_attributes attributes(const request_state& r) const {
+    const simulated_route& route = o_.routes[r.route];
+    request_attributes a{.path = "/" + route.name + "/x", .method = route.idempotent ? "GET" : "POST"};
+    // The caller states its time left when it sends, so a first attempt always states the whole deadline.
+    const double stated = route.deadline_ms - (r.received_ms - client_ms - r.first_sent_ms);
+    a.deadline = milliseconds(std::llround(stated - (now_ms_ - r.received_ms)));
+    a.age = milliseconds(std::llround(now_ms_ - r.received_ms + r.age_ms));
+    return a;
+  }
+
+  void arrive(const std::shared_ptr<request_state>& r) {
+    ++r->tries;
+    ++result_.routes[r->route].attempts;
+    r->received_ms = now_ms_;
+    r->age_ms = 0;
+    r->attempts = 0;
+    r->tried.clear();
+    attempt(r);
+  }
+
+  void attempt(const std::shared_ptr<request_state>& r) {
+    request_attributes a = attributes(*r);
+    a.attempt = r->attempts;
+    a.tried_targets = r->tried;
+    const std::size_t host = r->host;
+    pick(host, a, [this, r](const pick_result& answer) {
+      const auto* choice = std::get_if<upstream_choice>(&answer);
+      if (choice == nullptr) return refuse(r, std::get<refusal>(answer).retry_after);
+      ++r->attempts;
+      r->age_ms += static_cast<double>(choice->elapsed_before_attempt.count());
+      r->pick_id = choice->pick_id;
+      if (choice->local) return serve(r, r->host, choice->pick_id, choice->target_load, false);
+      forward(r, *choice);
+    });
+  }
+
+  void forward(const std::shared_ptr<request_state>& r, const upstream_choice& choice) {
+    const std::size_t owner = std::stoul(choice.target);
+    after(distance_ms(r->host, owner), [this, r, owner, target = choice.target] {
+      request_attributes a = attributes(*r);
+      a.from_peer = true;
+      a.service = "gallery";
+      a.upstream_version = "v1";
+      pick(owner, a, [this, r, owner, target](const pick_result& answer) {
+        if (const auto* choice = std::get_if<upstream_choice>(&answer)) {
+          return serve(r, owner, choice->pick_id, choice->target_load, true);
+        }
+        const refusal refused = std::get<refusal>(answer);
+        after(distance_ms(r->host, owner), [this, r, target, refused] {
+          finish(r->host, r->pick_id, call_outcome::not_executed, 0, refused.load);
+          r->tried.push_back(target);
+          if (r->attempts < node_attempts) return attempt(r);
+          refuse(r, refused.retry_after);
+        });
+      });
+    });
+  }
+
+  void pick(std::size_t host, const request_attributes& a, std::function<void(const pick_result&)> then) {
+    const std::uint64_t id = ++next_waiter_;
+    const auto answer = nodes_[host]->pick(time(), a, id);
+    if (answer) {
+      then(*answer);
+    } else {
+      waiters_[host].emplace(id, std::move(then));
+    }
+    take_answers(host);
+  }
+
+  void take_answers(std::size_t host) {
+    for (auto& [id, answer] : nodes_[host]->take_answers(time())) {
+      auto waiter = waiters_[host].extract(id);
+      if (!waiter.empty()) after(0, [then = std::move(waiter.mapped()), answer = std::move(answer)] { then(answer); });
+    }
+  }
+
+  void finish(std::size_t host, std::uint64_t pick_id, call_outcome outcome, double latency_ms,
+              const std::optional<load_report>& load) {
+    nodes_[host]->finish(time(), {pick_id, outcome, std::chrono::microseconds(std::llround(latency_ms * 1000)), load});
+    take_answers(host);
+  }
+
+  // The upstream runs the request; it has a slot, as the admission queue of its node lets no more requests through.
+  void serve(const std::shared_ptr<request_state>& r, std::size_t owner, std::uint64_t pick_id,
+             const std::optional<load_report>& load, bool over_network) {
+    const std::uint32_t busy = ++running_[owner];
+    const double slowdown = busy >= o_.slots ? o_.full_slowdown : 1;
+    const double service_ms = r->work_ms * slowdown / speeds_[owner];
+    const double started_ms = now_ms_;
+    remote_runs_ += distance_ms(r->host, owner) == remote_ms ? 1 : 0;
+    ++runs_;
+    after(service_ms, [=, this] {
+      --running_[owner];
+      finish(owner, pick_id, call_outcome::ok, service_ms, load);
+      const double back = over_network ? distance_ms(r->host, owner) : 0;
+      after(back, [=, this] {
+        if (over_network) finish(r->host, r->pick_id, call_outcome::ok, now_ms_ - started_ms, load);
+        answer(r, service_ms);
+      });
+    });
+  }
+
+  void answer(const std::shared_ptr<request_state>& r, double service_ms) {
+    const simulated_route& route = o_.routes[r->route];
+    route_result& sum = result_.routes[r->route];
+    const double latency = now_ms_ + client_ms - r->first_sent_ms;
+    result_.work_ms += service_ms;
+    if (latency <= route.objective_ms) {
+      ++sum.in_time;
+      result_.earned += route.worth;
+    } else if (latency <= route.deadline_ms) {
+      ++sum.late;
+      result_.earned += route.late_worth;
+      result_.late_work_ms += service_ms;
+    } else {
+      ++sum.timed_out;
+    }
+  }
+
+  void refuse(const std::shared_ptr<request_state>& r, milliseconds retry_after) {
+    const double wait = std::min(static_cast<double>(retry_after.count()), time_left(*r) / 3);
+    if (r->tries > o_.retries || time_left(*r) < 1) {
+      ++result_.routes[r->route].refused;
+      return;
+    }
+    after(2 * client_ms + std::max(1.0, wait), [this, r] { arrive(r); });
+  }
+
+  void finish_bound(double end_ms) {
+    std::sort(offered_.begin(), offered_.end(),
+              [](const auto& a, const auto& b) { return a.first / a.second > b.first / b.second; });
+    double speed_sum = 0;
+    for (const double speed : speeds_) speed_sum += speed;
+    double capacity = speed_sum * o_.slots * end_ms / o_.full_slowdown;
+    if (o_.lost_from_s > 0) {
+      double kept = 0;
+      for (std::size_t i = 0; i < o_.upstreams / 2; ++i) kept += speeds_[i];
+      capacity -= (speed_sum - kept) * o_.slots * (end_ms - o_.lost_from_s * 1000) / o_.full_slowdown;
+    }
+    for (const auto& [worth, work] : offered_) {
+      if ((capacity -= work) < 0) break;
+      result_.bound += worth;
+    }
+    result_.remote_share = runs_ == 0 ? 0 : static_cast<double>(remote_runs_) / static_cast<double>(runs_);
+  }
+
+  const caller_simulation_options& o_;
+  random_source random_;
+  std::mt19937_64 engine_;
+  std::shared_ptr<compiled_document> document_;
+  std::vector<double> speeds_;
+  std::vector<std::unique_ptr<traffic_core>> nodes_;
+  std::map<std::size_t, std::map<std::uint64_t, std::function<void(const pick_result&)>>> waiters_;
+  std::map<std::size_t, std::uint32_t> running_;
+  std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+  std::vector<std::pair<double, double>> offered_;  // worth and work
+  caller_result result_;
+  double capacity_per_ms_ = 0;
+  double now_ms_ = 0;
+  std::uint64_t next_order_ = 0;
+  std::uint64_t next_waiter_ = 0;
+  std::uint64_t runs_ = 0;
+  std::uint64_t remote_runs_ = 0;
+};
+
+}  // namespace
+
+const route_result& caller_result::route(const std::string& name) const {
+  return *std::find_if(routes.begin(), routes.end(), [&](const route_result& r) { return r.name == name; });
+}
+
+caller_result simulate_callers(const caller_simulation_options& options) { return caller_run(options).run(); }
+
+}  // namespace heatherdeck
--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -15,3 +15,7 @@
 hd_test(admission_queue_test hd_traffic)
 hd_test(retry_age_estimator_test hd_traffic)
 hd_test(split_picker_test hd_traffic)
+
+add_library(hd_caller_simulation STATIC caller_simulation.cc)
+target_link_libraries(hd_caller_simulation PUBLIC hd_traffic)
+hd_test(caller_overload_test hd_caller_simulation)
--- /dev/null
+++ b/tools/caller_experiment.cmake
@@ -0,0 +1,2 @@
+add_executable(caller_experiment caller_experiment.cc)
+target_link_libraries(caller_experiment PRIVATE hd_caller_simulation gflags fmt::fmt)
--- a/traffic/admission_queue.cc
+++ b/traffic/admission_queue.cc
@@ -1,8 +1,10 @@
 // Service times are moving averages by route, measured at this upstream alone, so they include its speed and its cold
 // start. A request is queued only when it can meet its objective after those ahead of it; otherwise an immediate
-// refusal costs its caller less than a late one. Invariant: running_ counts each request from `run` or `take_ready` to
-// `release`, and exceeds slots_ only after the number of slots was lowered. Cost: O(waiting) for each request that is
-// admitted, made ready or expired.
+// refusal costs its caller less than a late one. How long it may wait is a part of its slack: under overload the queue
+// is as long as admission allows, and a short queue keeps the slots as busy as a long one, with fewer late answers and
+// earlier refusals, after which another upstream may still answer in time. Invariant: running_ counts each request from
+// `run` or `take_ready` to `release`, and exceeds slots_ only after the number of slots was lowered. Cost: O(waiting)
+// for each request that is admitted, made ready or expired.
 #include "traffic/admission_queue.h"
 
 #include <algorithm>
@@ -14,9 +16,11 @@
 
 // Averages cover about ten calls: a cold start has an effect within a second, a single slow call has little.
 constexpr double ewma_weight = 0.1;
-// The mean plus two mean deviations covers about 19 of 20 runs. The margin is needed because under overload the queue
-// stays as long as admission allows; it costs no throughput, since a short queue keeps the slots as busy as a long one.
-constexpr double deviation_margin = 2;
+// The mean plus one mean deviation covers about four of five runs. A larger margin refuses requests at slow upstreams
+// that would mostly be in time.
+constexpr double deviation_margin = 1;
+// Part of the time between the earliest possible response and the objective that a request may spend in the queue.
+constexpr double max_queued_fraction_of_slack = 0.3;
 // Bounds of the retry-after hint: long enough that a retry may succeed, short enough that freed slots are used.
 constexpr milliseconds min_retry_after{50};
 constexpr milliseconds max_retry_after{1000};
@@ -36,6 +40,10 @@
   mean_ms += ewma_weight * (ms - mean_ms);
 }
 
+duration admission_queue::run_time(const service_time& time) {
+  return to_duration(time.mean_ms + deviation_margin * time.deviation_ms);
+}
+
 // Falls back to the average of all routes. Until there is a measurement the mean is 0, so no request is refused for
 // lack of time.
 const admission_queue::service_time& admission_queue::service_time_of(const std::string& route) const {
@@ -62,8 +70,12 @@
     return admission_decision::run;
   }
   if (waiting_.size() >= max_waiting_per_slot * slots_) return admission_decision::refuse;
-  const duration run_time = to_duration(route_time.mean_ms + deviation_margin * route_time.deviation_ms);
-  if (now + expected_queue_time(request) + run_time > request.objective) return admission_decision::refuse;
+  const duration queue_time = expected_queue_time(request);
+  const duration slack = request.objective - now - to_duration(route_time.mean_ms);
+  if (queue_time > std::chrono::duration_cast<duration>(max_queued_fraction_of_slack * slack)) {
+    return admission_decision::refuse;
+  }
+  if (now + queue_time + run_time(route_time) > request.objective) return admission_decision::refuse;
   waiting_.push_back(request);
   return admission_decision::wait;
 }
@@ -96,7 +108,7 @@
 std::vector<std::uint64_t> admission_queue::take_expired(time_point now) {
   std::vector<std::uint64_t> expired;
   std::erase_if(waiting_, [&](const admission_request& r) {
-    if (now + to_duration(service_time_of(r.route).mean_ms) <= r.objective) return false;
+    if (now + run_time(service_time_of(r.route)) <= r.objective) return false;
     expired.push_back(r.id);
     return true;
   });
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -17,7 +17,9 @@
 ///     for (std::uint64_t id : queue.take_expired(now)) ...  // can no longer meet their objective; removed
 ///
 /// A request that can no longer meet its objective is refused instead of kept, because under overload it would only
-/// wait until its caller gives up. Used by traffic_core, which keeps one queue for each upstream on this host. Pure.
+/// wait until its caller gives up. The queue answers overload of the upstream on this host, lasting or in bursts: it
+/// keeps waiting times well below the objectives. It does not answer an upstream that rejects what it is sent. Used by
+/// traffic_core, which keeps one queue for each upstream on this host. Pure.
 #pragma once
 
 #include <chrono>
@@ -94,6 +96,8 @@
     void add_sample(double ms);
   };
 
+  /// @return the time that most runs of a route stay within.
+  static duration run_time(const service_time& time);
   const service_time& service_time_of(const std::string& route) const;
   duration expected_queue_time(const admission_request& request) const;
 
--- a/traffic/balancer.cc
+++ b/traffic/balancer.cc
@@ -1,13 +1,13 @@
 // Power of two choices instead of the best of all candidates: otherwise the many nodes that hold the same old load
 // reports would all send their requests to the same target until the next report. The weight of a report halves every
 // 500 ms, because a target's queue changes within a few service times. Invariant: a candidate at its connection limit
-// is never chosen, and one of a farther locality class only when no nearer candidate has a free slot. Cost:
-// O(candidates) for each pick.
+// is never chosen, and one of another region only when every candidate of this region is avoided. Cost: O(candidates)
+// for each pick.
 #include "traffic/balancer.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <compare>
 #include <vector>
 
 namespace heatherdeck {
@@ -27,14 +27,26 @@
 
 bool can_connect(const balance_candidate& c) { return c.load->own_in_flight < c.connections; }
 
-// Tiers of candidates in order of preference; within a tier the nearest locality class is taken. An avoided candidate
-// comes after all others. Of candidates without a free slot the nearest come first too, because queueing at a near
-// target takes less time than reaching a far one that is also full.
-struct candidate_tier {
+// Preference of a candidate; the lowest value is taken. An avoided candidate comes after all others. A target of this
+// region comes before one of another region also when it seems full: the estimate is old, its node queues a request for
+// a short time only or refuses it at once, after which the target is avoided, and every request that leaves the region
+// costs two long ways and paid bytes.
+struct preference {
   bool avoided;
-  bool free_slot;
+  bool other_region;
+  bool full;
+  bool other_zone;  // only of candidates with a free slot: among full ones the least loaded of the region is taken
+
+  auto operator<=>(const preference&) const = default;
 };
-constexpr std::array<candidate_tier, 4> tiers{{{false, true}, {false, false}, {true, true}, {true, false}}};
+
+preference preference_of(const balance_candidate& c, time_point now) {
+  const bool full = !has_free_slot(c, now);
+  // The upstream on this host ranks equally with the others of its zone; otherwise a node with many callers would
+  // overload it.
+  return {c.suspect || c.tried || c.refusing, c.locality == locality_class::remote, full,
+          !full && c.locality > locality_class::zone};
+}
 
 }  // namespace
 
@@ -66,22 +78,15 @@
                               std::any_of(candidates.begin(), candidates.end(),
                                           [&](const auto& c) { return !in_other_region(c) && !c.suspect; });
   index_list eligible;
-  for (const candidate_tier& tier : tiers) {
-    std::optional<locality_class> nearest;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-      const balance_candidate& c = candidates[i];
-      const bool avoided = c.suspect || c.tried || c.refusing;
-      if (avoided != tier.avoided || !can_connect(c) || has_free_slot(c, now) != tier.free_slot) continue;
-      if (stay_in_region && (in_other_region(c) || c.tried)) continue;
-      // The upstream on this host ranks equally with the others of its zone; otherwise a node with many callers would
-      // overload it.
-      const locality_class locality = std::max(c.locality, locality_class::zone);
-      if (nearest && locality > *nearest) continue;
-      if (nearest && locality < *nearest) eligible.clear();
-      nearest = locality;
-      eligible.push_back(i);
-    }
-    if (!eligible.empty()) break;
+  std::optional<preference> best;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const balance_candidate& c = candidates[i];
+    if (!can_connect(c) || (stay_in_region && (in_other_region(c) || c.tried))) continue;
+    const preference rank = preference_of(c, now);
+    if (best && rank > *best) continue;
+    if (!best || rank < *best) eligible.clear();
+    best = rank;
+    eligible.push_back(i);
   }
   if (eligible.empty()) return std::nullopt;
   if (eligible.size() == 1) return eligible.front();
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -261,6 +261,14 @@
                                                                       const std::vector<std::string>& tried_targets,
                                                                       spillover_policy spillover) {
   std::vector<version_share> remaining = spec.shares;
+  // A request that an overloaded upstream of the old version has refused does not move to the version under rollout:
+  // that one would get more than its share of what is served.
+  const auto rollout = document_->rollout_progress.find(spec.name);
+  if (!tried_targets.empty() && rollout != document_->rollout_progress.end() && rollout->second.active() &&
+      tried_other_version(traffic, tried_targets, rollout->second.to)) {
+    const auto is_new = [&](const version_share& s) { return s.upstream_version == rollout->second.to; };
+    if (!std::all_of(remaining.begin(), remaining.end(), is_new)) std::erase_if(remaining, is_new);
+  }
   for (bool first = true; !remaining.empty(); first = false) {
     const std::string drawn = draw_version(remaining);
     if (drawn.empty()) return nullptr;
@@ -274,6 +282,16 @@
   return nullptr;
 }
 
+bool traffic_core::tried_other_version(const service_state& traffic, const std::vector<std::string>& tried_targets,
+                                       const std::string& upstream_version) const {
+  return std::any_of(traffic.versions.begin(), traffic.versions.end(), [&](const auto& version) {
+    if (version.first == upstream_version) return false;
+    return std::any_of(version.second.begin(), version.second.end(), [&](const std::shared_ptr<upstream>& u) {
+      return std::find(tried_targets.begin(), tried_targets.end(), u->endpoint.target) != tried_targets.end();
+    });
+  });
+}
+
 // Returns the version that a share applies to, or an empty name. This matters for other_versions: with open versions, a
 // version that no rollout has asked for may be announced next to the one in service. The old version of the rollout is
 // taken for the one in service; without it, the first usable version in name order that the document does not name.
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -170,6 +170,8 @@
   const std::string& resolve_version(const service_spec& spec, const service_state& traffic,
                                      const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
+  bool tried_other_version(const service_state& traffic, const std::vector<std::string>& tried_targets,
+                           const std::string& upstream_version) const;
   upstream_choice reserve(std::shared_ptr<upstream> chosen, const std::string& service, const route_policy& route,
                           const request_attributes& attributes, bool limited);
   route_policy route_policy_for(const route_rule* rule, const request_attributes& attributes) const;
