Exchange: bound an answer whose body never ends

Cause: once a response had begun, only the idle timeout (60 s) applied, and every byte restarted it. An upstream that sends chunks without end, or a byte now and then, kept its exchange, a slot and the caller's connection for good.

Change: a body must bring 16 KiB in each period of waiting for the upstream (the route's timeout, at least 5 s; waiting for the caller does not count), and a response ends one second after the caller's deadline at the latest. The end is visible to the caller as an incomplete answer.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -128,13 +128,13 @@
   return result;
 }
 
-// Until the response begins, the route's timeout counts from the last part of the request body; afterwards only the
-// idle timeout applies.
+// Until the response begins, the route's timeout counts from the last part of the request body; afterwards the idle
+// timeout and the end of the response apply.
 void exchange::record_progress() {
   const time_point now = timer_service::now();
   if (core_.state() != attempt_state::response_started) core_.restart_timeout(now);
   const bool timed = core_.state() != attempt_state::response_started && core_.deadline();
-  timer_->set(timed ? *core_.deadline() : now + context_->idle_timeout);
+  timer_->set(timed ? *core_.deadline() : std::min(core_.response_end(), now + context_->idle_timeout));
 }
 
 duration exchange::bounded_timeout(duration limit) const {
@@ -311,10 +311,14 @@
   auto sending_head = caller_->send_head(std::move(response), end, link_->body_buffered());
   auto sent = co_await std::move(sending_head);
   while (sent && !end) {
+    const time_point asked_at = timer_service::now();
+    timer_->set(core_.body_due(asked_at, context_->idle_timeout));
     auto reading = link_->read_body();
     auto data = co_await std::move(reading);
+    if (data) core_.on_body_read(data->size(), timer_service::now() - asked_at);
     if (!data) co_return end_attempt({attempt_end::failed, failure_of(data.failure().kind)});
     if (attempt_ended_) co_return end_attempt({attempt_end::failed});
+    record_progress();
     const bool last = link_->response_done();
     auto sending = caller_->send_body(std::move(*data), last);
     sent = co_await std::move(sending);
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -92,6 +92,23 @@
 
 void exchange_core::mark_response_started() { state_ = attempt_state::response_started; }
 
+time_point exchange_core::response_end() const {
+  return caller_deadline_ ? *caller_deadline_ + max_response_overrun : time_point::max();
+}
+
+time_point exchange_core::body_due(time_point now, duration idle_timeout) const {
+  const duration period = std::max<duration>(timeout_, min_body_period);
+  return std::min(response_end(), now + std::min<duration>(idle_timeout, period - std::min(period, body_waited_)));
+}
+
+void exchange_core::on_body_read(std::size_t bytes, duration waited) {
+  body_bytes_ += bytes;
+  body_waited_ += waited;
+  if (body_bytes_ < min_body_progress) return;
+  body_bytes_ = 0;
+  body_waited_ = {};
+}
+
 bool exchange_core::try_consume_retry(bool proved_not_executed, time_point now, bool replayable) {
   const std::uint32_t limit = limits_.from_peer ? 1 : max_attempts;
   if (attempts_ >= limit || !replayable || !may_send(now)) return false;
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -127,6 +127,14 @@
 /// @return the HTTP status of the response to a request that is rejected for this reason.
 unsigned status_of(refusal_reason reason);
 
+/// A response body must bring this much in each period of waiting for the upstream; see exchange_core::body_due.
+inline constexpr std::size_t min_body_progress = 16UL * 1024;
+/// Shortest such period; otherwise it is the route's timeout.
+inline constexpr std::chrono::seconds min_body_period{5};
+/// Time after the caller's deadline at which a response that is still being read is given up. An answer that is ready
+/// is delivered, also when late, but one that never ends must not occupy the upstream for good.
+inline constexpr std::chrono::seconds max_response_overrun{1};
+
 class exchange_core {
  public:
   /// @param limits as received with the request.
@@ -155,6 +163,17 @@
   /// Must be called before the first byte of a response goes to the caller.
   void mark_response_started();
 
+  /// @return when a response body is given up whose next part is awaited from now on: when the period without
+  ///   sufficient progress is over, at the end of the idle timeout, or some time after the caller's deadline.
+  time_point body_due(time_point now, duration idle_timeout) const;
+
+  /// Records a part of the response body.
+  /// @param waited time that was spent waiting for it; waiting for the caller to take data does not count.
+  void on_body_read(std::size_t bytes, duration waited);
+
+  /// @return the latest time for a response in progress, at which the caller has long given up.
+  time_point response_end() const;
+
   /// Decides what follows a failed attempt.
   /// @param replayable false if a part of the body was forwarded and is no longer buffered.
   exchange_decision decide_after_failure(attempt_failure failure, time_point now, bool replayable);
@@ -198,6 +217,8 @@
   bool idempotent_ = false;
   bool may_have_executed_ = false;  ///< an attempt of this exchange may have been executed; never reset
   unsigned last_status_ = 502;      ///< status for the last failed attempt
+  std::size_t body_bytes_ = 0;      ///< of the response body, in the present period
+  duration body_waited_{};          ///< time spent waiting for them
 };
 
 }  // namespace heatherdeck
