Announcements: targets that have left stay away after a restart or a silence

Cause (read, then shown by tests that failed): a restarted node answered 404 to a target that left and was not known to it, so the target had no acknowledgement, and an announcement that was still on its way brought it back. The order of announcements was forgotten when a lease expired, so one that a partition had held up brought a crashed target back, also beside its successor at the same address.

Change: leaving is acknowledged and remembered for unknown targets too (a start after it, by the time of day, is a new one); expired leases are remembered like removed ones; an announcement is ignored while a target that started later has its address. Also: a connection's read buffer of 16 KiB is allocated only while there is data, and a written buffer over 1 KiB is freed, because a node holds a connection to most others.

--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -4,6 +4,7 @@
 #include "node/announcement_core.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -199,12 +200,8 @@
     return fail(make_error("service '" + announced.endpoint.service + "' is not the service of this host",
                            "announce service '" + service_ + "'", "service"));
   }
+  if (arrived_late(announced)) return changes{};
   const auto found = targets_.find(target);
-  const bool out_of_order = found != targets_.end() && announced.order < found->second.announced.order;
-  const bool was_removed = std::any_of(removed_targets_.begin(), removed_targets_.end(), [&](const auto& e) {
-    return e.first == target && announced.order.sequence != 0 && announced.order <= e.second;
-  });
-  if (out_of_order || was_removed) return changes{};
   if (found == targets_.end() && targets_.size() >= max_announced_targets) {
     return fail(error_kind::limit, "more than 16 targets are announced on this host",
                 "remove other targets first, with DELETE", target);
@@ -218,22 +215,42 @@
   return result;
 }
 
-result<announcement_core::changes> announcement_core::remove(std::string_view target) {
+// True when the target has announced something newer, has been removed or fallen silent since, or has been succeeded at
+// its address by a target that started later.
+bool announcement_core::arrived_late(const announcement& announced) const {
+  const std::string& target = announced.endpoint.target;
+  const announcement_order& order = announced.order;
+  const bool was_removed = std::any_of(removed_targets_.begin(), removed_targets_.end(), [&](const auto& e) {
+    return e.first == target && order.sequence != 0 && order <= e.second;
+  });
+  return was_removed || std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+           const announcement& known = entry.second.announced;
+           if (entry.first == target) return order < known.order;
+           return order.start_time_ms != 0 && known.endpoint.address == announced.endpoint.address &&
+                  order.start_time_ms < known.order.start_time_ms;
+         });
+}
+
+result<announcement_core::changes> announcement_core::remove(std::string_view target, std::uint64_t unix_ms) {
   const auto found = target.empty() && targets_.size() == 1 ? targets_.begin() : targets_.find(target);
+  if (found == targets_.end() && !target.empty()) {
+    remember_removed(std::string(target), {unix_ms, std::numeric_limits<std::uint64_t>::max()});
+    return changes{};
+  }
   if (found == targets_.end()) {
     return fail(error_kind::not_found, "the target is not announced on this host",
-                "name an announced target: ?target=NAME", std::string(target));
+                "name an announced target: ?target=NAME", {});
   }
   changes result;
   result.endpoints.push_back(found->second.announced.endpoint);
   result.endpoints.back().state = upstream_state::gone;
-  remember_removed(found->second.announced);
+  remember_removed(found->first, found->second.announced.order);
   targets_.erase(found);
   return result;
 }
 
-void announcement_core::remember_removed(const announcement& announced) {
-  removed_targets_.emplace_back(announced.endpoint.target, announced.order);
+void announcement_core::remember_removed(std::string target, announcement_order last) {
+  removed_targets_.emplace_back(std::move(target), last);
   if (removed_targets_.size() > max_removed_targets) removed_targets_.pop_front();
 }
 
@@ -243,6 +260,7 @@
     if (entry.second.expires_at > now) return false;
     result.endpoints.push_back(entry.second.announced.endpoint);
     result.endpoints.back().state = upstream_state::gone;
+    remember_removed(entry.first, entry.second.announced.order);
     return true;
   });
   return result;
--- a/node/announcement_core.h
+++ b/node/announcement_core.h
@@ -83,10 +83,12 @@
   /// @return the changes; `limit` when too many targets are announced, `bad_message` for a service that is not allowed.
   result<changes> put(time_point now, const announcement& announced);
 
-  /// Ends a lease at once.
+  /// Ends a lease at once. A named target that is not known has announced itself to an earlier process of this host; it
+  /// has left all the same, and announcements of it that are still on their way must not bring it back.
   /// @param target the target's name; may be empty when exactly one target is announced.
-  /// @return the changes; `not_found` when there is no such target.
-  result<changes> remove(std::string_view target);
+  /// @param unix_ms the time of day in milliseconds; a target that starts later under the same name is a new one.
+  /// @return the changes; `not_found` when no target is named and there is not exactly one.
+  result<changes> remove(std::string_view target, std::uint64_t unix_ms = 0);
 
   /// Ends the leases that have expired.
   changes tick(time_point now);
@@ -99,10 +101,12 @@
     announcement announced;
     time_point expires_at;
   };
-  /// The last targets that were removed are remembered, so that a late announcement does not add one again.
+  /// The last targets that were removed or fell silent are remembered, so that a late announcement does not add one
+  /// again.
   static constexpr std::size_t max_removed_targets = 64;
 
-  void remember_removed(const announcement& announced);
+  void remember_removed(std::string target, announcement_order last);
+  bool arrived_late(const announcement& announced) const;
 
   duration lease_duration_;
   std::string service_;
--- a/node/announcement_service.cc
+++ b/node/announcement_service.cc
@@ -71,6 +71,15 @@
   std::uint64_t refused_count = 0;
 };
 
+namespace {
+
+std::uint64_t unix_time_ms() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+}  // namespace
+
 const announcement_service::state::route announcement_service::state::routes[] = {
     {"PUT",
      [](std::string target, http_request& request, reply<http_response> answer) -> announcement_message {
@@ -111,7 +120,7 @@
 }
 
 void announcement_service::state::handle(const remove_announcement& request) {
-  request.answer(apply_changes(capture([&] { return core.remove(request.target); })));
+  request.answer(apply_changes(capture([&] { return core.remove(request.target, unix_time_ms()); })));
 }
 
 http_response announcement_service::state::apply_changes(const outcome<announcement_core::changes>& changes) {
--- a/testing/announcement_test.cc
+++ b/testing/announcement_test.cc
@@ -76,6 +76,51 @@
   EXPECT_EQ(changes->endpoints.size(), 1U);
 }
 
+// The process of this host was restarted, so it did not know the target that left. Its refusal left the target without
+// an acknowledgement, and an announcement that was still on its way brought the target back.
+TEST(announcement, target_that_leaves_after_a_restart_of_this_process_stays_away) {
+  announcement_core restarted;
+  const time_point now{1h};
+  const auto removed = restarted.remove("i-1", 500);
+  ASSERT_TRUE(removed);
+  EXPECT_TRUE(removed->endpoints.empty());
+  auto changes = restarted.put(now, make_announcement("i-1", "ready", 100, 4));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty()) << "sent before it left";
+  changes = restarted.put(now, make_announcement("i-1", "ready", 600, 1));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U) << "a new start under the same name";
+}
+
+// An announcement that a partition had held up brought a crashed target back, after its lease or beside its successor.
+TEST(announcement, late_announcement_of_a_crashed_target_is_ignored) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 4)));
+  EXPECT_EQ(core.tick(now + 6s).endpoints.size(), 1U);
+  auto changes = core.put(now + 7s, make_announcement("i-1", "ready", 100, 4));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty());
+  ASSERT_TRUE(core.put(now + 8s, make_announcement("i-2", "ready", 300, 1)));
+  changes = core.put(now + 8s, make_announcement("i-1", "ready", 100, 6));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty()) << "i-2 has started later at the same address";
+  changes = core.put(now + 9s, make_announcement("i-2", "ready", 300, 2));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(core.tick(now + 12s).endpoints.size(), 0U);
+}
+
+// A target that was only silent announces itself again with a higher sequence and is used again at once.
+TEST(announcement, silent_target_comes_back) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 4)));
+  EXPECT_EQ(core.tick(now + 6s).endpoints.size(), 1U);
+  const auto changes = core.put(now + 7s, make_announcement("i-1", "ready", 100, 5));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U);
+}
+
 TEST(announcement, service_other_than_the_configured_one_is_rejected) {
   announcement_core core(500ms, "stock");
   EXPECT_FALSE(core.put(time_point{1h}, make_announcement("i-1", "ready", 100, 4)));
--- a/wire/h2_connection.cc
+++ b/wire/h2_connection.cc
@@ -3,7 +3,7 @@
 // write. The event loop is first in, first out, so tasks that the reader wakes run before the writer, and their
 // responses are part of the same write. Invariants: at most one write is in flight; at most 128 KiB are buffered for
 // the socket; after `close` no callback reaches the session. Cost: one read and one write system call per batch, 16 KiB
-// of read buffer per connection.
+// of read buffer per connection while data is read.
 #include "wire/h2_connection.h"
 
 #include <vector>
@@ -37,7 +37,7 @@
 }
 
 // A larger write buffer is freed after a write, so that idle connections hold little memory.
-constexpr std::size_t max_idle_write_buffer_bytes = 16UL * 1024;
+constexpr std::size_t max_idle_write_buffer_bytes = 1024;
 constexpr duration silence_check_period = milliseconds(250);
 // The PING timeout is counted in checks instead of time: after this process itself was stopped, only one check is due,
 // and data that arrived meanwhile is read from the socket before the next check.
@@ -96,18 +96,23 @@
  private:
   awaitable<void> read() {
     const auto self = shared_from_this();
-    std::vector<char> bytes(read_buffer_bytes);
-    const auto buffer = boost::asio::buffer(bytes);
+    boost::system::error_code ec;
+    socket_.non_blocking(true, ec);
     while (!closed_) {
-      auto [ec, size] = co_await socket_.async_read_some(buffer, use_tuple);
+      // The buffer is allocated only while there is data: a node has a connection to most others, and most are idle.
+      auto [waited] = co_await socket_.async_wait(tcp::socket::wait_read, use_tuple);
       if (closed_) co_return;
+      ec = waited;
+      const auto bytes = std::make_unique_for_overwrite<char[]>(read_buffer_bytes);
+      const std::size_t size = ec ? 0 : socket_.read_some(boost::asio::buffer(bytes.get(), read_buffer_bytes), ec);
+      if (ec == boost::asio::error::would_block) continue;
       if (ec) {
         close({error_kind::closed, "the connection was closed: " + ec.message(), "send the request again", {}});
         co_return;
       }
       last_received_ = timer_service::now();
       received_bytes().Increment(static_cast<double>(size));
-      const std::string_view received(bytes.data(), size);
+      const std::string_view received(bytes.get(), size);
       const outcome<void> processed = capture([&] { return session_->receive(received); });
       if (!processed) {
         log_error("h2_connection_failed", processed.failure(), {{"peer", options_.peer}});
