Exchange: a request keeps the time that it was promised on arrival

The operators change timeouts meanwhile. By reading: a later attempt applied the route's timeout of the newer document, counted from its own start, and so did the node of the upstream for requests of peers.

Change: the first attempt's timeout holds for the exchange, and the upstream's node takes the time that the first node gave. Two tests, both failed before.

--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -73,8 +73,10 @@
   max_targets_ = targets;
   state_ = attempt_state::not_sent;
   idempotent_ = idempotent;
-  if (timeout <= milliseconds::zero()) return;
-  if (attempts_ == 1) timeout_ = timeout;
+  // A later attempt may be chosen under a newer document with a shorter timeout, counted from then. The time that the
+  // request was promised on arrival holds for the whole exchange.
+  if (attempts_ > 1 || timeout <= milliseconds::zero()) return;
+  timeout_ = timeout;
   const time_point limit = now + timeout;
   if (!deadline_ || limit < *deadline_) deadline_ = limit;
 }
--- a/testing/exchange_core_test.cc
+++ b/testing/exchange_core_test.cc
@@ -213,6 +213,18 @@
   EXPECT_EQ(refused.status, 502U);
 }
 
+// The operators shortened the route's timeout between two attempts; counted from the second one, it ended an exchange
+// at a time that neither document had promised.
+TEST(exchange_core, later_attempt_keeps_the_time_of_the_first) {
+  exchange_core core({}, time_point{});
+  core.begin_attempt(true, 5000ms, time_point{});
+  core.mark_sent();
+  const exchange_decision failed = core.decide_after_failure(attempt_failure::closed, time_point{} + 2s, true);
+  ASSERT_EQ(failed.action, next_action::retry);
+  core.begin_attempt(true, 1000ms, time_point{} + 2s);
+  EXPECT_EQ(core.deadline(), time_point{} + 5s);
+}
+
 // A process that was suspended until after the deadline must not send the request when it resumes.
 TEST(exchange_core, deadline_prevents_the_start_and_shrinks_at_each_hop) {
   exchange_core core({.deadline = 800ms}, time_point{});
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -140,6 +140,21 @@
   EXPECT_FALSE(chosen(retry).upstream_version.empty()) << "a refusal by the new version may be retried anywhere";
 }
 
+// While the operators shortened a route's timeout, requests of peers that had been promised more time were answered
+// with 504 by the node of their upstream, during a planned stop too.
+TEST_F(traffic_core_test, request_of_a_peer_keeps_the_time_that_its_first_node_gave_it) {
+  auto shortened = document({{"v1", full_share}});
+  shortened->routes.front().timeout = 300ms;
+  core.set_document(shortened);
+  set_two_versions();
+  request_attributes peer = lookup();
+  peer.from_peer = true;
+  peer.service = "certdesk";
+  peer.deadline = 900ms;
+  EXPECT_EQ(chosen(peer).timeout, 900ms);
+  EXPECT_EQ(chosen().timeout, 300ms) << "a request that arrives now";
+}
+
 TEST_F(traffic_core_test, share_of_a_version_without_upstreams_goes_to_the_others_and_is_counted) {
   core.set_document(document({{"v1", 5'000}, {"v2", 5'000}}));
   core.set_members({member("n1", "dar-1", {endpoint("t1", "v1")}),
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -120,10 +120,11 @@
   }
   const auto index = balancer_.pick(candidates, now);
   if (!index) return refuse(refusal_reason::overloaded);
-  return admit_locally(now,
-                       {attributes.service, route_policy_for(routes_.match(attributes), attributes), attributes,
-                        local[*index], now, false},
-                       waiter_id);
+  route_policy route = route_policy_for(routes_.match(attributes), attributes);
+  // The first node has applied the route's timeout, counted from the arrival of the request, under the document of
+  // then.
+  if (attributes.deadline) route.timeout = *attributes.deadline;
+  return admit_locally(now, {attributes.service, route, attributes, local[*index], now, false}, waiter_id);
 }
 
 refusal traffic_core::refuse_overloaded(const upstream& target) {
