Test: an answer that breaks off halfway never looks complete

Seven kinds of broken answers (fixed length, chunks, within a chunk, before the end of the trailers, until close and reset, compressed), over one and two nodes, to HTTP/1.1 and HTTP/1.0 callers: all 28 are seen as incomplete, and a body that ends with its connection in order is complete. No fault found; the test guards it.

--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -194,5 +194,81 @@
   });
 }
 
+struct broken_answer {
+  const char* name;
+  std::string sent;
+  bool reset;  ///< the connection is reset instead of closed
+};
+
+const broken_answer broken_answers[] = {
+    {"fixed length", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", false},
+    {"fixed length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", true},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false},
+    {"within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\nhalf", false},
+    {"before the end of the trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+     false},
+    {"until close, reset", "HTTP/1.1 200 OK\r\n\r\nhalf", true},
+    {"compressed", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 100\r\n\r\nhalf", false},
+};
+
+upstream_script breaks_off(const broken_answer& answer) {
+  return [answer](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    if (!co_await read_request(stream)) co_return;
+    co_await proxy_harness::send(stream, answer.sent);
+    // The node reads the first part before the connection ends.
+    boost::asio::steady_timer timer(stream.socket.get_executor(), 50ms);
+    (void)co_await timer.async_wait(use_tuple);
+    boost::system::error_code ignored;
+    if (answer.reset) stream.socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    stream.close();
+  };
+}
+
+// Reads everything that the caller gets; an answer that ends with its connection is complete only if the end is
+// orderly.
+awaitable<bool> gets_complete_answer(proxy_harness& h, std::string request) {
+  auto caller = co_await h.connect();
+  co_await h.send(*caller, std::move(request));
+  h1_reader<false> reader(*caller);
+  if (co_await reader.read_head()) co_return false;
+  if (reader.message().result_int() != 200) co_return false;
+  for (;;) {
+    auto data = co_await reader.read_body();
+    if (!data) co_return false;
+    if (data->empty()) co_return true;
+  }
+}
+
+// An answer that broke off halfway reached callers as a complete success in similar systems.
+TEST(proxy_peer, answer_that_breaks_off_never_looks_complete) {
+  const std::string request = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  const std::string old_request = "POST /a HTTP/1.0\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  for (const broken_answer& answer : broken_answers) {
+    proxy_harness one(breaks_off(answer));
+    one.run([&]() -> awaitable<void> {
+      EXPECT_FALSE(co_await gets_complete_answer(one, request)) << answer.name;
+      EXPECT_FALSE(co_await gets_complete_answer(one, old_request)) << answer.name << ", HTTP/1.0";
+    });
+    second_node second(breaks_off(answer));
+    proxy_harness first([](tcp_socket) -> awaitable<void> { co_return; }, 60s, true);
+    route_to(first, second);
+    first.run([&]() -> awaitable<void> {
+      EXPECT_FALSE(co_await gets_complete_answer(first, request)) << answer.name << ", two nodes";
+      EXPECT_FALSE(co_await gets_complete_answer(first, old_request)) << answer.name << ", two nodes, HTTP/1.0";
+    });
+  }
+}
+
+// The other side of it: a body that ends with its connection in order is complete.
+TEST(proxy_peer, body_that_ends_with_its_connection_is_complete) {
+  const broken_answer whole{"until close", "HTTP/1.1 200 OK\r\n\r\nwhole", false};
+  proxy_harness one(breaks_off(whole));
+  one.run([&]() -> awaitable<void> {
+    EXPECT_TRUE(co_await gets_complete_answer(one, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
+    EXPECT_TRUE(co_await gets_complete_answer(one, "GET /a HTTP/1.0\r\nHost: a\r\n\r\n"));
+  });
+}
+
 }  // namespace
 }  // namespace heatherdeck
