Admission: bound the queue of an upstream that has not answered yet

Before the first answer the admission queue knew no service time and took eight requests for each slot.

Change: until then a third of the route's objective is assumed. admission_queue_test bounds_the_queue_before_the_first_answer: 16 requests waited at two slots before, 1 now.

--- a/testing/admission_queue_test.cc
+++ b/testing/admission_queue_test.cc
@@ -82,6 +82,27 @@
   EXPECT_EQ(queue.take_expired(start + 330ms), std::vector<std::uint64_t>{2});
 }
 
+// After a power failure all callers came at once to upstreams that had not answered anything yet. Without an estimate
+// the queue took eight requests for each slot, and nearly all of them were answered late or refused after their
+// objective.
+TEST(admission_queue, bounds_the_queue_before_the_first_answer) {
+  admission_queue queue;
+  queue.set_slots(2);
+  int waiting = 0;
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    admission_request next = request(id, 2, 300ms);
+    next.assumed_service_time = 100ms;
+    waiting += queue.admit(start, next) == admission_decision::wait ? 1 : 0;
+  }
+  // 50 ms until a slot is free fit into 0.3 of the slack of 200 ms, 100 ms for the next one do not.
+  EXPECT_EQ(waiting, 1);
+  queue.release("lookup", 10ms);
+  queue.release("lookup", 10ms);
+  EXPECT_EQ(queue.take_ready().size(), 1U);
+  EXPECT_EQ(queue.admit(start, request(60, 2, 300ms)), admission_decision::run);
+  EXPECT_EQ(queue.admit(start, request(61, 2, 300ms)), admission_decision::wait) << "the measured time counts now";
+}
+
 TEST(admission_queue, refuses_a_request_whose_caller_would_give_up_before_the_response) {
   admission_queue queue = busy_queue();
   queue.release("lookup", 100ms);
--- a/traffic/admission_queue.cc
+++ b/traffic/admission_queue.cc
@@ -44,25 +44,27 @@
   return to_duration(time.mean_ms + deviation_margin * time.deviation_ms);
 }
 
-// Falls back to the average of all routes. Until there is a measurement the mean is 0, so no request is refused for
-// lack of time.
-const admission_queue::service_time& admission_queue::service_time_of(const std::string& route) const {
-  const auto known = routes_.find(route);
-  return known != routes_.end() ? known->second : overall_;
+// Falls back to the average of all routes and, before the first answer, to what the request assumes: after a restart
+// all callers come at once, and a queue without any estimate would take more of them than it can answer in time.
+admission_queue::service_time admission_queue::service_time_of(const admission_request& request) const {
+  const auto known = routes_.find(request.route);
+  if (known != routes_.end()) return known->second;
+  if (overall_.mean_ms > 0) return overall_;
+  return {std::chrono::duration<double, std::milli>(request.assumed_service_time).count(), 0};
 }
 
 // One of the busy slots becomes free after the mean service time divided by their number; the requests ahead go first.
 duration admission_queue::expected_queue_time(const admission_request& request) const {
-  duration work = to_duration(overall_.mean_ms);
+  duration work = to_duration(overall_.mean_ms > 0 ? overall_.mean_ms : service_time_of(request).mean_ms);
   for (const admission_request& other : waiting_) {
     const bool ahead = std::tie(other.priority, other.objective) <= std::tie(request.priority, request.objective);
-    if (ahead) work += to_duration(service_time_of(other.route).mean_ms);
+    if (ahead) work += to_duration(service_time_of(other).mean_ms);
   }
   return work / slots_;
 }
 
 admission_decision admission_queue::admit(time_point now, const admission_request& request) {
-  const service_time& route_time = service_time_of(request.route);
+  const service_time route_time = service_time_of(request);
   // The caller would give up before the response: the run would only take a slot from another request.
   if (now + to_duration(route_time.mean_ms) > request.deadline) return admission_decision::refuse;
   if (running_ < slots_ && waiting_.empty()) {
@@ -108,7 +110,7 @@
 std::vector<std::uint64_t> admission_queue::take_expired(time_point now) {
   std::vector<std::uint64_t> expired;
   std::erase_if(waiting_, [&](const admission_request& r) {
-    if (now + run_time(service_time_of(r.route)) <= r.objective) return false;
+    if (now + run_time(service_time_of(r)) <= r.objective) return false;
     expired.push_back(r.id);
     return true;
   });
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -51,6 +51,8 @@
   time_point objective{};      ///< latency objective: a response after this time is of less value
   /// When the caller gives up.
   time_point deadline = time_point::max();
+  /// Assumed service time until the upstream has answered a request; zero: none is refused for lack of time until then.
+  duration assumed_service_time{};
 };
 
 class admission_queue {
@@ -98,7 +100,7 @@
 
   /// @return the time that most runs of a route stay within.
   static duration run_time(const service_time& time);
-  const service_time& service_time_of(const std::string& route) const;
+  service_time service_time_of(const admission_request& request) const;
   duration expected_queue_time(const admission_request& request) const;
 
   std::uint32_t slots_ = 1;
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds short_deadline{200};
 constexpr std::chrono::milliseconds overloaded_retry_after{100};
 constexpr std::chrono::milliseconds unavailable_retry_after{500};
+// Objectives are usually a small multiple of the service time; assumed for an upstream that has not answered yet.
+constexpr int assumed_objective_per_service_time = 3;
 constexpr double latency_ewma_weight = 0.2;
 // A failed call enters the latency average as at least this multiple of the baseline latency; otherwise the upstream
 // that fails fastest would look best.
@@ -146,8 +148,12 @@
   const auto time_to_objective =
       attempt.route.objective.count() > 0 ? std::min(objective_remaining, time_allowed) : time_allowed;
   const time_point deadline = attempt.attributes.deadline ? now + *attempt.attributes.deadline : time_point::max();
-  const admission_request request{waiter_id, attempt.route.name, attempt.route.priority, now + time_to_objective,
-                                  deadline};
+  const admission_request request{waiter_id,
+                                  attempt.route.name,
+                                  attempt.route.priority,
+                                  now + time_to_objective,
+                                  deadline,
+                                  attempt.route.objective / assumed_objective_per_service_time};
   const admission_decision decision = target.admission.admit(now, request);
   if (decision == admission_decision::run) {
     return reserve(attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited);
