--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -128,6 +128,32 @@
   return static_cast<basis_points>(std::clamp(left / seconds(verdict_delay), 0.0, 1.0) * full_share);
 }
 
+// The time of the next step of a bounded ramp, so that the steps after it still fit into the finish time.
+time_point rollout_planner::next_bounded_step(const planner_input& input) {
+  return input.started + input.spec.finish_within - bounded_ramp_time(input.share);
+}
+
+// The share that the ramp asks for now, without the limits of growth and capacity.
+basis_points rollout_planner::planned_share(const planner_input& input) const {
+  if (!input.spec.max_exposure) return ramp(input);
+  if (input.now + tick_tolerance < next_bounded_step(input)) return input.share;
+  return next_bounded_share(input.share) < full_share ? max_bounded_share(input) : full_share;
+}
+
+double rollout_planner::growth_limit(const planner_input& input) {
+  if (input.spec.max_exposure) return next_bounded_share(input.share);
+  if (input.share >= min_share_before_all) return full_share;
+  return std::min<double>(input.share * max_growth_factor, max_share_before_all);
+}
+
+std::string rollout_planner::ramp_wait_reason(const planner_input& input) {
+  if (!input.spec.max_exposure || input.now + tick_tolerance < next_bounded_step(input)) {
+    return "the ramp has not reached the next step";
+  }
+  return fmt::format("a larger share may exceed the bound of exposure: {:.0f} of {} ms are spent",
+                     1000 * seconds(input.exposure), input.spec.max_exposure->count());
+}
+
 planner_decision rollout_planner::running(const planner_input& input) const {
   if (input.warm_new == 0) return wait("no warm upstream of the new version");
   if (input.share == 0) {
@@ -139,29 +165,12 @@
   if (input.cut_recently) return wait("a node has recently cut the new version off");
   const duration hold = hold_time(input);
   if (input.now - input.last_step < hold - tick_tolerance) return wait("the last step is too recent");
-  const bool bounded = input.spec.max_exposure.has_value();
-  const basis_points next_bounded = next_bounded_share(input.share);
-  const double growth = bounded ? next_bounded
-                        : input.share < min_share_before_all
-                            ? std::min<double>(input.share * max_growth_factor, max_share_before_all)
-                            : full_share;
-  const double limit = std::min<double>(growth, capacity_bound(input));
-  const basis_points planned = !bounded                    ? ramp(input)
-                               : next_bounded < full_share ? max_bounded_share(input)
-                                                           : full_share;
-  const auto target = static_cast<basis_points>(std::min<double>(planned, limit));
-  if (bounded && input.now + tick_tolerance < input.started + input.spec.finish_within - bounded_ramp_time(input.share))
-    return wait("the rest of the ramp fits into the time left");
-  if (bounded && planned < input.share + input.share / 4) {
-    return wait(fmt::format("a larger share may exceed the bound of exposure: {:.0f} of {} ms are spent",
-                            1000 * seconds(input.exposure), input.spec.max_exposure->count()));
-  }
+  const double limit = std::min<double>(growth_limit(input), capacity_bound(input));
+  const auto target = static_cast<basis_points>(std::min<double>(planned_share(input), limit));
   if (target <= input.share)
-    return wait(limit <= input.share ? "too few warm upstreams of the new version"
-                                     : "the ramp has not reached the next step");
+    return wait(limit <= input.share ? "too few warm upstreams of the new version" : ramp_wait_reason(input));
   // A raise of less than a quarter is not worth a log entry and a message to every node.
-  if (target < max_share_before_all && target < input.share + input.share / 4)
-    return wait("the ramp has not reached the next step");
+  if (target < max_share_before_all && target < input.share + input.share / 4) return wait(ramp_wait_reason(input));
   const double fraction = static_cast<double>(input.share) / full_share;
   const double expected = fraction * static_cast<double>(input.new_calls + input.old_calls);
   const double time_left = 1 - seconds(input.now - input.started) / std::max(1.0, seconds(input.spec.finish_within));
--- a/control/rollout_planner.h
+++ b/control/rollout_planner.h
@@ -116,6 +116,10 @@
   static basis_points next_bounded_share(basis_points share);
   static duration bounded_ramp_time(basis_points share);
   static basis_points max_bounded_share(const planner_input& input);
+  static time_point next_bounded_step(const planner_input& input);
+  basis_points planned_share(const planner_input& input) const;
+  static double growth_limit(const planner_input& input);
+  static std::string ramp_wait_reason(const planner_input& input);
 
   double convergence_weight_;
 };
