--- a/control/rollout_planner.cc
+++ b/control/rollout_planner.cc
@@ -133,7 +133,7 @@
   return input.started + input.spec.finish_within - bounded_ramp_time(input.share);
 }
 
-// The share that the ramp asks for now, without the limits of growth and capacity.
+// The share that the ramp has reached, without the limits of growth and capacity.
 basis_points rollout_planner::planned_share(const planner_input& input) const {
   if (!input.spec.max_exposure) return ramp(input);
   if (input.now + tick_tolerance < next_bounded_step(input)) return input.share;
