--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -67,7 +67,7 @@
   admission_decision admit(time_point now, const admission_request& request);
 
   /// Ends a running request.
-  /// @param service_time time that the upstream took for it; zero when it was not measured.
+  /// @param service_time time that the upstream took for it; zero if unknown.
   void release(const std::string& route, duration service_time);
 
   /// Removes a waiting request, if it is in the queue.
