Subscription: log lines for each change of a node's control host

A node now writes source_attempt, subscribed, source_quorum, source_closed and source_left (reason, held version, time since the last message); a control host writes publisher_quorum.

--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -165,6 +165,10 @@
 }
 
 void publisher_service::handle(quorum_reported&& m) {
+  if (quorum_ != m.present) {
+    log_event(log_level::info, "publisher_quorum",
+              {{"present", m.present}, {"version", core_.current().text()}, {"subscriptions", core_.size()}});
+  }
   quorum_ = m.present;
   send(core_.make_keepalives(quorum_, timer_service::now()));
 }
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -88,6 +88,12 @@
   const counters& counts() const { return counts_; }
   /// @return id of the control host that the node is subscribed to; empty when it is not subscribed.
   const std::string& source() const { return source_; }
+  /// @return false while the control host of the open stream states that it has no quorum.
+  bool source_has_quorum() const { return !without_quorum_since_; }
+  /// @return time since the control host of the open stream sent a message; zero when the node is not subscribed.
+  duration time_since_last_message(time_point now) const {
+    return source_.empty() ? duration::zero() : now - last_message_at_;
+  }
 
  private:
   struct candidate {
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -70,6 +70,7 @@
   const std::uint64_t generation = ++generation_;
   subscriber_core::attempt next = core_.next_attempt();
   const milliseconds delay = retry_after.value_or(next.delay);
+  log_event(log_level::info, "source_attempt", {{"source", next.host_id}, {"delay_ms", delay.count()}});
   retry_ = kernel_->timers().after(delay, [inbox = inbox_->address(), generation, address = next.mesh_address] {
     inbox.post(reconnect_due{generation, address});
   });
@@ -116,14 +117,14 @@
   }
   stream_ = m.stream;
   core_.on_connected(timer_service::now());
-  log_event(log_level::debug, "subscribed", {{"source", core_.source()}, {"version", core_.held_version().text()}});
+  log_event(log_level::info, "subscribed", {{"source", core_.source()}, {"version", core_.held_version().text()}});
   node_message request = core_.request();
   co_await write(std::move(request));
 }
 
 awaitable<void> subscriber_service::handle(source_closed m) {
   if (m.generation != generation_) co_return;
-  log_event(log_level::debug, "source_closed", {{"reason", m.reason.message()}});
+  log_event(log_level::info, "source_closed", {{"source", core_.source()}, {"reason", m.reason.message()}});
   disconnect("the stream was closed", std::nullopt);
 }
 
@@ -135,7 +136,11 @@
     disconnect("a message could not be decoded", std::nullopt);
     co_return;
   }
+  const bool had_quorum = core_.source_has_quorum();
   subscriber_core::actions r = core_.on_message(*message, timer_service::now());
+  if (core_.source_has_quorum() != had_quorum) {
+    log_event(log_level::info, "source_quorum", {{"source", core_.source()}, {"present", !had_quorum}});
+  }
   if (r.document) {
     update_document next{r.document};
     (void)co_await traffic_.send(std::move(next));
@@ -174,7 +179,12 @@
 }
 
 void subscriber_service::disconnect(const std::string& reason, std::optional<milliseconds> retry_after) {
-  log_event(log_level::debug, "source_left", {{"source", core_.source()}, {"reason", reason}});
+  const auto silent = std::chrono::duration_cast<milliseconds>(core_.time_since_last_message(timer_service::now()));
+  log_event(log_level::info, "source_left",
+            {{"source", core_.source()},
+             {"reason", reason},
+             {"version", core_.held_version().text()},
+             {"silent_ms", silent.count()}});
   core_.on_disconnected();
   if (stream_) stream_->reset(h2_cancel);
   stream_.reset();
