--- a/testing/distribution.cmake
+++ b/testing/distribution.cmake
@@ -1,1 +1,2 @@
 hd_test(distribution_test hd_control hd_node)
+hd_test(minority_cut_test hd_control hd_node)
--- /dev/null
+++ b/testing/minority_cut_test.cc
@@ -0,0 +1,266 @@
+// Tests how nodes leave control hosts that are cut off from the quorum: every change that is acknowledged by the other
+// hosts must be in force at every node within 2 s, from 3 s after the cut on. Six control hosts and their nodes run
+// under a virtual clock; the driver does what publisher_service and subscriber_service do.
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "control/publisher_core.h"
+#include "node/subscriber_core.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t zone_count = 6;
+constexpr std::size_t zones_per_region = 2;
+constexpr std::size_t nodes_per_zone = 3;
+constexpr auto stable_after = 3s;         // from then on after a cut the bound below holds
+constexpr auto propagation_bound = 2s;    // an acknowledged change is in force everywhere within this time
+constexpr auto election_timeout = 600ms;  // a host without contact for this long has no quorum
+constexpr auto keepalive_period = 500ms;
+constexpr auto service_tick = 500ms;
+
+std::string region_of(std::size_t zone) { return "region-" + std::to_string(zone / zones_per_region); }
+std::string zone_name(std::size_t zone) { return "zone-" + std::to_string(zone); }
+
+document_state_ptr make_document(std::uint64_t index) {
+  auto s = std::make_shared<document_state>();
+  s->document_version = {1, index};
+  s->sections["services"] = {"services", "web: {versions: [v1]}\n", {1, 1}};
+  s->sections["shares"] = {"shares", "web: {v1: 100}\n", {1, 1}};
+  s->sections["routes"] = {
+      "routes",
+      "- {name: all, match: {path_prefix: /}, service: web, timeout_ms: " + std::to_string(100 + index) + "}\n",
+      {1, index}};
+  return s;
+}
+
+struct cut_plan {
+  std::set<std::size_t> hosts;  ///< zones of the control hosts that are cut off from the others
+  time_point at;
+};
+
+class subscription_simulation {
+ public:
+  subscription_simulation(std::uint64_t seed, cut_plan cut) : random_(seed), cut_(std::move(cut)) {
+    for (std::size_t zone = 0; zone < zone_count; ++zone) {
+      auto host = std::make_unique<control_host_model>();
+      host->core =
+          std::make_unique<publisher_core>(publisher_core::limits{.keepalive = keepalive_period}, seed * 31 + zone);
+      host->zone = zone;
+      hosts_.push_back(std::move(host));
+    }
+    for (std::size_t i = 0; i < zone_count * nodes_per_zone; ++i) add_node(i, seed);
+  }
+
+  /// Commits a change every 400 ms from the start on and runs until `end`.
+  /// @return what each node that broke the bound held, and when; empty if none did.
+  std::vector<std::string> run(time_point end) {
+    for (time_point t{}; t < end; t += 400ms) at(t, [this] { commit(); });
+    for (auto& host : hosts_) at(time_point{} + random_delay(service_tick), [this, h = host.get()] { tick(*h); });
+    for (auto& node : nodes_) {
+      at(time_point{} + random_delay(300ms), [this, n = node.get()] { schedule_attempt(*n, std::nullopt); });
+      at(time_point{} + random_delay(service_tick), [this, n = node.get()] { tick(*n); });
+      // The settings name three hosts; the directory adds the others after the node has subscribed.
+      at(time_point{} + 1500ms + random_delay(500ms), [this, n = node.get()] { n->core->set_members(members()); });
+    }
+    for (time_point t = cut_.at + stable_after; t < end; t += 20ms) at(t, [this] { check(); });
+    while (!events_.empty() && events_.begin()->first < end) {
+      now_ = events_.begin()->first;
+      const std::function<void()> event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    }
+    return late_;
+  }
+
+ private:
+  struct control_host_model {
+    std::unique_ptr<publisher_core> core;
+    std::size_t zone = 0;
+    bool quorum = false;
+  };
+
+  struct node_model {
+    std::unique_ptr<subscriber_core> core;
+    std::string name;
+    std::size_t zone = 0;
+    std::uint64_t generation = 0;
+    std::uint64_t stream = 0;  ///< 0 when not subscribed
+    control_host_model* host = nullptr;
+    bool late = false;
+  };
+
+  static std::string host_id(std::size_t zone) { return "10." + std::to_string(zone + 1) + ".0.16"; }
+
+  void add_node(std::size_t index, std::uint64_t seed) {
+    auto node = std::make_unique<node_model>();
+    node->zone = index % zone_count;
+    settings s;
+    s.id = node->name = "10." + std::to_string(node->zone + 1) + ".0." + std::to_string(20 + index);
+    s.availability_zone = zone_name(node->zone);
+    s.region = region_of(node->zone);
+    s.seed = seed * 1000 + index + 1;
+    s.keepalive = keepalive_period;
+    for (std::size_t zone = 0; zone < zone_count; zone += zones_per_region) {
+      s.control_hosts.push_back({host_id(zone), zone_name(zone), region_of(zone), host_id(zone), ""});
+    }
+    node->core = std::make_unique<subscriber_core>(subscriber_core::make(s));
+    nodes_.push_back(std::move(node));
+  }
+
+  std::vector<member_record> members() const {
+    std::vector<member_record> all;
+    for (std::size_t zone = 0; zone < zone_count; ++zone) {
+      member_record m;
+      m.node_id = m.mesh_address = host_id(zone);
+      m.availability_zone = zone_name(zone);
+      m.region = region_of(zone);
+      m.role = process_role::control;
+      all.push_back(std::move(m));
+    }
+    return all;
+  }
+
+  void at(time_point when, std::function<void()> event) { events_.emplace(when, std::move(event)); }
+
+  duration random_delay(duration limit) {
+    return duration(std::uniform_int_distribution<duration::rep>(0, limit.count())(random_));
+  }
+
+  duration one_way(std::size_t zone, std::size_t other) {
+    const duration base = region_of(zone) == region_of(other) ? duration(500us) : duration(12ms);
+    return base + random_delay(5ms);
+  }
+
+  bool is_cut(const control_host_model& host) const { return now_ >= cut_.at && cut_.hosts.contains(host.zone); }
+
+  void commit() {
+    const document_state_ptr next = make_document(++index_);
+    acknowledged_.emplace_back(now_ + 60ms, next->document_version);
+    for (auto& host : hosts_) {
+      if (is_cut(*host)) continue;
+      at(now_ + 30ms + random_delay(30ms),
+         [this, h = host.get(), next] { deliver(*h, h->core->set_document(next, now_)); });
+    }
+  }
+
+  // The streams of all nodes to one host have ids of their own, so that the core of the host tells them apart.
+  void deliver(control_host_model& host, const std::vector<publisher_core::offer>& offers) {
+    for (const publisher_core::offer& offer : offers) {
+      for (auto& node : nodes_) {
+        if (node->stream != offer.to || node->host != &host) continue;
+        at(now_ + one_way(host.zone, node->zone),
+           [this, n = node.get(), stream = offer.to, message = offer.message] { receive(*n, stream, *message); });
+      }
+    }
+  }
+
+  void tick(control_host_model& host) {
+    deliver(host, host.core->make_keepalives(host.quorum, now_));
+    host.quorum = !cut_.hosts.contains(host.zone) || now_ < cut_.at + election_timeout;
+    deliver(host, host.core->make_keepalives(host.quorum, now_));
+    at(now_ + service_tick + random_delay(3ms), [this, h = &host] { tick(*h); });
+  }
+
+  void tick(node_model& node) {
+    if (const std::string reason = node.core->check_connection(now_); !reason.empty()) disconnect(node, std::nullopt);
+    at(now_ + service_tick + random_delay(3ms), [this, n = &node] { tick(*n); });
+  }
+
+  void schedule_attempt(node_model& node, std::optional<milliseconds> retry_after) {
+    const std::uint64_t generation = ++node.generation;
+    const subscriber_core::attempt next = node.core->next_attempt();
+    const auto host =
+        std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& h) { return host_id(h->zone) == next.host_id; });
+    // A new connection takes two round trips, a stream on it another half.
+    const duration connecting = 5 * one_way(node.zone, (*host)->zone);
+    at(now_ + retry_after.value_or(next.delay) + connecting,
+       [this, n = &node, h = host->get(), generation] { connect(*n, *h, generation); });
+  }
+
+  void connect(node_model& node, control_host_model& host, std::uint64_t generation) {
+    if (generation != node.generation) return;
+    node.stream = ++last_stream_;
+    node.host = &host;
+    node.core->on_connected(now_);
+    if (const auto busy = host.core->open(node.stream, node.core->request(), now_))
+      return deliver(host, {{node.stream, std::make_shared<const control_message>(*busy)}});
+    // A confirmation succeeds on each host that has a quorum.
+    if (const auto offer = host.core->first_offer(node.stream, host.quorum, now_)) deliver(host, {*offer});
+  }
+
+  void receive(node_model& node, std::uint64_t stream, const control_message& message) {
+    if (stream != node.stream) return;
+    const subscriber_core::actions r = node.core->on_message(message, now_);
+    if (r.answer) {
+      if (const auto* applied = std::get_if<applied_report>(&*r.answer)) {
+        at(now_ + one_way(node.zone, node.host->zone), [this, h = node.host, stream, report = *applied] {
+          if (const auto offer = h->core->on_applied(stream, report, now_)) deliver(*h, {*offer});
+        });
+      }
+    }
+    if (!r.disconnect_reason.empty()) disconnect(node, r.retry_after);
+  }
+
+  void disconnect(node_model& node, std::optional<milliseconds> retry_after) {
+    node.core->on_disconnected();
+    if (node.host != nullptr) node.host->core->close(node.stream);
+    node.stream = 0;
+    schedule_attempt(node, retry_after);
+  }
+
+  void check() {
+    version required;
+    for (const auto& [when, acknowledged] : acknowledged_) {
+      if (when + propagation_bound < now_) required = acknowledged;
+    }
+    for (auto& node : nodes_) {
+      if (node->late || node->core->held_version() >= required) continue;
+      node->late = true;
+      late_.push_back(node->name + " holds " + node->core->held_version().text() + " instead of " + required.text() +
+                      " " + std::to_string(std::chrono::duration_cast<milliseconds>(now_ - cut_.at).count()) +
+                      " ms after the cut");
+    }
+  }
+
+  std::mt19937_64 random_;
+  cut_plan cut_;
+  std::multimap<time_point, std::function<void()>> events_;
+  time_point now_{};
+  std::vector<std::unique_ptr<control_host_model>> hosts_;
+  std::vector<std::unique_ptr<node_model>> nodes_;
+  std::vector<std::pair<time_point, version>> acknowledged_;
+  std::vector<std::string> late_;
+  std::uint64_t index_ = 0;
+  std::uint64_t last_stream_ = 0;
+};
+
+// Guards against nodes that stay with, or move among, control hosts without a quorum while others accept changes.
+TEST(minority_cut, acknowledged_changes_are_in_force_at_nodes_of_cut_off_hosts) {
+  constexpr std::uint64_t seeds = 200;
+  std::uint64_t failed_seeds = 0;
+  std::string first;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    std::mt19937_64 random(seed);
+    cut_plan cut{{}, time_point{} + 8s};
+    while (cut.hosts.size() < 2) cut.hosts.insert(random() % zone_count);
+    const std::vector<std::string> late = subscription_simulation(seed, cut).run(cut.at + 8s);
+    if (late.empty()) continue;
+    ++failed_seeds;
+    if (first.empty()) first = "seed " + std::to_string(seed) + ": " + late.front();
+  }
+  EXPECT_EQ(failed_seeds, 0U) << "of " << seeds << " seeds; the first: " << first;
+}
+
+}  // namespace
+}  // namespace heatherdeck
