Subscriber: the wait at a host without a quorum is the node's, not the stream's

Callers saw 404 for a route that had been acknowledged more than 2 s before, at a node whose control host was cut off from the quorum. The node left that host after two keep-alive periods, looked only when a keep-alive came (1.5 s instead of 1 s), subscribed to the other cut-off host and began the same wait anew there; it held 1.11 for 4.1 s.

The wait now begins when a host first says that it has no quorum and ends with a host that has one. The service checks it when it is due, not at the next message. After it the node leaves each further host without a quorum within 0.1 s (doubled with each round of the list), skips hosts that have said so, and keeps its stream until it leaves.

--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "model/document_delta.h"
 #include "model/document_digest.h"
@@ -73,11 +74,24 @@
   return milliseconds(std::uniform_int_distribution<std::int64_t>(0, max_delay.count())(random_));
 }
 
+const subscriber_core::candidate& subscriber_core::next_source() {
+  for (std::size_t i = 0; i < sources_.size(); ++i) {
+    const std::size_t index = next_index_++ % sources_.size();
+    if (hosts_without_quorum_.contains(sources_[index].host_id)) continue;
+    at_nearest_ = index == 0;
+    return sources_[index];
+  }
+  hosts_without_quorum_.clear();
+  ++rounds_without_quorum_;
+  at_nearest_ = true;
+  next_index_ = 1;
+  return sources_.front();
+}
+
 subscriber_core::attempt subscriber_core::next_attempt() {
-  const candidate& s = sources_[next_index_ % sources_.size()];
-  at_nearest_ = next_index_ % sources_.size() == 0;
+  const candidate& s = next_source();
   attempted_host_id_ = s.host_id;
-  ++next_index_;
+  if (std::exchange(leaves_without_quorum_, false)) return {s.host_id, s.mesh_address, milliseconds(0)};
   const milliseconds backoff_limit = has_document() ? max_backoff : max_backoff_without_document;
   const milliseconds backoff =
       std::min(backoff_limit, min_backoff * (1U << std::min(failed_attempts_, max_backoff_doublings)));
@@ -89,7 +103,7 @@
 
 void subscriber_core::on_connected(time_point now) {
   source_ = attempted_host_id_;
-  without_quorum_since_.reset();
+  leave_at_.reset();
   last_message_at_ = now;
   first_message_ = true;
   retry_nearest_at_ = now + retry_nearest_interval + jitter(retry_nearest_interval);
@@ -103,6 +117,7 @@
   last_message_at_ = now;
   actions r = std::visit([this](const auto& m) { return on_offer(m); }, message);
   first_message_ = false;
+  if (r.disconnect_reason.empty()) r.disconnect_reason = check_quorum(now);
   return r;
 }
 
@@ -115,6 +130,7 @@
 
 std::string subscriber_core::check_connection(time_point now) {
   if (source_.empty()) return {};
+  if (std::string reason = check_quorum(now); !reason.empty()) return reason;
   if (now - last_message_at_ > max_silent_periods * keepalive_) return "no message for two keep-alive periods";
   if (!at_nearest_ && now >= retry_nearest_at_) {
     next_index_ = 0;
@@ -123,9 +139,35 @@
   return {};
 }
 
+std::string subscriber_core::check_quorum(time_point now) {
+  if (!leave_at_ || now < *leave_at_) return {};
+  leaves_without_quorum_ = true;
+  return "the control host has no quorum";
+}
+
 void subscriber_core::mark_quorum_seen() {
   quorum_seen_ = true;
   failed_attempts_ = 0;
+  without_quorum_since_.reset();
+  leave_at_.reset();
+  hosts_without_quorum_.clear();
+  rounds_without_quorum_ = 0;
+}
+
+// During an election no host has a quorum, so a node that has a document does not change hosts at once. The wait is
+// that of the node, not of the stream: a node that has waited asks the other hosts in turn. It keeps its stream until
+// it leaves, so that it misses nothing if the quorum returns meanwhile.
+void subscriber_core::mark_quorum_missing() {
+  hosts_without_quorum_.insert(source_);
+  if (leave_at_) return;
+  if (!without_quorum_since_) {
+    without_quorum_since_ = last_message_at_;
+    leave_at_ = last_message_at_ + max_silent_periods * keepalive_ - jitter(min_backoff);
+    return;
+  }
+  const milliseconds max_wait =
+      std::min(max_backoff, min_backoff * (1U << std::min(rounds_without_quorum_, max_backoff_doublings)));
+  leave_at_ = std::max(last_message_at_, *without_quorum_since_ + max_silent_periods * keepalive_) + jitter(max_wait);
 }
 
 void subscriber_core::confirm(const version& confirmed) {
@@ -133,6 +175,12 @@
   if (!confirmed_version_ || confirmed > *confirmed_version_) confirmed_version_ = confirmed;
 }
 
+// Only the first offer on a stream tells whether the host has a quorum; later ones are never confirmed.
+void subscriber_core::note_confirmation(const version& offered, bool confirmed) {
+  if (confirmed) return confirm(offered);
+  if (first_message_ && has_document()) mark_quorum_missing();
+}
+
 bool subscriber_core::is_unconfirmed(const version& offered) const {
   return !has_document() && (!confirmed_version_ || offered < *confirmed_version_);
 }
@@ -153,12 +201,10 @@
 // that the host is in contact with a quorum, but the host's own document may still lag, so it confirms no version.
 subscriber_core::actions subscriber_core::on_offer(const keepalive& message) {
   if (!message.confirmed) {
-    // During an election no host has a quorum, so a node that has a document does not change hosts at once.
-    if (has_document() && !without_quorum_since_) without_quorum_since_ = last_message_at_;
-    if (has_document() && last_message_at_ - *without_quorum_since_ < max_silent_periods * keepalive_) return {};
-    return {.disconnect_reason = "the control host has no quorum"};
+    if (!has_document()) return {.disconnect_reason = "the control host has no quorum"};
+    mark_quorum_missing();
+    return {};
   }
-  without_quorum_since_.reset();
   if (has_document()) {
     mark_quorum_seen();
   } else if (first_message_) {
@@ -170,7 +216,7 @@
 }
 
 subscriber_core::actions subscriber_core::on_offer(const snapshot_offer& offer) {
-  if (offer.confirmed) confirm(offer.state.document_version);
+  note_confirmation(offer.state.document_version, offer.confirmed);
   if (should_accept(offer.state.document_version)) return accept(offer.state, offer.state_digest);
   // The host does not send this version again on this stream, so the node subscribes again on a new one.
   if (is_unconfirmed(offer.state.document_version)) return {.disconnect_reason = "the document could not be confirmed"};
@@ -178,7 +224,7 @@
 }
 
 subscriber_core::actions subscriber_core::on_offer(const delta_offer& offer) {
-  if (offer.confirmed) confirm(offer.delta.to);
+  note_confirmation(offer.delta.to, offer.confirmed);
   if (!should_accept(offer.delta.to)) return {};
   outcome<document_state> next = capture([&] { return apply_delta(state_, offer.delta); });
   if (!next) return refuse(offer.delta.to, next.failure());
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,8 +62,9 @@
   void set_members(const std::vector<member_record>& members);
 
   /// Starts a new connection attempt.
-  /// @return the next host in order of distance, and the delay before it: exponential backoff with full jitter,
-  ///         or none for the first attempt of a process without a document.
+  /// @return the next host in order of distance, without those that have just stated that they have no quorum, and the
+  ///         delay before it: exponential backoff with full jitter, or none for the first attempt of a process without
+  ///         a document and after a host without a quorum, where the node has waited on the old stream.
   attempt next_attempt();
 
   /// Called when the stream to the control host of the last attempt is open.
@@ -78,10 +80,13 @@
   void on_disconnected();
 
   /// Called from time to time.
-  /// @return why to disconnect: the control host sends nothing, or the nearest one should be tried again; empty to
-  /// stay.
+  /// @return why to disconnect: the control host sends nothing or has no quorum, or the nearest one should be tried
+  /// again; empty to stay.
   std::string check_connection(time_point now);
 
+  /// @return when to call check_connection besides; nothing while the control host has a quorum.
+  std::optional<time_point> leave_time() const { return leave_at_; }
+
   /// @return the version of the held document; none at first.
   const version& held_version() const { return state_.document_version; }
   bool has_document() const { return compiled_ != nullptr; }
@@ -89,7 +94,7 @@
   /// @return id of the control host that the node is subscribed to; empty when it is not subscribed.
   const std::string& source() const { return source_; }
   /// @return false while the control host of the open stream states that it has no quorum.
-  bool source_has_quorum() const { return !without_quorum_since_; }
+  bool source_has_quorum() const { return !leave_at_; }
   /// @return time since the control host of the open stream sent a message; zero when the node is not subscribed.
   duration time_since_last_message(time_point now) const {
     return source_.empty() ? duration::zero() : now - last_message_at_;
@@ -115,7 +120,11 @@
   bool should_accept(const version& offered);
   bool is_unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
+  const candidate& next_source();
+  void note_confirmation(const version& offered, bool confirmed);
   void mark_quorum_seen();
+  void mark_quorum_missing();
+  std::string check_quorum(time_point now);
   actions accept(document_state next, const digest& expected);
   actions refuse(const version& offered, error reason);
   milliseconds jitter(milliseconds max_delay);
@@ -133,7 +142,11 @@
   bool quorum_seen_ = false;           ///< the control host of the last attempt has shown that it has a quorum
   std::string source_;                 ///< id of the control host of the open stream; empty when there is none
   time_point last_message_at_;
-  std::optional<time_point> without_quorum_since_;  ///< start of the run of keep-alives without a quorum
+  std::optional<time_point> without_quorum_since_;  ///< when a host first stated that it has none; kept across streams
+  std::optional<time_point> leave_at_;              ///< time to leave the present host because it has no quorum
+  bool leaves_without_quorum_ = false;              ///< the delay before the next attempt has passed on the old stream
+  std::set<std::string> hosts_without_quorum_;      ///< ids of hosts that have stated it in this round of the list
+  std::uint32_t rounds_without_quorum_ = 0;         ///< rounds of the list in which no host had a quorum
   time_point retry_nearest_at_;                     ///< time to try the nearest control host again
   bool at_nearest_ = false;                         ///< the last attempt was to the nearest control host
   document_state state_;
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -52,6 +52,7 @@
 void subscriber_service::stop() {
   tick_.cancel();
   retry_.cancel();
+  leave_.cancel();
   inbox_->close();
   if (stream_) stream_->reset(h2_cancel);
 }
@@ -152,6 +153,18 @@
     co_await write(std::move(*r.answer));
   }
   if (!r.disconnect_reason.empty()) disconnect(r.disconnect_reason, r.retry_after);
+  arm_leave_timer();
+}
+
+// The periodic tick alone would add up to its period to the wait at a host without a quorum.
+void subscriber_service::arm_leave_timer() {
+  const std::optional<time_point> leave_at = core_.leave_time();
+  if (leave_at == armed_leave_time_) return;
+  armed_leave_time_ = leave_at;
+  leave_.cancel();
+  if (!leave_at) return;
+  leave_ = kernel_->timers().after(*leave_at - timer_service::now(),
+                                   [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
 }
 
 awaitable<void> subscriber_service::handle(subscriber_tick) {
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -48,6 +48,7 @@
   awaitable<void> write(node_message message);
   void disconnect(const std::string& reason, std::optional<milliseconds> retry_after);
   void schedule_attempt(std::optional<milliseconds> retry_after);
+  void arm_leave_timer();
 
   kernel* kernel_ = nullptr;
   subscriber_core core_;
@@ -58,6 +59,8 @@
   std::uint64_t generation_ = 0;       ///< number of the present connection attempt
   subscription tick_;
   subscription retry_;
+  subscription leave_;
+  std::optional<time_point> armed_leave_time_;  ///< of `leave_`
 };
 
 }  // namespace heatherdeck
--- a/testing/minority_cut_test.cc
+++ b/testing/minority_cut_test.cc
@@ -173,10 +173,14 @@
   }
 
   void tick(node_model& node) {
-    if (const std::string reason = node.core->check_connection(now_); !reason.empty()) disconnect(node, std::nullopt);
+    check_connection(node);
     at(now_ + service_tick + random_delay(3ms), [this, n = &node] { tick(*n); });
   }
 
+  void check_connection(node_model& node) {
+    if (!node.core->check_connection(now_).empty()) disconnect(node, std::nullopt);
+  }
+
   void schedule_attempt(node_model& node, std::optional<milliseconds> retry_after) {
     const std::uint64_t generation = ++node.generation;
     const subscriber_core::attempt next = node.core->next_attempt();
@@ -210,6 +214,7 @@
       }
     }
     if (!r.disconnect_reason.empty()) disconnect(node, r.retry_after);
+    if (const auto leave_at = node.core->leave_time()) at(*leave_at, [this, n = &node] { check_connection(*n); });
   }
 
   void disconnect(node_model& node, std::optional<milliseconds> retry_after) {
