Subscriber: the nearest control host is that of the present list

A node that left its control host skipped the host of its own zone: whether the last attempt was to the nearest host was kept as a flag, which stayed true when the directory replaced the list of the settings. The question is now answered from the present list.

--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -77,13 +77,10 @@
 const subscriber_core::candidate& subscriber_core::next_source() {
   for (std::size_t i = 0; i < sources_.size(); ++i) {
     const std::size_t index = next_index_++ % sources_.size();
-    if (hosts_without_quorum_.contains(sources_[index].host_id)) continue;
-    at_nearest_ = index == 0;
-    return sources_[index];
+    if (!hosts_without_quorum_.contains(sources_[index].host_id)) return sources_[index];
   }
   hosts_without_quorum_.clear();
   ++rounds_without_quorum_;
-  at_nearest_ = true;
   next_index_ = 1;
   return sources_.front();
 }
@@ -125,14 +122,14 @@
   if (!source_.empty()) ++counts_.disconnects;
   source_.clear();
   // After a host that had a quorum the search restarts at the nearest one, or at the second if this was the nearest.
-  if (quorum_seen_) next_index_ = at_nearest_ ? 1 : 0;
+  if (quorum_seen_) next_index_ = at_nearest() ? 1 : 0;
 }
 
 std::string subscriber_core::check_connection(time_point now) {
   if (source_.empty()) return {};
   if (std::string reason = check_quorum(now); !reason.empty()) return reason;
   if (now - last_message_at_ > max_silent_periods * keepalive_) return "no message for two keep-alive periods";
-  if (!at_nearest_ && now >= retry_nearest_at_) {
+  if (!at_nearest() && now >= retry_nearest_at_) {
     next_index_ = 0;
     return "the nearest control host is tried again";
   }
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -121,6 +121,8 @@
   bool is_unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
   const candidate& next_source();
+  /// @return whether the host of the last attempt is the nearest of the present list.
+  bool at_nearest() const { return attempted_host_id_ == sources_.front().host_id; }
   void note_confirmation(const version& offered, bool confirmed);
   void mark_quorum_seen();
   void mark_quorum_missing();
@@ -148,7 +150,6 @@
   std::set<std::string> hosts_without_quorum_;      ///< ids of hosts that have stated it in this round of the list
   std::uint32_t rounds_without_quorum_ = 0;         ///< rounds of the list in which no host had a quorum
   time_point retry_nearest_at_;                     ///< time to try the nearest control host again
-  bool at_nearest_ = false;                         ///< the last attempt was to the nearest control host
   document_state state_;
   digest digest_;
   compiled_document_ptr compiled_;
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -211,6 +211,30 @@
   EXPECT_EQ(core.next_attempt().mesh_address, "10.1.0.9:7001");
 }
 
+// The host that was nearest in the settings may not be the nearest of the directory; a node that takes it for the
+// nearest skips the host of its own zone when it leaves.
+TEST(subscriber_core, nearest_host_is_tried_first_after_the_list_has_changed) {
+  settings s = node_settings(1, 7);
+  s.control_hosts.front().availability_zone = "mwanza-1";
+  s.control_hosts.front().region = "mwanza";
+  subscriber_core core = subscriber_core::make(s);
+  core.next_attempt();
+  core.on_connected({});
+  const document_state state = make_state(10, "100");
+  ASSERT_NE(core.on_message(snapshot_offer{state, digest_of(state), true}, {}).document, nullptr);
+  std::vector<member_record> hosts(3);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].node_id = "c" + std::to_string(i);
+    hosts[i].mesh_address = "127.0.0.1:" + std::to_string(7000 + i);
+    hosts[i].availability_zone = i == 0 ? "mwanza-1" : "dar-" + std::to_string(i);
+    hosts[i].region = i == 0 ? "mwanza" : "dar";
+    hosts[i].role = process_role::control;
+  }
+  core.set_members(hosts);
+  core.on_disconnected();
+  EXPECT_EQ(core.next_attempt().host_id, "c1");
+}
+
 TEST(subscriber_core, disconnects_from_a_host_without_quorum_or_messages) {
   subscriber_core core = subscriber_core::make(node_settings(2, 7));
   core.next_attempt();
