Publisher: keep-alives are sent once a period, not every other time

A node leaves a control host that is silent for two keep-alive periods. One that is due in less than half a tick is now sent at once.

publisher_core keepalives_are_not_skipped_when_the_timer_has_their_period: 74 of 200 ticks failed before, passes.

--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -104,7 +104,8 @@
   std::vector<offer> offers;
   std::shared_ptr<const control_message> message;
   for (auto& [id, s] : subscriptions_) {
-    if (s.first_offer_pending || (!changed && now - s.last_sent < limits_.keepalive)) continue;
+    if (s.first_offer_pending || (!changed && now - s.last_sent + limits_.tick_period / 2 < limits_.keepalive))
+      continue;
     if (!message) message = std::make_shared<const control_message>(keepalive{current(), quorum});
     s.last_sent = now;
     offers.push_back({id, message});
--- a/control/publisher_core.h
+++ b/control/publisher_core.h
@@ -33,6 +33,7 @@
   struct limits {
     std::size_t max_pending_first_offers = 64;  ///< subscriptions that may wait for their first offer at a time
     milliseconds keepalive{5'000};              ///< a subscription without a message for this long gets a keep-alive
+    milliseconds tick_period{500};              ///< time between two calls of make_keepalives
     milliseconds max_retry_delay{2'000};        ///< a node over the limit is told to retry after 10% to 100% of this
     /// How long a node without a document waits on this host for a confirmed offer, although confirmations fail: during
     /// an election no other host could confirm either. Shorter than the two keep-alives (1 s) after which a node leaves
@@ -74,7 +75,8 @@
   std::optional<offer> on_refused(std::uint64_t id, const refused_report& report, time_point now);
 
   /// @param quorum whether this host hears from a leader that has a quorum.
-  /// @return keep-alives for subscriptions without a recent message; for all of them when `quorum` has changed.
+  /// @return keep-alives for subscriptions without a recent message; for all of them when `quorum` has changed. One that
+  /// is due in less than half a tick is sent now, not a tick later.
   std::vector<offer> make_keepalives(bool quorum, time_point now);
 
   /// Removes a subscription.
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -38,7 +38,8 @@
 }
 
 publisher_service::publisher_service(const settings& s)
-    : settings_(s), core_({.keepalive = s.keepalive}, s.seed != 0 ? s.seed : std::random_device{}()) {}
+    : settings_(s),
+      core_({.keepalive = s.keepalive, .tick_period = tick_period}, s.seed != 0 ? s.seed : std::random_device{}()) {}
 
 std::string_view publisher_service::name() const { return to_name(service_name::publisher); }
 
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -103,6 +103,26 @@
   EXPECT_TRUE(core.set_document(std::make_shared<document_state>(make_state(11, "100")), now).empty());
 }
 
+// A node leaves a host that is silent for two keep-alive periods, so the time between two keep-alives has to stay well
+// below that, also when the timer that sends them has the same period and runs late by a little.
+TEST(publisher_core, keepalives_are_not_skipped_when_the_timer_has_their_period) {
+  constexpr auto period = 500ms;
+  publisher_core core({.keepalive = period}, 1);
+  time_point now{};
+  core.set_document(std::make_shared<document_state>(make_state(10, "100")), now);
+  ASSERT_FALSE(core.open(1, make_request({1, 10}), now));
+  core.first_offer(1, true, now);
+  core.make_keepalives(true, now);
+  std::mt19937_64 random(3);
+  time_point last_sent = now;
+  for (int tick = 1; tick <= 200; ++tick) {
+    now = time_point{} + tick * period + std::chrono::microseconds(random() % 2'000);
+    if (core.make_keepalives(true, now).empty()) continue;
+    EXPECT_LT(now - last_sent, period * 3 / 2) << "at tick " << tick;
+    last_sent = now;
+  }
+}
+
 TEST(publisher_core, digest_mismatch_is_answered_by_one_snapshot) {
   publisher_core core({}, 1);
   const time_point now{};
