Upstream statements: log the limit that an upstream names and that it leaves

The header fields Server-Limit and Server-Leaving are decoded in the platform's dialect (hd-rate-limit and hd-leaving in our own), and a statement that differs from the last one goes to the traffic service, which logs it as upstream_statement. Nothing acts on it yet.

--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -76,6 +76,14 @@
   std::uint32_t queued = 0;     ///< requests that wait in its queue
 };
 
+/// What an upstream states about itself in a response; it holds until a later response states something else.
+struct upstream_statement {
+  std::optional<double> rate_limit;  ///< requests a second that it accepts from all nodes together
+  bool leaving = false;              ///< it is about to shut down
+
+  bool operator==(const upstream_statement&) const = default;
+};
+
 /// The upstream for one attempt, and how to reach it.
 struct upstream_choice {
   std::uint64_t pick_id = 0;  ///< identifies this attempt in finish_call
@@ -94,6 +102,7 @@
   std::chrono::milliseconds timeout{0};  ///< the route's time-out or the time left to the deadline, whichever is less
   std::chrono::milliseconds elapsed_before_attempt{0};  ///< since the caller's first attempt; to be added to the age
   std::optional<load_report> target_load;  ///< local: last reported load, for hd-load of the response to a peer
+  upstream_statement statement;            ///< local: the upstream's last statement that traffic knows
 };
 
 /// No upstream may serve the request now.
@@ -148,10 +157,16 @@
   load_report load;
 };
 
+/// Sent by a proxy session: the upstream on this host has made another statement than the one of the choice.
+struct upstream_stated {
+  std::string target;
+  upstream_statement statement;
+};
+
 /// Sent by `proxy` when the process begins its graceful shutdown; later requests from peers are refused as `draining`.
 struct start_draining {};
 
 using traffic_message = std::variant<traffic_tick, update_document, directory_changed, pick_upstream, finish_call,
-                                     local_load, start_draining>;
+                                     local_load, upstream_stated, start_draining>;
 
 }  // namespace heatherdeck
--- a/node/dialect.cc
+++ b/node/dialect.cc
@@ -33,6 +33,8 @@
                                         .refused_reason = "hd-refused",
                                         .served_by = "hd-served-by",
                                         .load = "hd-load",
+                                        .rate_limit = "hd-rate-limit",
+                                        .leaving = "hd-leaving",
                                         .read_load = &parse_load};
   return dialect;
 }
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -30,6 +30,8 @@
   std::string_view refused_reason;       ///< responses: why the request was rejected
   std::string_view served_by;            ///< responses: target, and why it was chosen
   std::string_view load;                 ///< responses of upstreams: their load
+  std::string_view rate_limit;           ///< responses of upstreams: requests a second that they accept, a decimal
+  std::string_view leaving;              ///< responses of upstreams: "1" if the upstream is about to shut down
   std::string_view not_executed;         ///< responses of upstreams: present if the request was not executed
   std::string_view required_on_success;  ///< responses of upstreams: must be present if the status is below 300
 
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -68,6 +68,7 @@
   awaitable<attempt_result> relay(response_head response, call_outcome reported_outcome);
   awaitable<exchange_result> respond(exchange_decision decision, std::string refused_reason, std::string text);
   void add_response_metadata(response_head& response) const;
+  void report_statement(const upstream_statement& statement) const;
   void record_progress();
   attempt_result end_attempt(attempt_result result);
   request_attributes attributes() const;
@@ -128,6 +129,13 @@
   return result;
 }
 
+// Posted with the head instead of with the result of the call, because a response may take seconds to end.
+void exchange::report_statement(const upstream_statement& statement) const {
+  const upstream_choice& choice = pick_.choice();
+  if (!choice.local || statement == choice.statement) return;
+  context_->traffic.post(upstream_stated{choice.target, statement});
+}
+
 // Until the response begins, the route's timeout counts from the last part of the request body; afterwards the idle
 // timeout and the end of the response apply.
 void exchange::record_progress() {
@@ -285,6 +293,7 @@
   if (!head) co_return end_attempt({attempt_end::failed, failure_of(head.failure().kind)});
   const time_point now = timer_service::now();
   latency_ = now - sent_at_;
+  report_statement(head->statement);
   exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, replayable_);
   if (decision.action == next_action::retry) {
     tried_targets_.push_back(pick_.choice().target);
--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -50,12 +50,15 @@
     if (!dialect.required_on_success.empty() && name == dialect.required_on_success) proof_present = true;
     if (dialect.responses_echo_request_id && name == dialect.request_id) id_matches = value == request_id;
     if (dialect.read_load != nullptr && name == dialect.load) head.load = dialect.read_load(value);
+    if (!dialect.rate_limit.empty() && name == dialect.rate_limit) head.statement.rate_limit = parse_rate(value);
+    if (!dialect.leaving.empty() && name == dialect.leaving) head.statement.leaving = value == "1";
   }
   // 421: another target than the expected one has responded, so for the caller the expected one is unavailable.
   constexpr unsigned misdirected_request = 421;
   if (dialect.statuses_imply_not_executed && head.status == misdirected_request) {
     head.execution = execution_status::not_executed;
     head.status = 503;
+    head.statement = {};
   }
   if (head.execution == execution_status::not_executed) {
     std::erase_if(head.headers, [&](const auto& f) {
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -97,6 +98,8 @@
     {"hd-refused", drop},
     {"hd-served-by", drop},
     {"hd-load", drop},
+    {"hd-rate-limit", drop},
+    {"hd-leaving", drop},
 });
 
 constexpr auto hop_by_hop_response_fields = std::to_array<std::string_view>({
@@ -223,6 +226,13 @@
   return fmt::format("in_flight={};queued={}", load.in_flight, load.queued);
 }
 
+std::optional<double> parse_rate(std::string_view text) {
+  double rate = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), rate, std::chars_format::fixed);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(rate) || rate < 0) return std::nullopt;
+  return rate;
+}
+
 std::optional<load_report> parse_load(std::string_view text) {
   constexpr std::string_view first = "in_flight=";
   constexpr std::string_view second = ";queued=";
@@ -291,6 +301,10 @@
     refused_reason = value;
   } else if (lower == "hd-load") {
     load = parse_load(value);
+  } else if (lower == "hd-rate-limit") {
+    statement.rate_limit = parse_rate(value);
+  } else if (lower == "hd-leaving") {
+    statement.leaving = value == "1";
   } else if (lower == "hd-retry-after-ms") {
     retry_after = milliseconds(parse_number(value).value_or(0));
   } else if (lower.starts_with("hd-")) {
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -80,6 +80,7 @@
   std::string served_by;                                ///< hd-served-by: target, and why it was chosen
   std::string request_id;
   std::optional<load_report> load;  ///< hd-load
+  upstream_statement statement;     ///< of the upstream on this host
   milliseconds retry_after{0};      ///< earliest time for a retry (retry-after); 0: not stated
 
   /// Adds one header field as received; invalid fields are dropped.
@@ -106,6 +107,10 @@
 std::string format_load(const load_report& load);
 std::optional<load_report> parse_load(std::string_view text);
 
+/// Parses a number of requests a second, such as "57.8".
+/// @return the number; nothing if the text is anything else, or not finite, or negative.
+std::optional<double> parse_rate(std::string_view text);
+
 /// @param default_host value of the host field if the request has none.
 /// @param limits those of the next hop.
 /// @param target name of the chosen target; sent only in dialects that have a field for it.
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -371,6 +371,7 @@
   if (choice.local) {
     choice.target_load =
         load_report{chosen->admission.running(), static_cast<std::uint32_t>(chosen->admission.waiting())};
+    choice.statement = chosen->statement;
   }
   pending_.emplace(choice.pick_id, pending_call{service, route.name, std::move(chosen), choice.timeout, limited});
   return choice;
@@ -424,6 +425,13 @@
   if (found != upstreams_.end()) found->second->load.apply_report(load, now);
 }
 
+bool traffic_core::report_statement(const std::string& target, const upstream_statement& statement,
+                                    time_point /*now*/) {
+  const auto found = upstreams_.find(identity_.node_id + "/" + target);
+  if (found == upstreams_.end()) return false;
+  return std::exchange(found->second->statement, statement) != statement;
+}
+
 std::vector<withdrawn_key> traffic_core::tick(time_point now) {
   std::vector<withdrawn_key> cut_now = circuit_breaker_.close_window(now);
   for (const withdrawn_key& cut : cut_now) evidence_.add_local_cut(cut);
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -87,6 +87,10 @@
   /// Records the load that the upstream on this host reported.
   void report_local_load(const std::string& target, const load_report& load, time_point now);
 
+  /// Records what the upstream on this host states about itself.
+  /// @return whether the statement differs from the one before.
+  bool report_statement(const std::string& target, const upstream_statement& statement, time_point now);
+
   /// Refuses requests from other nodes from now on.
   void start_draining() { stopping_ = true; }
 
@@ -116,7 +120,8 @@
     load_estimate load;
     double latency_ms = 0;  ///< moving average, with a penalty for failed calls; 0 when unknown
     slow_start warmup;
-    admission_queue admission;  ///< used only for the upstream on this host
+    upstream_statement statement;  ///< known only of the upstream on this host
+    admission_queue admission;     ///< used only for the upstream on this host
   };
 
   struct service_state {
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -86,6 +86,7 @@
                  [&](pick_upstream& m) { on_pick(now, std::move(m)); },
                  [&](const finish_call& m) { core_.finish(now, m); },
                  [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
+                 [&](const upstream_stated& m) { on_statement(now, m); },
                  [&](const start_draining&) { core_.start_draining(); },
              },
              message);
@@ -104,6 +105,15 @@
   }
 }
 
+void traffic_service::on_statement(time_point now, const upstream_stated& stated) {
+  if (!core_.report_statement(stated.target, stated.statement, now)) return;
+  const std::optional<double>& limit = stated.statement.rate_limit;
+  log_event(log_level::info, "upstream_statement",
+            {{"target", stated.target},
+             {"rate_limit", limit ? boost::json::value(*limit) : boost::json::value(nullptr)},
+             {"leaving", stated.statement.leaving}});
+}
+
 void traffic_service::tick(time_point now) {
   for (const auto& [service, upstream_version] : core_.tick(now)) {
     log_event(log_level::warning, "version_cut_locally", {{"service", service}, {"version", upstream_version}});
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -37,6 +37,7 @@
   awaitable<void> run();
   void handle(traffic_message message);
   void on_pick(time_point now, pick_upstream request);
+  void on_statement(time_point now, const upstream_stated& stated);
   void tick(time_point now);
 
   traffic_core core_;
