--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -90,6 +90,7 @@
       action();
     }
     finish_bound(end_ms);
+    measure_limited_windows();
     return result_;
   }
 
@@ -254,8 +255,10 @@
     const double started_ms = now_ms_;
     remote_runs_ += distance_ms(r->host, owner) == remote_ms ? 1 : 0;
     ++runs_;
+    runs_at_[owner].push_back(now_ms_);
     after(service_ms, [=, this] {
       --running_[owner];
+      nodes_[owner]->report_statement(std::to_string(owner), {.rate_limit = stated_limit(owner)}, time());
       finish(owner, pick_id, call_outcome::ok, service_ms, load);
       const double back = over_network ? distance_ms(r->host, owner) : 0;
       after(back, [=, this] {
@@ -265,6 +268,26 @@
     });
   }
 
+  std::optional<double> stated_limit(std::size_t owner) const {
+    if (now_ms_ < o_.limited_from_s * 1000 || owner >= o_.rate_limits.size() || o_.rate_limits[owner] <= 0) return {};
+    return o_.rate_limits[owner];
+  }
+
+  void measure_limited_windows() {
+    constexpr double window_ms = 4000;
+    constexpr double settling_ms = 3000;
+    for (const auto& [owner, runs] : runs_at_) {
+      if (owner >= o_.rate_limits.size() || o_.rate_limits[owner] <= 0) continue;
+      const double tolerated = 1.5 * o_.rate_limits[owner] * window_ms / 1000 + 5;
+      auto first = std::lower_bound(runs.begin(), runs.end(), o_.limited_from_s * 1000 + settling_ms);
+      for (auto last = first; last != runs.end(); ++last) {
+        while (*last - *first >= window_ms) ++first;
+        result_.worst_limited_window =
+            std::max(result_.worst_limited_window, static_cast<double>(last - first + 1) / tolerated);
+      }
+    }
+  }
+
   void answer(const std::shared_ptr<request_state>& r, double service_ms) {
     const simulated_route& route = o_.routes[r->route];
     route_result& sum = result_.routes[r->route];
@@ -317,6 +340,7 @@
   std::vector<std::unique_ptr<traffic_core>> nodes_;
   std::map<std::size_t, std::map<std::uint64_t, std::function<void(const pick_result&)>>> waiters_;
   std::map<std::size_t, std::uint32_t> running_;
+  std::map<std::size_t, std::vector<double>> runs_at_;  // start of each run in ms, by upstream
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
   std::vector<std::pair<double, double>> offered_;  // worth and work
   caller_result result_;
--- a/testing/caller_simulation.h
+++ b/testing/caller_simulation.h
@@ -45,6 +45,9 @@
   std::uint32_t retries = 2;   ///< of a caller that was refused
   std::vector<double> speeds{0.6, 1.0, 1.4};
   double lost_from_s = 0;  ///< half of the upstreams end at this time; 0: never
+  /// Requests a second that each upstream accepts; 0 or missing: it states no limit.
+  std::vector<double> rate_limits{};
+  double limited_from_s = 0;  ///< from then on the upstreams state their limits in every response
   std::vector<simulated_route> routes{{.name = "preview", .share = 0.7, .priority = 2},
                                       {.name = "purchase",
                                        .share = 0.3,
@@ -78,6 +81,9 @@
   double late_work_ms = 0;  ///< service time spent on late answers
   double work_ms = 0;       ///< service time spent on all answers
   double remote_share = 0;  ///< of the runs: at an upstream in another region
+  /// Most runs at an upstream with a limit in a window of 4 s, which begins 3 s after the first statement or later, as
+  /// a fraction of the tolerated number: one and a half times the limit, and 5.
+  double worst_limited_window = 0;
 
   const route_result& route(const std::string& name) const;
 };
