Admission: an upstream gets no more requests a second than it states

Upstreams that named a limit got up to 1.9 times of it: no part of the system read the header, and the node beside the upstream admitted what its slots could serve. The class of the fault is a statement of a peer that is passed on and not acted on.

The node beside the upstream, which all requests to it pass, starts no more than the limit (token bucket, bursts of 250 ms). The admission queue takes the next token into account when it decides whether a request can be in time, when a waiting one may start (a timer, since no message need come then) and what Retry-After says. The load reported to other nodes is scaled to the slots that the limit leaves in use, so that they prefer upstreams with room.

--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -132,6 +132,9 @@
 /// Periodic timer of the traffic service.
 struct traffic_tick {};
 
+/// Posted by a timer: a request that waits for the rate limit of an upstream may start.
+struct answers_due {};
+
 /// From the subscriber: the document to use from now on.
 struct update_document {
   compiled_document_ptr document;
@@ -166,7 +169,7 @@
 /// Sent by `proxy` when the process begins its graceful shutdown; later requests from peers are refused as `draining`.
 struct start_draining {};
 
-using traffic_message = std::variant<traffic_tick, update_document, directory_changed, pick_upstream, finish_call,
-                                     local_load, upstream_stated, start_draining>;
+using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
+                                     finish_call, local_load, upstream_stated, start_draining>;
 
 }  // namespace heatherdeck
--- a/testing/admission_queue_test.cc
+++ b/testing/admission_queue_test.cc
@@ -31,9 +31,9 @@
 TEST(admission_queue, gives_the_upstream_no_more_than_its_slots) {
   admission_queue queue = busy_queue();
   EXPECT_EQ(queue.admit(start, request(1)), admission_decision::wait);
-  EXPECT_TRUE(queue.take_ready().empty());
+  EXPECT_TRUE(queue.take_ready(start).empty());
   queue.release("lookup", 100ms);
-  EXPECT_EQ(queue.take_ready(), std::vector<std::uint64_t>{1});
+  EXPECT_EQ(queue.take_ready(start), std::vector<std::uint64_t>{1});
   EXPECT_EQ(queue.running(), 2U);
 }
 
@@ -44,7 +44,7 @@
   EXPECT_EQ(queue.admit(start, request(3, 1, 950ms)), admission_decision::wait);
   queue.release("lookup", 100ms);
   queue.release("lookup", 100ms);
-  EXPECT_EQ(queue.take_ready(), (std::vector<std::uint64_t>{3, 2}));
+  EXPECT_EQ(queue.take_ready(start), (std::vector<std::uint64_t>{3, 2}));
 }
 
 // One of the two slots becomes free after 50 ms on average, and the run takes 100 ms.
@@ -52,7 +52,7 @@
   admission_queue queue = busy_queue();
   EXPECT_EQ(queue.admit(start, request(1, 2, 140ms)), admission_decision::refuse);
   EXPECT_EQ(queue.admit(start, request(2, 2, 270ms)), admission_decision::wait);
-  EXPECT_GE(queue.retry_after(), 50ms);
+  EXPECT_GE(queue.retry_after(start), 50ms);
 }
 
 // Under lasting overload the queue was as long as the objectives allowed: every answer came just before its objective,
@@ -98,7 +98,7 @@
   EXPECT_EQ(waiting, 1);
   queue.release("lookup", 10ms);
   queue.release("lookup", 10ms);
-  EXPECT_EQ(queue.take_ready().size(), 1U);
+  EXPECT_EQ(queue.take_ready(start).size(), 1U);
   EXPECT_EQ(queue.admit(start, request(60, 2, 300ms)), admission_decision::run);
   EXPECT_EQ(queue.admit(start, request(61, 2, 300ms)), admission_decision::wait) << "the measured time counts now";
 }
@@ -135,7 +135,7 @@
   EXPECT_EQ(queue.admit(start, request(1)), admission_decision::wait);
   queue.cancel(1);
   queue.release("lookup", 100ms);
-  EXPECT_TRUE(queue.take_ready().empty());
+  EXPECT_TRUE(queue.take_ready(start).empty());
   EXPECT_EQ(queue.running(), 1U);
 }
 
@@ -161,7 +161,7 @@
         --running;
       }
       waiting -= queue.take_expired(now).size();
-      const std::size_t ready = queue.take_ready().size();
+      const std::size_t ready = queue.take_ready(now).size();
       waiting -= ready;
       running += static_cast<std::uint32_t>(ready);
       ASSERT_EQ(queue.running(), running) << "seed " << seed;
--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -238,6 +238,13 @@
       auto waiter = waiters_[host].extract(id);
       if (!waiter.empty()) after(0, [then = std::move(waiter.mapped()), answer = std::move(answer)] { then(answer); });
     }
+    const auto next = nodes_[host]->next_answer_time(time());
+    if (!next) return;
+    const double due_ms = now_ms_ + std::chrono::duration<double, std::milli>(*next - time()).count();
+    double& armed_ms = answers_due_ms_[host];
+    if (armed_ms > now_ms_ && armed_ms <= due_ms) return;
+    armed_ms = due_ms;
+    push(due_ms, [this, host] { take_answers(host); });
   }
 
   void finish(std::size_t host, std::uint64_t pick_id, call_outcome outcome, double latency_ms,
@@ -339,6 +346,7 @@
   std::vector<double> speeds_;
   std::vector<std::unique_ptr<traffic_core>> nodes_;
   std::map<std::size_t, std::map<std::uint64_t, std::function<void(const pick_result&)>>> waiters_;
+  std::map<std::size_t, double> answers_due_ms_;  // by host
   std::map<std::size_t, std::uint32_t> running_;
   std::map<std::size_t, std::vector<double>> runs_at_;  // start of each run in ms, by upstream
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -3,17 +3,19 @@
 ///
 /// All requests to an upstream pass through the node on its host, so this queue knows exactly how many are running. It
 /// sends the upstream no more requests than it has slots, because some upstreams never answer a request that they
-/// cannot queue. The requests beyond that wait here, ordered by priority and then by latency objective:
+/// cannot queue, and no more a second than the limit that the upstream has stated. The requests beyond that wait here,
+/// ordered by priority and then by latency objective:
 ///
 ///     admission_queue queue;
 ///     queue.set_slots(9);
+///     queue.set_rate_limit(57.8, now);                      // requests a second; nothing: unlimited
 ///     switch (queue.admit(now, request)) {                  // admission_request
 ///       case admission_decision::run: ...                   // counted as running until `release`
 ///       case admission_decision::wait: ...                  // a later `take_ready` or `take_expired` returns its id
 ///       case admission_decision::refuse: ...                // too late here, or queue full; try another upstream
 ///     }
 ///     queue.release("lookup", 42ms);                        // a running request has ended
-///     for (std::uint64_t id : queue.take_ready())     ...   // to be run now; counted as running
+///     for (std::uint64_t id : queue.take_ready(now))  ...   // to be run now; counted as running
 ///     for (std::uint64_t id : queue.take_expired(now)) ...  // can no longer meet their objective; removed
 ///
 /// A request that can no longer meet its objective is refused instead of kept, because under overload it would only
@@ -25,11 +27,14 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "kernel/enum_names.h"
 #include "kernel/timer_service.h"
+#include "model/traffic_messages.h"
+#include "traffic/rate_limiter.h"
 
 namespace heatherdeck {
 
@@ -63,6 +68,9 @@
   /// @param slots requests that the upstream processes concurrently; 0 counts as 1.
   void set_slots(std::uint32_t slots) { slots_ = slots == 0 ? 1 : slots; }
 
+  /// @param per_second requests that the upstream accepts; nothing: as many as its slots can process.
+  void set_rate_limit(std::optional<double> per_second, time_point now) { rate_.set_rate(per_second, now); }
+
   /// Decides on a new request; it is counted as running, or queued, or refused.
   admission_decision admit(time_point now, const admission_request& request);
 
@@ -74,7 +82,12 @@
   void cancel(std::uint64_t id);
 
   /// @return ids of the waiting requests to run now, in order; they are counted as running.
-  std::vector<std::uint64_t> take_ready();
+  std::vector<std::uint64_t> take_ready(time_point now);
+
+  /// @return when the rate limit lets the next waiting request start, for which a slot is free; nothing if none waits
+  /// for
+  ///   that.
+  std::optional<time_point> next_start(time_point now) const;
 
   /// @return ids of the waiting requests that can no longer meet their objective; they are removed.
   std::vector<std::uint64_t> take_expired(time_point now);
@@ -85,9 +98,17 @@
   std::uint32_t running() const { return running_; }
   std::size_t waiting() const { return waiting_.size(); }
 
-  /// @return when a refused caller should retry: the estimated time to serve all that is running and waiting now, from
-  ///   50 ms to 1 s.
-  milliseconds retry_after() const;
+  /// @return how many requests the upstream can process at a time: its slots, or fewer if the rate limit keeps some
+  /// idle.
+  std::uint32_t effective_slots() const;
+
+  /// @return the running and waiting requests, scaled so that all slots seem busy when all effective ones are.
+  load_report load() const;
+
+  /// @return when a refused caller should retry: the estimated time to serve all that is running and waiting now, and
+  /// to
+  ///   start one more under the rate limit, from 50 ms to 1 s.
+  milliseconds retry_after(time_point now) const;
 
  private:
   /// Service time of a route: exponential moving averages of its mean and of the absolute deviation from the mean.
@@ -101,10 +122,11 @@
   /// @return the time that most runs of a route stay within.
   static duration run_time(const service_time& time);
   service_time service_time_of(const admission_request& request) const;
-  duration expected_queue_time(const admission_request& request) const;
+  duration expected_queue_time(time_point now, const admission_request& request) const;
 
   std::uint32_t slots_ = 1;
   std::uint32_t running_ = 0;
+  rate_limiter rate_;
   service_time overall_;                        ///< over all routes
   std::map<std::string, service_time> routes_;  ///< by route name
   std::vector<admission_request> waiting_;      ///< in order of arrival
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -117,7 +117,7 @@
   for (const auto& u : local) {
     candidates.push_back({.locality = locality_class::local,
                           .load = &u->load,
-                          .slots = u->endpoint.slots,
+                          .slots = slots_of(*u),
                           .connections = u->endpoint.connections});
   }
   const auto index = balancer_.pick(candidates, now);
@@ -129,10 +129,10 @@
   return admit_locally(now, {attributes.service, route, attributes, local[*index], now, false}, waiter_id);
 }
 
-refusal traffic_core::refuse_overloaded(const upstream& target) {
+refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
-  full.retry_after = target.admission.retry_after();
-  full.load = load_report{target.admission.running(), static_cast<std::uint32_t>(target.admission.waiting())};
+  full.retry_after = target.admission.retry_after(now);
+  full.load = target.admission.load();
   return full;
 }
 
@@ -163,7 +163,7 @@
     return std::nullopt;
   }
   if (decision == admission_decision::wait) target.admission.cancel(waiter_id);
-  return refuse_overloaded(target);
+  return refuse_overloaded(now, target);
 }
 
 std::vector<std::pair<std::uint64_t, pick_result>> traffic_core::take_answers(time_point now) {
@@ -184,9 +184,9 @@
       const auto attempt = waiting_.extract(id);
       if (attempt.empty()) continue;
       if (attempt.mapped().limited) services_[attempt.mapped().service].limiter.release_unused();
-      answers.emplace_back(id, draining ? refuse(refusal_reason::draining) : refuse_overloaded(*u));
+      answers.emplace_back(id, draining ? refuse(refusal_reason::draining) : refuse_overloaded(now, *u));
     }
-    for (const std::uint64_t id : u->admission.take_ready()) {
+    for (const std::uint64_t id : u->admission.take_ready(now)) {
       const auto found = waiting_.extract(id);
       if (found.empty()) {
         u->admission.release({}, {});
@@ -204,6 +204,22 @@
   return answers;
 }
 
+std::optional<time_point> traffic_core::next_answer_time(time_point now) const {
+  std::optional<time_point> next;
+  for (const auto& [key, u] : upstreams_) {
+    const std::optional<time_point> start = u->admission.next_start(now);
+    if (start && (!next || *start < *next)) next = start;
+  }
+  return next;
+}
+
+// The load that the node of another host reports is scaled for this already.
+std::uint32_t traffic_core::slots_of(const upstream& u) {
+  return u.locality == locality_class::local && u.statement.rate_limit
+             ? std::min(u.endpoint.slots, u.admission.effective_slots())
+             : u.endpoint.slots;
+}
+
 std::optional<pick_result> traffic_core::pick_by_route(time_point now, const request_attributes& attributes,
                                                        const route_rule& rule, std::uint64_t waiter_id) {
   std::string service = rule.service;
@@ -338,7 +354,7 @@
                           .load = &u->load,
                           .latency_ms = u->latency_ms,
                           .weight = u->warmup.weight(now),
-                          .slots = u->endpoint.slots,
+                          .slots = slots_of(*u),
                           .connections = u->endpoint.connections,
                           .suspect = u->suspect,
                           .tried = tried,
@@ -369,8 +385,7 @@
   choice.timeout = attributes.deadline ? std::min(route.timeout, *attributes.deadline) : route.timeout;
   ++chosen->load.own_in_flight;
   if (choice.local) {
-    choice.target_load =
-        load_report{chosen->admission.running(), static_cast<std::uint32_t>(chosen->admission.waiting())};
+    choice.target_load = chosen->admission.load();
     choice.statement = chosen->statement;
   }
   pending_.emplace(choice.pick_id, pending_call{service, route.name, std::move(chosen), choice.timeout, limited});
@@ -425,11 +440,12 @@
   if (found != upstreams_.end()) found->second->load.apply_report(load, now);
 }
 
-bool traffic_core::report_statement(const std::string& target, const upstream_statement& statement,
-                                    time_point /*now*/) {
+bool traffic_core::report_statement(const std::string& target, const upstream_statement& statement, time_point now) {
   const auto found = upstreams_.find(identity_.node_id + "/" + target);
-  if (found == upstreams_.end()) return false;
-  return std::exchange(found->second->statement, statement) != statement;
+  if (found == upstreams_.end() || found->second->statement == statement) return false;
+  found->second->statement = statement;
+  found->second->admission.set_rate_limit(statement.rate_limit, now);
+  return true;
 }
 
 std::vector<withdrawn_key> traffic_core::tick(time_point now) {
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -81,6 +81,9 @@
   ///   function that changes state.
   std::vector<std::pair<std::uint64_t, pick_result>> take_answers(time_point now);
 
+  /// @return when to call take_answers besides: the rate limit of an upstream lets a waiting request start then.
+  std::optional<time_point> next_answer_time(time_point now) const;
+
   /// Releases the slot of a pick and updates statistics and limits from the result.
   void finish(time_point now, const finish_call& result);
 
@@ -166,7 +169,7 @@
   std::optional<pick_result> pick_by_route(time_point now, const request_attributes& attributes, const route_rule& rule,
                                            std::uint64_t waiter_id);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
-  refusal refuse_overloaded(const upstream& target);
+  refusal refuse_overloaded(time_point now, const upstream& target);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
                                             const std::vector<std::string>& tried_targets, spillover_policy spillover);
   std::shared_ptr<upstream> choose_upstream_of_version(time_point now, service_state& traffic, const std::string& name,
@@ -186,6 +189,7 @@
                   time_point now);
   bool starts_cold(const upstream& added, time_point now) const;
   locality_class locality_of(const member_record& member) const;
+  static std::uint32_t slots_of(const upstream& u);
   boost::json::object dump_upstream(const upstream& shown, const service_state& traffic, const std::string& service,
                                     time_point now) const;
 
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -102,6 +102,7 @@
           {"in_flight", shown.load.own_in_flight},
           {"requests", shown.load.estimated_requests(now)},
           {"slots", shown.endpoint.slots},
+          {"rate_limit", shown.statement.rate_limit ? boost::json::value(*shown.statement.rate_limit) : nullptr},
           {"latency_ms", shown.latency_ms},
           {"weight", shown.warmup.weight(now)}};
 }
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -47,6 +47,7 @@
 std::string_view traffic_service::name() const { return to_name(service_name::traffic); }
 
 void traffic_service::publish(kernel& k) {
+  kernel_ = &k;
   inbox_ = std::make_unique<mailbox<traffic_message>>(k.executor(), inbox_capacity);
   k.publish(name(), inbox_->address());
 }
@@ -63,6 +64,7 @@
 
 void traffic_service::stop() {
   ticks_.cancel();
+  answer_timer_.cancel();
   inbox_->close();
 }
 
@@ -78,6 +80,7 @@
   const time_point now = timer_service::now();
   std::visit(overloaded_handlers{
                  [&](const traffic_tick&) { tick(now); },
+                 [&](const answers_due&) {},  // the answers are taken after every message
                  [&](update_document& m) {
                    evidence_period_ = m.document->evidence_period();
                    core_.set_document(std::move(m.document));
@@ -93,6 +96,14 @@
   for (auto& [id, answer] : core_.take_answers(now)) {
     if (auto waiter = waiting_.extract(id)) waiter.mapped()(std::move(answer));
   }
+  arm_answer_timer(now);
+}
+
+void traffic_service::arm_answer_timer(time_point now) {
+  const std::optional<time_point> due = core_.next_answer_time(now);
+  if (!due || (answers_due_ && *answers_due_ <= *due && *answers_due_ > now)) return;
+  answers_due_ = due;
+  answer_timer_ = kernel_->timers().after(*due - now, [inbox = inbox_->address()] { inbox.post(answers_due{}); });
 }
 
 void traffic_service::on_pick(time_point now, pick_upstream request) {
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "kernel/kernel.h"
 #include "model/publisher_messages.h"
@@ -39,13 +40,17 @@
   void on_pick(time_point now, pick_upstream request);
   void on_statement(time_point now, const upstream_stated& stated);
   void tick(time_point now);
+  void arm_answer_timer(time_point now);
 
+  kernel* kernel_ = nullptr;
   traffic_core core_;
   std::map<std::uint64_t, reply<pick_result>> waiting_;  ///< picks that wait for a slot, by waiter id
   std::uint64_t next_waiter_id_ = 1;
   std::unique_ptr<mailbox<traffic_message>> inbox_;
   address<subscriber_message> subscriber_;
   subscription ticks_;
+  subscription answer_timer_;
+  std::optional<time_point> answers_due_;  ///< of `answer_timer_`
   milliseconds evidence_period_ = compiled_document::max_evidence_period;
   time_point evidence_taken_at_{};
   std::uint64_t evidence_dropped_ = 0;  ///< reports dropped because the subscriber's mailbox was full
