Subscriber: a restarted node does not come back to hosts that could not confirm

Its callers get 503 until it has a document.

A host that could not confirm is skipped for the rest of the round, as for nodes that hold a document.

The other test of the file and distribution_test pass.

--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -156,7 +156,7 @@
 // it leaves, so that it misses nothing if the quorum returns meanwhile.
 void subscriber_core::mark_quorum_missing() {
   hosts_without_quorum_.insert(source_);
-  if (leave_at_) return;
+  if (leave_at_ || !has_document()) return;  // without a document it has waited for the host's confirmation
   if (!without_quorum_since_) {
     without_quorum_since_ = last_message_at_;
     leave_at_ = last_message_at_ + max_silent_periods * keepalive_ - jitter(min_backoff);
@@ -175,7 +175,7 @@
 // Only the first offer on a stream tells whether the host has a quorum; later ones are never confirmed.
 void subscriber_core::note_confirmation(const version& offered, bool confirmed) {
   if (confirmed) return confirm(offered);
-  if (first_message_ && has_document()) mark_quorum_missing();
+  if (first_message_) mark_quorum_missing();
 }
 
 bool subscriber_core::is_unconfirmed(const version& offered) const {
@@ -198,8 +198,8 @@
 // that the host is in contact with a quorum, but the host's own document may still lag, so it confirms no version.
 subscriber_core::actions subscriber_core::on_offer(const keepalive& message) {
   if (!message.confirmed) {
-    if (!has_document()) return {.disconnect_reason = "the control host has no quorum"};
     mark_quorum_missing();
+    if (!has_document()) return {.disconnect_reason = "the control host has no quorum"};
     return {};
   }
   if (has_document()) {
--- a/testing/minority_cut_test.cc
+++ b/testing/minority_cut_test.cc
@@ -28,6 +28,8 @@
 constexpr auto election_timeout = 600ms;  // a host without contact for this long has no quorum
 constexpr auto keepalive_period = 500ms;
 constexpr auto service_tick = 500ms;
+constexpr auto confirmation_round = 30ms;
+constexpr auto confirmation_retry_delay = 50ms;
 
 std::string region_of(std::size_t zone) { return "region-" + std::to_string(zone / zones_per_region); }
 std::string zone_name(std::size_t zone) { return "zone-" + std::to_string(zone); }
@@ -63,8 +65,10 @@
   }
 
   /// Commits a change every 400 ms from the start on and runs until `end`.
+  /// @param restarts restarts each node at a random time of the 4 s after the cut, and checks instead that it has a
+  ///   document 3 s later.
   /// @return what each node that broke the bound held, and when; empty if none did.
-  std::vector<std::string> run(time_point end) {
+  std::vector<std::string> run(time_point end, bool restarts = false) {
     for (time_point t{}; t < end; t += 400ms) at(t, [this] { commit(); });
     for (auto& host : hosts_) at(time_point{} + random_delay(service_tick), [this, h = host.get()] { tick(*h); });
     for (auto& node : nodes_) {
@@ -73,7 +77,10 @@
       // The settings name three hosts; the directory adds the others after the node has subscribed.
       at(time_point{} + 1500ms + random_delay(500ms), [this, n = node.get()] { n->core->set_members(members()); });
     }
-    for (time_point t = cut_.at + stable_after; t < end; t += 20ms) at(t, [this] { check(); });
+    for (std::size_t i = 0; restarts && i < nodes_.size(); ++i) {
+      at(cut_.at + random_delay(4s), [this, i] { restart(i, random_()); });
+    }
+    for (time_point t = cut_.at + stable_after; !restarts && t < end; t += 20ms) at(t, [this] { check(); });
     while (!events_.empty() && events_.begin()->first < end) {
       now_ = events_.begin()->first;
       const std::function<void()> event = std::move(events_.begin()->second);
@@ -105,17 +112,35 @@
   void add_node(std::size_t index, std::uint64_t seed) {
     auto node = std::make_unique<node_model>();
     node->zone = index % zone_count;
+    node->core = std::make_unique<subscriber_core>(make_core(*node, index, seed));
+    nodes_.push_back(std::move(node));
+  }
+
+  static subscriber_core make_core(node_model& node, std::size_t index, std::uint64_t seed) {
     settings s;
-    s.id = node->name = "10." + std::to_string(node->zone + 1) + ".0." + std::to_string(20 + index);
-    s.availability_zone = zone_name(node->zone);
-    s.region = region_of(node->zone);
+    s.id = node.name = "10." + std::to_string(node.zone + 1) + ".0." + std::to_string(20 + index);
+    s.availability_zone = zone_name(node.zone);
+    s.region = region_of(node.zone);
     s.seed = seed * 1000 + index + 1;
     s.keepalive = keepalive_period;
     for (std::size_t zone = 0; zone < zone_count; zone += zones_per_region) {
       s.control_hosts.push_back({host_id(zone), zone_name(zone), region_of(zone), host_id(zone), ""});
     }
-    node->core = std::make_unique<subscriber_core>(subscriber_core::make(s));
-    nodes_.push_back(std::move(node));
+    return subscriber_core::make(s);
+  }
+
+  // The new process knows the hosts of the settings, and soon those of the directory.
+  void restart(std::size_t index, std::uint64_t seed) {
+    node_model& node = *nodes_[index];
+    if (node.host != nullptr) node.host->core->close(node.stream);
+    node.stream = 0;
+    node.late = false;
+    node.core = std::make_unique<subscriber_core>(make_core(node, index, seed));
+    schedule_attempt(node, std::nullopt);
+    at(now_ + 300ms, [this, n = &node] { n->core->set_members(members()); });
+    at(now_ + stable_after, [this, n = &node] {
+      if (!n->core->has_document()) late_.push_back(n->name + " has no document 3 s after its restart");
+    });
   }
 
   std::vector<member_record> members() const {
@@ -199,10 +224,19 @@
     node.core->on_connected(now_);
     if (const auto busy = host.core->open(node.stream, node.core->request(), now_))
       return deliver(host, {{node.stream, std::make_shared<const control_message>(*busy)}});
-    // A confirmation succeeds on each host that has a quorum.
+    if (node.core->request().want_confirmed) return confirm(host, node.stream);
     if (const auto offer = host.core->first_offer(node.stream, host.quorum, now_)) deliver(host, {*offer});
   }
 
+  // A confirmation takes a round of the quorum; it fails at a host that is cut off, and is tried again for a while.
+  void confirm(control_host_model& host, std::uint64_t stream) {
+    const bool confirmed = !is_cut(host);
+    at(now_ + (confirmed ? confirmation_round : confirmation_retry_delay), [this, h = &host, stream, confirmed] {
+      if (!confirmed && h->core->may_await_confirmation(stream, now_)) return confirm(*h, stream);
+      if (const auto offer = h->core->first_offer(stream, confirmed, now_)) deliver(*h, {*offer});
+    });
+  }
+
   void receive(node_model& node, std::uint64_t stream, const control_message& message) {
     if (stream != node.stream) return;
     const subscriber_core::actions r = node.core->on_message(message, now_);
@@ -250,16 +284,17 @@
   std::uint64_t last_stream_ = 0;
 };
 
-// Guards against nodes that stay with, or move among, control hosts without a quorum while others accept changes.
-TEST(minority_cut, acknowledged_changes_are_in_force_at_nodes_of_cut_off_hosts) {
-  constexpr std::uint64_t seeds = 200;
+constexpr std::uint64_t seeds = 200;
+
+// Two of the six control hosts are cut off 8 s after the start, for 8 s.
+void play_seeds(bool restarts) {
   std::uint64_t failed_seeds = 0;
   std::string first;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     std::mt19937_64 random(seed);
     cut_plan cut{{}, time_point{} + 8s};
     while (cut.hosts.size() < 2) cut.hosts.insert(random() % zone_count);
-    const std::vector<std::string> late = subscription_simulation(seed, cut).run(cut.at + 8s);
+    const std::vector<std::string> late = subscription_simulation(seed, cut).run(cut.at + 8s, restarts);
     if (late.empty()) continue;
     ++failed_seeds;
     if (first.empty()) first = "seed " + std::to_string(seed) + ": " + late.front();
@@ -267,5 +302,11 @@
   EXPECT_EQ(failed_seeds, 0U) << "of " << seeds << " seeds; the first: " << first;
 }
 
+// Guards against nodes that stay with, or move among, control hosts without a quorum while others accept changes.
+TEST(minority_cut, acknowledged_changes_are_in_force_at_nodes_of_cut_off_hosts) { play_seeds(false); }
+
+// Guards against restarted nodes that wait at one cut-off host after the other.
+TEST(minority_cut, restarted_nodes_have_a_document_in_time) { play_seeds(true); }
+
 }  // namespace
 }  // namespace heatherdeck
