--- a/testing/leaving_upstream_test.cc
+++ b/testing/leaving_upstream_test.cc
@@ -61,25 +61,25 @@
     s.region = "dar";
     s.seed = 1;
     s.upstream_listen = "127.0.0.1:0";
-    ASSERT_TRUE(kernel_.add(std::make_unique<single_member_directory>()));
-    ASSERT_TRUE(kernel_.add(std::move(*traffic_service::make(s))));
+    ASSERT_TRUE(k.add(std::make_unique<single_member_directory>()));
+    ASSERT_TRUE(k.add(std::move(*traffic_service::make(s))));
     auto made = std::move(*announcement_service::make(s));
-    announcements_ = static_cast<announcement_service*>(made.get());
-    ASSERT_TRUE(kernel_.add(std::move(made)));
-    ASSERT_TRUE(kernel_.start());
-    traffic_ = *kernel_.find<traffic_message>(to_name(service_name::traffic));
+    announcements = static_cast<announcement_service*>(made.get());
+    ASSERT_TRUE(k.add(std::move(made)));
+    ASSERT_TRUE(k.start());
+    traffic = *k.find<traffic_message>(to_name(service_name::traffic));
     auto document = std::make_shared<compiled_document>();
     document->routes.push_back({.name = "all", .path_prefix = "/", .service = "certdesk"});
     document->services["certdesk"] = {.name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
-    traffic_.post(update_document{document});
+    traffic.post(update_document{document});
   }
 
   awaitable<void> announce(const std::string& state, std::uint64_t born, std::uint64_t sequence) {
     http_request put{.method = "PUT", .path = "/v1/announcement"};
     put.body = R"({"service":"certdesk","version":"v1","target":"t1","address":"127.0.0.1:9","slots":4,"state":")" +
                state + R"(","born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) + "}";
-    const std::string address = "127.0.0.1:" + std::to_string(announcements_->port());
-    const auto response = co_await http_call(kernel_.timers(), kernel_.executor(), address, put, 5s);
+    const std::string address = "127.0.0.1:" + std::to_string(announcements->port());
+    const auto response = co_await http_call(k.timers(), k.executor(), address, put, 5s);
     EXPECT_EQ(response ? response->status : 0U, 200U);
   }
 
@@ -89,45 +89,44 @@
     for (int i = 0; i < 50 && chosen != expected; ++i) {
       request_attributes attributes{.path = "/a", .method = "GET", .from_peer = true, .service = "certdesk"};
       auto make = [&](reply<pick_result> answer) { return pick_upstream{attributes, std::move(answer)}; };
-      const auto picked =
-          co_await ask<pick_result>(kernel_.timers(), kernel_.executor(), traffic_, 5s, std::move(make));
+      const auto picked = co_await ask<pick_result>(k.timers(), k.executor(), traffic, 5s, std::move(make));
       const auto* choice = picked ? std::get_if<upstream_choice>(&*picked) : nullptr;
       chosen = choice != nullptr;
-      if (chosen) traffic_.post(finish_call{choice->pick_id, call_outcome::ok, 1ms, {}});
+      if (chosen) traffic.post(finish_call{choice->pick_id, call_outcome::ok, 1ms, {}});
       if (chosen != expected) co_await sleep(20ms);
     }
     co_return chosen;
   }
 
   awaitable<void> sleep(duration delay) {
-    boost::asio::steady_timer timer(kernel_.executor(), delay);
+    boost::asio::steady_timer timer(k.executor(), delay);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
 
   void run(std::function<awaitable<void>()> steps) {
     bool done = false;
     boost::asio::co_spawn(
-        kernel_.io(),
+        k.io(),
         [&]() -> awaitable<void> {
           co_await steps();
           done = true;
-          kernel_.io().stop();
+          k.io().stop();
         },
         boost::asio::detached);
-    kernel_.io().run_for(30s);
+    k.io().run_for(30s);
     EXPECT_TRUE(done) << "the steps did not end in time";
   }
 
-  kernel kernel_;
-  announcement_service* announcements_ = nullptr;
-  address<traffic_message> traffic_;
+  kernel k;
+  announcement_service* announcements = nullptr;
+  address<traffic_message> traffic;
 };
 
 TEST_F(leaving_upstream, gets_no_request_until_it_has_started_again) {
   run([this]() -> awaitable<void> {
     co_await announce("ready", 1000, 1);
     EXPECT_TRUE(co_await can_pick(true));
-    traffic_.post(upstream_stated{"t1", {.leaving = true}});
+    traffic.post(upstream_stated{"t1", {.leaving = true}});
     EXPECT_FALSE(co_await can_pick(false)) << "it has stated that it is leaving";
     co_await announce("ready", 1000, 2);
     co_await sleep(100ms);
