--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -84,9 +84,7 @@
   /// @return ids of the waiting requests to run now, in order; they are counted as running.
   std::vector<std::uint64_t> take_ready(time_point now);
 
-  /// @return when the rate limit lets the next waiting request start, for which a slot is free; nothing if none waits
-  /// for
-  ///   that.
+  /// @return when the rate limit lets a waiting request start; nothing if none waits, or if it waits for a slot.
   std::optional<time_point> next_start(time_point now) const;
 
   /// @return ids of the waiting requests that can no longer meet their objective; they are removed.
@@ -98,16 +96,15 @@
   std::uint32_t running() const { return running_; }
   std::size_t waiting() const { return waiting_.size(); }
 
-  /// @return how many requests the upstream can process at a time: its slots, or fewer if the rate limit keeps some
-  /// idle.
+  /// @return how many requests the upstream can process at a time: its slots without those that the rate limit keeps
+  ///   idle.
   std::uint32_t effective_slots() const;
 
   /// @return the running and waiting requests, scaled so that all slots seem busy when all effective ones are.
   load_report load() const;
 
-  /// @return when a refused caller should retry: the estimated time to serve all that is running and waiting now, and
-  /// to
-  ///   start one more under the rate limit, from 50 ms to 1 s.
+  /// @return when a refused caller should retry: the estimated time until all that is running and waiting now has been
+  ///   served and the rate limit allows one more start, from 50 ms to 1 s.
   milliseconds retry_after(time_point now) const;
 
  private:
