--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -13,6 +13,7 @@
 hd_test(version_judge_test hd_control)
 hd_test(rollout_experiment_test hd_rollout_simulation)
 hd_test(admission_queue_test hd_traffic)
+hd_test(rate_limiter_test hd_traffic)
 hd_test(retry_age_estimator_test hd_traffic)
 hd_test(split_picker_test hd_traffic)
 
