Subscriber: hosts without a quorum are skipped until the end of the list only

A host that says that it has no quorum was skipped until every host of the list had said so. During an election all living hosts say so; the lost ones never do, so the node went on among these alone, though the others had a quorum again. The set is now cleared at the end of each round of the list. The class of fault: an exclusion that only an answer of the excluded, or of the dead, can end.

--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -74,15 +74,18 @@
   return milliseconds(std::uniform_int_distribution<std::int64_t>(0, max_delay.count())(random_));
 }
 
+// A host that has stated that it has no quorum is skipped until the end of the list only: after an election all hosts
+// have stated it, and the lost ones among them never will.
 const subscriber_core::candidate& subscriber_core::next_source() {
-  for (std::size_t i = 0; i < sources_.size(); ++i) {
-    const std::size_t index = next_index_++ % sources_.size();
-    if (!hosts_without_quorum_.contains(sources_[index].host_id)) return sources_[index];
+  for (;;) {
+    if (next_index_ >= sources_.size()) {
+      next_index_ = 0;
+      if (!hosts_without_quorum_.empty()) ++rounds_without_quorum_;
+      hosts_without_quorum_.clear();
+    }
+    const candidate& next = sources_[next_index_++];
+    if (!hosts_without_quorum_.contains(next.host_id)) return next;
   }
-  hosts_without_quorum_.clear();
-  ++rounds_without_quorum_;
-  next_index_ = 1;
-  return sources_.front();
 }
 
 subscriber_core::attempt subscriber_core::next_attempt() {
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -138,7 +138,7 @@
   std::mt19937_64 random_;
   std::vector<candidate> sources_;
   std::string attempted_host_id_;      ///< id of the host of the last attempt
-  std::size_t next_index_ = 0;         ///< index into sources_ of the next attempt, modulo its size
+  std::size_t next_index_ = 0;         ///< index into sources_ of the next attempt; its size: the round is over
   std::uint32_t failed_attempts_ = 0;  ///< attempts since a control host last showed that it has a quorum
   bool first_message_ = true;          ///< nothing has arrived on the present stream yet
   bool quorum_seen_ = false;           ///< the control host of the last attempt has shown that it has a quorum
@@ -148,7 +148,7 @@
   std::optional<time_point> leave_at_;              ///< time to leave the present host because it has no quorum
   bool leaves_without_quorum_ = false;              ///< the delay before the next attempt has passed on the old stream
   std::set<std::string> hosts_without_quorum_;      ///< ids of hosts that have stated it in this round of the list
-  std::uint32_t rounds_without_quorum_ = 0;         ///< rounds of the list in which no host had a quorum
+  std::uint32_t rounds_without_quorum_ = 0;         ///< ended rounds since a host had a quorum
   time_point retry_nearest_at_;                     ///< time to try the nearest control host again
   document_state state_;
   digest digest_;
--- a/testing/minority_cut_test.cc
+++ b/testing/minority_cut_test.cc
@@ -28,6 +28,7 @@
 constexpr auto election_timeout = 600ms;  // a host without contact for this long has no quorum
 constexpr auto keepalive_period = 500ms;
 constexpr auto service_tick = 500ms;
+constexpr auto connect_limit = 300ms;  // of an attempt to reach a host that is off
 constexpr auto confirmation_round = 30ms;
 constexpr auto confirmation_retry_delay = 50ms;
 
@@ -49,6 +50,8 @@
 struct cut_plan {
   std::set<std::size_t> hosts;  ///< zones of the control hosts that are cut off from the others
   time_point at;
+  bool powered_off = false;  ///< these hosts lose power instead
+  duration election{0};      ///< then no host has a quorum, and no change is accepted
 };
 
 class subscription_simulation {
@@ -168,8 +171,15 @@
   }
 
   bool is_cut(const control_host_model& host) const { return now_ >= cut_.at && cut_.hosts.contains(host.zone); }
+  bool is_off(const control_host_model& host) const { return cut_.powered_off && is_cut(host); }
+  bool is_election() const { return now_ >= cut_.at && now_ < cut_.at + cut_.election; }
+  bool has_quorum(const control_host_model& host) const {
+    const bool without = cut_.hosts.contains(host.zone) || now_ < cut_.at + cut_.election;
+    return !without || now_ < cut_.at + election_timeout;
+  }
 
   void commit() {
+    if (is_election()) return;
     const document_state_ptr next = make_document(++index_);
     acknowledged_.emplace_back(now_ + 60ms, next->document_version);
     for (auto& host : hosts_) {
@@ -191,8 +201,9 @@
   }
 
   void tick(control_host_model& host) {
+    if (is_off(host)) return;
     deliver(host, host.core->make_keepalives(host.quorum, now_));
-    host.quorum = !cut_.hosts.contains(host.zone) || now_ < cut_.at + election_timeout;
+    host.quorum = has_quorum(host);
     deliver(host, host.core->make_keepalives(host.quorum, now_));
     at(now_ + service_tick + random_delay(3ms), [this, h = &host] { tick(*h); });
   }
@@ -219,6 +230,12 @@
 
   void connect(node_model& node, control_host_model& host, std::uint64_t generation) {
     if (generation != node.generation) return;
+    if (is_off(host)) {
+      at(now_ + connect_limit, [this, n = &node, generation] {
+        if (generation == n->generation) disconnect(*n, std::nullopt);
+      });
+      return;
+    }
     node.stream = ++last_stream_;
     node.host = &host;
     node.core->on_connected(now_);
@@ -230,7 +247,7 @@
 
   // A confirmation takes a round of the quorum; it fails at a host that is cut off, and is tried again for a while.
   void confirm(control_host_model& host, std::uint64_t stream) {
-    const bool confirmed = !is_cut(host);
+    const bool confirmed = !is_cut(host) && !is_election();
     at(now_ + (confirmed ? confirmation_round : confirmation_retry_delay), [this, h = &host, stream, confirmed] {
       if (!confirmed && h->core->may_await_confirmation(stream, now_)) return confirm(*h, stream);
       if (const auto offer = h->core->first_offer(stream, confirmed, now_)) deliver(*h, {*offer});
@@ -286,15 +303,19 @@
 
 constexpr std::uint64_t seeds = 200;
 
-// Two of the six control hosts are cut off 8 s after the start, for 8 s.
-void play_seeds(bool restarts) {
+enum class node_check { acknowledged_changes, restarts };
+
+// Something happens to two of the six control hosts 8 s after the start, for 8 s.
+void play_seeds(cut_plan plan, node_check check) {
   std::uint64_t failed_seeds = 0;
   std::string first;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     std::mt19937_64 random(seed);
-    cut_plan cut{{}, time_point{} + 8s};
-    while (cut.hosts.size() < 2) cut.hosts.insert(random() % zone_count);
-    const std::vector<std::string> late = subscription_simulation(seed, cut).run(cut.at + 8s, restarts);
+    plan.at = time_point{} + 8s;
+    plan.hosts.clear();
+    while (plan.hosts.size() < 2) plan.hosts.insert(random() % zone_count);
+    const std::vector<std::string> late =
+        subscription_simulation(seed, plan).run(plan.at + 8s, check == node_check::restarts);
     if (late.empty()) continue;
     ++failed_seeds;
     if (first.empty()) first = "seed " + std::to_string(seed) + ": " + late.front();
@@ -303,10 +324,19 @@
 }
 
 // Guards against nodes that stay with, or move among, control hosts without a quorum while others accept changes.
-TEST(minority_cut, acknowledged_changes_are_in_force_at_nodes_of_cut_off_hosts) { play_seeds(false); }
+TEST(minority_cut, acknowledged_changes_are_in_force_at_nodes_of_cut_off_hosts) {
+  play_seeds({}, node_check::acknowledged_changes);
+}
 
 // Guards against restarted nodes that wait at one cut-off host after the other.
-TEST(minority_cut, restarted_nodes_have_a_document_in_time) { play_seeds(true); }
+TEST(minority_cut, restarted_nodes_have_a_document_in_time) { play_seeds({}, node_check::restarts); }
+
+// Guards against nodes that skip every host which had no quorum during an election, and try the lost hosts for ever.
+TEST(minority_cut, nodes_return_to_hosts_that_have_regained_their_quorum) {
+  for (const duration election : {1500ms, 2500ms}) {
+    play_seeds({.powered_off = true, .election = election}, node_check::acknowledged_changes);
+  }
+}
 
 }  // namespace
 }  // namespace heatherdeck
