--- a/control/publisher_core.h
+++ b/control/publisher_core.h
@@ -75,8 +75,8 @@
   std::optional<offer> on_refused(std::uint64_t id, const refused_report& report, time_point now);
 
   /// @param quorum whether this host hears from a leader that has a quorum.
-  /// @return keep-alives for subscriptions without a recent message; for all of them when `quorum` has changed. One that
-  /// is due in less than half a tick is sent now, not a tick later.
+  /// @return keep-alives for subscriptions without a recent message; for all of them when `quorum` has changed. One
+  /// that is due in less than half a tick is sent now, not a tick later.
   std::vector<offer> make_keepalives(bool quorum, time_point now);
 
   /// Removes a subscription.
