--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include "kernel/log.h"
+#include "model/request_fingerprint.h"
 #include "node/deadline_timer.h"
 #include "node/local_upstream.h"
 #include "node/mesh_upstream.h"
@@ -72,6 +73,8 @@
   void record_progress();
   attempt_result end_attempt(attempt_result result);
   request_attributes attributes() const;
+  request_fingerprint fingerprint() const;
+  void log_lost_call(attempt_failure failure) const;
   milliseconds age() const;
   duration bounded_timeout(duration limit) const;
 
@@ -80,6 +83,7 @@
   request_head head_;
   time_point arrived_;
   exchange_core core_;
+  body_hasher body_hash_;
   scoped_pick pick_;
   scoped_pick next_pick_;
   upstream_link_ptr link_;
@@ -100,6 +104,26 @@
   return head_.age + std::chrono::duration_cast<milliseconds>(timer_service::now() - arrived_);
 }
 
+request_fingerprint exchange::fingerprint() const {
+  return {hash_request_head(head_.method, head_.host, head_.target, head_.caller_service), body_hash_.value()};
+}
+
+// The upstream on this host ended the connection without a response, as it does when it crashes.
+void exchange::log_lost_call(attempt_failure failure) const {
+  const upstream_choice& choice = pick_.choice();
+  log_event(log_level::warning, "upstream_call_lost",
+            {{"request", head_.request_id},
+             {"fingerprint", to_text(fingerprint())},
+             {"target", choice.target},
+             {"route", choice.route},
+             {"path", head_.target},
+             {"caller_service", head_.caller_service},
+             {"from_peer", head_.limits.from_peer},
+             {"reason", to_name(failure)},
+             {"sent_ms_ago", std::chrono::duration_cast<milliseconds>(timer_service::now() - sent_at_).count()},
+             {"age_ms", age().count()}});
+}
+
 request_attributes exchange::attributes() const {
   request_attributes attributes{.host = head_.host, .path = head_.target, .method = head_.method};
   for (const auto& [name, value] : head_.headers) attributes.headers.emplace(name, value);
@@ -171,6 +195,7 @@
   const bool retry_later = decision.execution == execution_status::not_executed && decision.status == 503 && !pick_;
   log_event(log_level::info, "request_refused",
             {{"request", head_.request_id},
+             {"fingerprint", to_text(fingerprint())},
              {"status", decision.status},
              {"reason", refused_reason.empty() ? text : refused_reason},
              {"claim", to_name(decision.execution)},
@@ -197,6 +222,7 @@
   auto reading = caller_->read_body();
   auto data = co_await std::move(reading);
   if (!data) co_return data.failure();
+  body_hash_.update(*data);
   if (replayable_ && replay_buffer_.size() + data->size() <= stream_buffer_bytes) {
     replay_buffer_ += *data;
     replay_offset_ = replay_buffer_.size();
@@ -412,6 +438,9 @@
                                     : result.end == attempt_end::timeout ? attempt_failure::timeout
                                                                          : result.failure;
     const bool replayable = replayable_;
+    if (pick_.choice().local && (failure == attempt_failure::closed || failure == attempt_failure::reset)) {
+      log_lost_call(failure);
+    }
     exchange_decision decision = core_.decide_after_failure(failure, timer_service::now(), replayable);
     pick_.finish(decision.reported_outcome, timer_service::now() - sent_at_, {});
     if (decision.action == next_action::abort || result.end == attempt_end::caller_disconnected) {
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -148,8 +148,10 @@
     }
     ++self->failures;
     const std::string text = timed_out ? std::string("no answer in time") : ec.message();
-    pending.answer(
-        connect_error(timed_out ? error_kind::timeout : error_kind::unreachable, pending.upstream_address, text));
+    const error failure =
+        connect_error(timed_out ? error_kind::timeout : error_kind::unreachable, pending.upstream_address, text);
+    log_error("upstream_connect_failed", failure);
+    pending.answer(failure);
     self->inbox.address().post(release_connection{pending.upstream_address, nullptr});
   };
   boost::asio::co_spawn(executor, task(shared_from_this(), std::move(request), endpoint), boost::asio::detached);
