Failing test: a request that crashes upstream after upstream

caller_simulation lets upstreams crash and come back; its results for the loads of the other tests are unchanged.

--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <queue>
@@ -26,22 +27,34 @@
 constexpr double remote_ms = 12;
 constexpr std::size_t zones = 6;
 constexpr std::size_t regions = 3;
-constexpr std::uint32_t node_attempts = 3;  // of one node for one request, as exchange_core
+constexpr std::uint32_t node_attempts = 3;    // of one node for one request, as exchange_core
+constexpr std::uint32_t default_resends = 1;  // as exchange_core
 constexpr double tick_ms = 200;
+constexpr double settling_ms = 3000;  // time that the mesh has to act on what it has learned
 
 struct request_state {
   std::size_t route = 0;
   std::size_t host = 0;
   double first_sent_ms = 0;
   double work_ms = 0;
+  bool crashing = false;
   std::uint32_t tries = 0;  // of the caller
   // The present try:
   double received_ms = 0;
   double age_ms = 0;  // inferred by the first node
   std::uint32_t attempts = 0;
+  std::uint32_t resends = 0;  // after an attempt that may have run
   std::vector<std::string> tried;
   std::uint64_t pick_id = 0;
-  bool over = false;
+  std::string target;
+};
+
+/// A request that an upstream is running.
+struct run_state {
+  std::shared_ptr<request_state> request;
+  std::uint64_t pick_id = 0;  // of the upstream's node
+  bool over_network = false;
+  bool lost = false;  // the upstream has crashed
 };
 
 class caller_run {
@@ -81,6 +94,10 @@
     const double end_ms = o_.seconds * 1000;
     const double rate = capacity_per_ms_ * o_.load;
     for (double at = exponential(1 / rate); at < end_ms; at += exponential(1 / rate)) add_request(at);
+    if (o_.crashing_per_s > 0) {
+      const double mean = 1000 / o_.crashing_per_s;
+      for (double at = o_.crashing_from_s * 1000; at < end_ms; at += exponential(mean)) add_crashing_request(at);
+    }
     for (double at = tick_ms; at < end_ms + 3000; at += tick_ms) push(at, [this] { tick(); });
     if (o_.lost_from_s > 0) push(o_.lost_from_s * 1000, [this] { lose_upstreams(); });
     while (!events_.empty()) {
@@ -160,6 +177,15 @@
     push(at + client_ms, [this, r] { arrive(r); });
   }
 
+  // It earns nothing, so it is not among the requests asked.
+  void add_crashing_request(double at) {
+    auto r = std::make_shared<request_state>();
+    r->crashing = true;
+    r->host = random_.below(o_.hosts);
+    r->first_sent_ms = at;
+    push(at + client_ms, [this, r] { arrive(r); });
+  }
+
   double time_left(const request_state& r) const {
     return o_.routes[r.route].deadline_ms - (now_ms_ - r.first_sent_ms);
   }
@@ -176,10 +202,11 @@
 
   void arrive(const std::shared_ptr<request_state>& r) {
     ++r->tries;
-    ++result_.routes[r->route].attempts;
+    if (!r->crashing) ++result_.routes[r->route].attempts;
     r->received_ms = now_ms_;
     r->age_ms = 0;
     r->attempts = 0;
+    r->resends = 0;
     r->tried.clear();
     attempt(r);
   }
@@ -195,28 +222,43 @@
       ++r->attempts;
       r->age_ms += static_cast<double>(choice->elapsed_before_attempt.count());
       r->pick_id = choice->pick_id;
+      r->target = choice->target;
       if (choice->local) return serve(r, r->host, choice->pick_id, choice->target_load, false);
       forward(r, *choice);
     });
   }
 
+  // The attempt did not run.
+  void retry_elsewhere(const std::shared_ptr<request_state>& r, milliseconds retry_after) {
+    r->tried.push_back(r->target);
+    if (r->attempts < node_attempts) return attempt(r);
+    refuse(r, retry_after);
+  }
+
+  // The attempt may have run: the upstream's connection ended without a response.
+  void fail(const std::shared_ptr<request_state>& r) {
+    r->tried.push_back(r->target);
+    const bool idempotent = o_.routes[r->route].idempotent;
+    if (idempotent && r->resends++ < default_resends && r->attempts < node_attempts) return attempt(r);
+    if (idempotent) return refuse(r, milliseconds::zero());  // the caller sends it again
+    if (!r->crashing) ++result_.routes[r->route].failed;
+  }
+
   void forward(const std::shared_ptr<request_state>& r, const upstream_choice& choice) {
     const std::size_t owner = std::stoul(choice.target);
-    after(distance_ms(r->host, owner), [this, r, owner, target = choice.target] {
+    after(distance_ms(r->host, owner), [this, r, owner] {
       request_attributes a = attributes(*r);
       a.from_peer = true;
       a.service = "gallery";
       a.upstream_version = "v1";
-      pick(owner, a, [this, r, owner, target](const pick_result& answer) {
+      pick(owner, a, [this, r, owner](const pick_result& answer) {
         if (const auto* choice = std::get_if<upstream_choice>(&answer)) {
           return serve(r, owner, choice->pick_id, choice->target_load, true);
         }
         const refusal refused = std::get<refusal>(answer);
-        after(distance_ms(r->host, owner), [this, r, target, refused] {
+        after(distance_ms(r->host, owner), [this, r, refused] {
           finish(r->host, r->pick_id, call_outcome::not_executed, 0, refused.load);
-          r->tried.push_back(target);
-          if (r->attempts < node_attempts) return attempt(r);
-          refuse(r, refused.retry_after);
+          retry_elsewhere(r, refused.retry_after);
         });
       });
     });
@@ -256,15 +298,24 @@
   // The upstream runs the request; it has a slot, as the admission queue of its node lets no more requests through.
   void serve(const std::shared_ptr<request_state>& r, std::size_t owner, std::uint64_t pick_id,
              const std::optional<load_report>& load, bool over_network) {
-    const std::uint32_t busy = ++running_[owner];
-    const double slowdown = busy >= o_.slots ? o_.full_slowdown : 1;
+    if (down_until_ms_[owner] > now_ms_) return fail_to_connect(r, owner, pick_id, over_network);
+    auto run = std::make_shared<run_state>(run_state{r, pick_id, over_network});
+    running_[owner].push_back(run);
+    const double slowdown = running_[owner].size() >= o_.slots ? o_.full_slowdown : 1;
     const double service_ms = r->work_ms * slowdown / speeds_[owner];
     const double started_ms = now_ms_;
     remote_runs_ += distance_ms(r->host, owner) == remote_ms ? 1 : 0;
     ++runs_;
     runs_at_[owner].push_back(now_ms_);
+    if (r->crashing) {
+      if (now_ms_ > third_crash_ms_ + settling_ms) ++result_.late_crashing_runs;
+      return after(o_.crash_after_ms, [=, this] {
+        if (!run->lost) crash(owner);
+      });
+    }
     after(service_ms, [=, this] {
-      --running_[owner];
+      if (run->lost) return;
+      std::erase(running_[owner], run);
       nodes_[owner]->report_statement(std::to_string(owner), {.rate_limit = stated_limit(owner)}, time());
       finish(owner, pick_id, call_outcome::ok, service_ms, load);
       const double back = over_network ? distance_ms(r->host, owner) : 0;
@@ -275,6 +326,35 @@
     });
   }
 
+  // The connection is refused, so the request has not run.
+  void fail_to_connect(const std::shared_ptr<request_state>& r, std::size_t owner, std::uint64_t pick_id,
+                       bool over_network) {
+    finish(owner, pick_id, call_outcome::connection_failed, 0, {});
+    if (!over_network) return retry_elsewhere(r, milliseconds::zero());
+    after(distance_ms(r->host, owner), [this, r] {
+      finish(r->host, r->pick_id, call_outcome::not_executed, 0, {});
+      retry_elsewhere(r, milliseconds::zero());
+    });
+  }
+
+  // All requests that run at the upstream are lost, and it accepts no connections for a while.
+  void crash(std::size_t owner) {
+    if (++result_.crashes == 3) third_crash_ms_ = now_ms_;
+    down_until_ms_[owner] = now_ms_ + o_.downtime_ms;
+    for (const auto& run : std::exchange(running_[owner], {})) {
+      run->lost = true;
+      finish(owner, run->pick_id, call_outcome::connection_failed, 0, {});
+      if (!run->over_network) {
+        fail(run->request);
+        continue;
+      }
+      after(distance_ms(run->request->host, owner), [this, r = run->request] {
+        finish(r->host, r->pick_id, call_outcome::upstream_error, 0, {});
+        fail(r);
+      });
+    }
+  }
+
   std::optional<double> stated_limit(std::size_t owner) const {
     if (now_ms_ < o_.limited_from_s * 1000 || owner >= o_.rate_limits.size() || o_.rate_limits[owner] <= 0) return {};
     return o_.rate_limits[owner];
@@ -282,7 +362,6 @@
 
   void measure_limited_windows() {
     constexpr double window_ms = 4000;
-    constexpr double settling_ms = 3000;
     for (const auto& [owner, runs] : runs_at_) {
       if (owner >= o_.rate_limits.size() || o_.rate_limits[owner] <= 0) continue;
       const double tolerated = 1.5 * o_.rate_limits[owner] * window_ms / 1000 + 5;
@@ -315,7 +394,7 @@
   void refuse(const std::shared_ptr<request_state>& r, milliseconds retry_after) {
     const double wait = std::min(static_cast<double>(retry_after.count()), time_left(*r) / 3);
     if (r->tries > o_.retries || time_left(*r) < 1) {
-      ++result_.routes[r->route].refused;
+      if (!r->crashing) ++result_.routes[r->route].refused;
       return;
     }
     after(2 * client_ms + std::max(1.0, wait), [this, r] { arrive(r); });
@@ -346,8 +425,10 @@
   std::vector<double> speeds_;
   std::vector<std::unique_ptr<traffic_core>> nodes_;
   std::map<std::size_t, std::map<std::uint64_t, std::function<void(const pick_result&)>>> waiters_;
-  std::map<std::size_t, double> answers_due_ms_;  // by host
-  std::map<std::size_t, std::uint32_t> running_;
+  std::map<std::size_t, double> answers_due_ms_;                            // by host
+  std::map<std::size_t, std::vector<std::shared_ptr<run_state>>> running_;  // by upstream
+  std::map<std::size_t, double> down_until_ms_;                             // by upstream
+  double third_crash_ms_ = std::numeric_limits<double>::infinity();
   std::map<std::size_t, std::vector<double>> runs_at_;  // start of each run in ms, by upstream
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
   std::vector<std::pair<double, double>> offered_;  // worth and work
--- a/testing/caller_simulation.h
+++ b/testing/caller_simulation.h
@@ -48,6 +48,12 @@
   /// Requests a second that each upstream accepts; 0 or missing: it states no limit.
   std::vector<double> rate_limits{};
   double limited_from_s = 0;  ///< from then on the upstreams state their limits in every response
+  /// How often callers send one more request of the first route, always the same, that crashes the upstreams that run
+  /// it; 0: never.
+  double crashing_per_s = 0;
+  double crashing_from_s = 4;
+  double crash_after_ms = 60;  ///< time that it runs before the crash
+  double downtime_ms = 3200;   ///< of an upstream that has crashed
   std::vector<simulated_route> routes{{.name = "preview", .share = 0.7, .priority = 2},
                                       {.name = "purchase",
                                        .share = 0.3,
@@ -70,6 +76,7 @@
   std::uint64_t late = 0;
   std::uint64_t refused = 0;  ///< the last attempt was refused
   std::uint64_t timed_out = 0;
+  std::uint64_t failed = 0;    ///< lost with an upstream and not sent again
   std::uint64_t attempts = 0;  ///< of callers
 };
 
@@ -84,6 +91,9 @@
   /// Most runs at an upstream with a limit in a window of 4 s, which begins 3 s after the first statement or later, as
   /// a fraction of the tolerated number: one and a half times the limit, and 5.
   double worst_limited_window = 0;
+  std::uint64_t crashes = 0;  ///< of upstreams
+  /// Runs of the crashing request that began later than 3 s after its third crash.
+  std::uint64_t late_crashing_runs = 0;
 
   const route_result& route(const std::string& name) const;
 };
