Quarantine of requests that crash upstreams

Cause: a crash was kept as a fault of the upstream only. Nothing identified the request across exchanges and nodes, so each new sending was routed like any other. The class of fault: blame for a failure has one possible owner.

Change: the service quarantine. The node of an upstream takes lost calls followed by a refused connection for a crash and reports the fingerprints of all that was running to the other processes; from the reports each computes the same list. A request that was running at two crashes as the only one of them that was, or at three, is refused (503, not run) at the first node and at the upstream's. One that was running at one crash is on trial: it runs beside no other suspect, its copies go to one upstream by rendezvous hashing, one at a time. A response acquits. Control hosts keep the reports too, and processes that start get them.

--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -12,6 +12,7 @@
 #include "node/directory_service.h"
 #include "node/pool_service.h"
 #include "node/proxy_service.h"
+#include "node/quarantine_service.h"
 #include "node/subscriber_service.h"
 #include "platform/configuration_service.h"
 #include "platform/dialect.h"
@@ -49,6 +50,7 @@
     {&settings::is_node, &make_service<pool_service>},
     {&settings::is_node, &make_proxy},
     {&settings::is_node, &make_service<announcement_service>},
+    {nullptr, &make_service<quarantine_service>},
     {nullptr, &make_service<directory_service>},
 };
 
--- a/model/directory_messages.h
+++ b/model/directory_messages.h
@@ -13,6 +13,7 @@
 
 #include "kernel/enum_names.h"
 #include "kernel/mailbox.h"
+#include "model/quarantine_list.h"
 
 namespace heatherdeck {
 
@@ -108,11 +109,17 @@
   std::vector<std::string> addresses;
 };
 
+/// Sent by "quarantine": an update for the process at a mesh address, whose "quarantine" gets it.
+struct send_quarantine_update {
+  std::string to;
+  quarantine_update update;
+};
+
 /// Periodic timer of the directory.
 struct directory_tick {};
 
-using directory_message =
-    std::variant<directory_tick, local_endpoint_changed, announce_draining, get_members, set_seeds>;
+using directory_message = std::variant<directory_tick, local_endpoint_changed, announce_draining, get_members,
+                                       set_seeds, send_quarantine_update>;
 
 /// Posted by `directory` to `traffic` and other subscribers after every change; an alternative of `traffic_message`,
 /// `subscriber_message` and `consensus_message`.
--- a/model/gossip_messages.h
+++ b/model/gossip_messages.h
@@ -6,6 +6,7 @@
 ///     answer with buckets -> sync -> records   only when the hashes differ: reconciles the member lists
 ///     records                                  recently changed records, to a few random members
 ///     relay -> probe by a third member         indirect probe; the third member forwards the `answer`
+///     quarantine                               reports of crashed upstreams, for the service "quarantine"
 ///     suspicion                                tells a member, directly or through another, to renew its record
 #pragma once
 
@@ -24,7 +25,7 @@
 /// Length of the authentication code of a datagram: HMAC-SHA256, truncated to 128 bits.
 inline constexpr std::size_t datagram_mac_bytes = 16;
 
-enum class gossip_kind { probe, answer, sync, records, relay, suspicion };
+enum class gossip_kind { probe, answer, sync, records, relay, suspicion, quarantine };
 
 template <>
 struct enum_table<gossip_kind> {
@@ -35,6 +36,7 @@
       {gossip_kind::records, "records"},
       {gossip_kind::relay, "relay"},
       {gossip_kind::suspicion, "suspicion"},
+      {gossip_kind::quarantine, "quarantine"},
   });
 };
 
@@ -73,6 +75,7 @@
   std::vector<member_record_ptr> records;
   std::vector<member_record_version> statuses;  ///< records: suspected members; suspicion: the suspected record
   bool recent = false;                          ///< records: changed recently; the receiver spreads them further
+  quarantine_update quarantine;                 ///< quarantine only
 };
 
 }  // namespace heatherdeck
--- a/model/request_fingerprint.cc
+++ b/model/request_fingerprint.cc
@@ -34,6 +34,10 @@
   return hash;
 }
 
+std::uint64_t rank_for(const request_fingerprint& request, std::string_view name) {
+  return XXH3_64bits_withSeed(name.data(), name.size(), request.head ^ request.body);
+}
+
 std::string to_text(const request_fingerprint& fingerprint) {
   return fmt::format("{:016x}{:016x}", fingerprint.head, fingerprint.body);
 }
--- a/model/request_fingerprint.h
+++ b/model/request_fingerprint.h
@@ -36,6 +36,9 @@
 std::uint64_t hash_request_head(std::string_view method, std::string_view host, std::string_view target,
                                 std::string_view caller_service);
 
+/// @return the rank of `name` for a request: every process ranks the same names alike, and other requests otherwise.
+std::uint64_t rank_for(const request_fingerprint& request, std::string_view name);
+
 /// @return 32 hexadecimal digits, as logs show the fingerprint.
 std::string to_text(const request_fingerprint& fingerprint);
 
--- a/model/service_names.h
+++ b/model/service_names.h
@@ -24,6 +24,7 @@
   traffic,        ///< routing, load balancing, concurrency limits and retry budgets
   pool,           ///< connections to upstreams and to other nodes
   proxy,          ///< connections of callers
+  quarantine,     ///< finds the requests that crash the upstreams that run them
   evidence,       ///< call counts per upstream version, for decisions on rollouts
 };
 
@@ -44,6 +45,7 @@
       {service_name::traffic, "traffic"},
       {service_name::pool, "pool"},
       {service_name::proxy, "proxy"},
+      {service_name::quarantine, "quarantine"},
       {service_name::evidence, "evidence"},
   });
 };
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -18,6 +18,7 @@
 #include "kernel/mailbox.h"
 #include "model/compiled_document.h"
 #include "model/directory_messages.h"
+#include "model/quarantine_list.h"
 
 namespace heatherdeck {
 
@@ -37,7 +38,18 @@
 
 /// Why no upstream was chosen; sent in the response's `hd-refused` header. Whatever the reason, no upstream has
 /// processed the request.
-enum class refusal_reason { no_document, no_route, no_upstream, overloaded, deadline, draining, retry_budget, hops };
+enum class refusal_reason {
+  no_document,
+  no_route,
+  no_upstream,
+  overloaded,
+  deadline,
+  draining,
+  retry_budget,
+  hops,
+  quarantined,  ///< it has crashed upstreams
+  on_trial,     ///< it is suspected to crash upstreams, and another copy of it is running
+};
 
 template <>
 struct enum_table<refusal_reason> {
@@ -50,9 +62,16 @@
       {refusal_reason::draining, "draining"},
       {refusal_reason::retry_budget, "retry_budget"},
       {refusal_reason::hops, "hops"},
+      {refusal_reason::quarantined, "quarantined"},
+      {refusal_reason::on_trial, "on_trial"},
   });
 };
 
+/// @return whether the refusal is about the request and not about one upstream, so that no other one may be tried.
+constexpr bool holds_everywhere(refusal_reason reason) {
+  return reason == refusal_reason::quarantined || reason == refusal_reason::on_trial;
+}
+
 /// Attributes of a request that the choice of an upstream depends on.
 struct request_attributes {
   std::string host;
@@ -68,6 +87,8 @@
   std::uint32_t attempt = 0;                            ///< 0 for the first attempt
   std::vector<std::string> tried_targets;               ///< targets of earlier failed attempts
   std::string pinned_service;  ///< later attempts: service of a split route that the first attempt chose
+  request_fingerprint fingerprint;
+  bool body_unread = false;  ///< the fingerprint lacks the body, which has not been read
 };
 
 /// Load of a target, from its announcement (own host) or from the `hd-load` header of a response.
@@ -112,7 +133,10 @@
   std::optional<load_report> load;           ///< of this host's upstream, if it is the one that is overloaded
 };
 
-using pick_result = std::variant<refusal, upstream_choice>;
+/// Whether the request may run depends on its body: the caller of `pick` reads it and asks again.
+struct body_required {};
+
+using pick_result = std::variant<refusal, upstream_choice, body_required>;
 
 /// How an attempt ended. `not_executed`: the upstream or its node stated that it did not process the request.
 enum class call_outcome { ok, upstream_error, not_executed, timeout, connection_failed, cancelled };
@@ -129,6 +153,22 @@
   });
 };
 
+/// What an attempt shows about whether the request crashes upstreams.
+enum class call_ending {
+  unknown,   ///< nothing: not sent, or given up
+  lost,      ///< the upstream ended the connection while it was running the request
+  answered,  ///< the upstream itself has responded
+};
+
+template <>
+struct enum_table<call_ending> {
+  static constexpr auto entries = std::to_array<enum_entry<call_ending>>({
+      {call_ending::unknown, "unknown"},
+      {call_ending::lost, "lost"},
+      {call_ending::answered, "answered"},
+  });
+};
+
 /// Periodic timer of the traffic service.
 struct traffic_tick {};
 
@@ -152,6 +192,8 @@
   call_outcome outcome = call_outcome::ok;
   std::chrono::microseconds latency{0};  ///< until the first byte of the response
   std::optional<load_report> load;       ///< from the response, if it had one
+  call_ending ending = call_ending::unknown;
+  request_fingerprint request;  ///< of all that has been read of it
 };
 
 /// Sent by `announcements`: load that the upstream on this host reported.
@@ -170,6 +212,6 @@
 struct start_draining {};
 
 using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
-                                     finish_call, local_load, upstream_stated, start_draining>;
+                                     finish_call, local_load, upstream_stated, start_draining, quarantine_changed>;
 
 }  // namespace heatherdeck
--- a/node/directory_core.cc
+++ b/node/directory_core.cc
@@ -60,8 +60,8 @@
 }  // namespace
 
 const directory_core::handler directory_core::handlers[] = {
-    &directory_core::on_probe,   &directory_core::on_answer, &directory_core::on_sync,
-    &directory_core::on_records, &directory_core::on_relay,  &directory_core::on_suspicion,
+    &directory_core::on_probe, &directory_core::on_answer,    &directory_core::on_sync, &directory_core::on_records,
+    &directory_core::on_relay, &directory_core::on_suspicion, &directory_core::ignore,
 };
 
 directory_core::directory_core(directory_options options)
@@ -69,6 +69,9 @@
   std::erase(seeds_, self_.mesh_address);
 }
 
+// Messages of kind `quarantine` are for the service of that name.
+void directory_core::ignore(time_point, const std::string&, const gossip_message&, directory_output&) {}
+
 gossip_message directory_core::make_message(gossip_kind kind) const {
   gossip_message message;
   message.kind = kind;
--- a/node/directory_core.h
+++ b/node/directory_core.h
@@ -79,6 +79,8 @@
   /// @return copies of the records of all members that are not removed, this process included, ordered by node id.
   member_list_ptr view() const;
 
+  const std::string& node_id() const { return self_.node_id; }
+
   const directory_table& table() const { return table_; }
 
   /// @return the number of records that are still being disseminated.
@@ -109,6 +111,7 @@
   void on_records(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
   void on_relay(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
   void on_suspicion(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
+  void ignore(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
 
   void probe(time_point now, directory_output& out);
   void send_probe(time_point now, const std::string& address, const std::string& node_id, directory_output& out);
--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -15,6 +15,7 @@
 
 #include "kernel/log.h"
 #include "model/publisher_messages.h"
+#include "model/quarantine_messages.h"
 #include "model/raft_messages.h"
 #include "model/service_names.h"
 #include "model/traffic_messages.h"
@@ -76,6 +77,9 @@
     if (kernel_.has(to_name(service_name::subscriber))) {
       BOOST_LEAF_ASSIGN(subscriber_, kernel_.find<subscriber_message>(to_name(service_name::subscriber)));
     }
+    if (kernel_.has(to_name(service_name::quarantine))) {
+      BOOST_LEAF_ASSIGN(quarantine_, kernel_.find<quarantine_message>(to_name(service_name::quarantine)));
+    }
     if (kernel_.has(to_name(service_name::mesh))) {
       BOOST_LEAF_ASSIGN(mesh_, kernel_.find<mesh_message>(to_name(service_name::mesh)));
     }
@@ -133,7 +137,8 @@
                             [&](local_endpoint_changed& m) { apply_output(core_.set_endpoint(now, m.endpoint)); },
                             [&](announce_draining&) { apply_output(core_.set_draining(now)); },
                             [&](set_seeds& m) { core_.set_seeds(std::move(m.addresses)); },
-                            [&](get_members& m) { m.answer(core_.view()); }},
+                            [&](get_members& m) { m.answer(core_.view()); },
+                            [&](send_quarantine_update& m) { send(std::move(m)); }},
                  *message);
     }
   }
@@ -149,10 +154,23 @@
         log_error("gossip_refused", message.failure(), {{"from", received->from}});
         continue;
       }
+      if (message->kind == gossip_kind::quarantine) {
+        // An update that is dropped comes again with the next one that holds everything.
+        if (quarantine_) quarantine_.post(quarantine_update_received{std::move(message->quarantine)});
+        continue;
+      }
       apply_output(core_.receive(timer_service::now(), received->from, *message));
     }
   }
 
+  void send(send_quarantine_update outgoing) {
+    gossip_message message;
+    message.kind = gossip_kind::quarantine;
+    message.from = core_.node_id();
+    message.quarantine = std::move(outgoing.update);
+    socket_->send(outgoing.to, encode(message));
+  }
+
   void apply_output(const directory_output& out) {
     for (const outgoing_gossip& item : out.datagrams) socket_->send(item.to, encode(item.message));
     if (!out.view_changed || view_pending_) return;
@@ -171,8 +189,9 @@
     // If a mailbox is full, the list is posted again later, so that no service keeps an outdated one.
     const bool posted_to_traffic = !traffic_ || traffic_.post(directory_changed{view});
     const bool posted_to_consensus = !consensus_ || consensus_.post(directory_changed{view});
+    const bool posted_to_quarantine = !quarantine_ || quarantine_.post(directory_changed{view});
     const bool posted_to_subscriber = !subscriber_ || subscriber_.post(directory_changed{view});
-    if (!posted_to_traffic || !posted_to_consensus || !posted_to_subscriber) {
+    if (!posted_to_traffic || !posted_to_consensus || !posted_to_subscriber || !posted_to_quarantine) {
       view_pending_ = true;
       view_timer_ = kernel_.timers().after(min_view_interval, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) self->post_view();
@@ -192,6 +211,7 @@
   address<traffic_message> traffic_;
   address<consensus_message> consensus_;
   address<subscriber_message> subscriber_;
+  address<quarantine_message> quarantine_;
   address<mesh_message> mesh_;
   subscription tick_;
   subscription view_timer_;
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -66,6 +66,8 @@
   awaitable<attempt_result> send_request();
   awaitable<attempt_result> wait_for_deadline();
   awaitable<outcome<std::string>> next_body_data();
+  awaitable<void> read_hashed_body();
+  call_ending ending_of(const response_head& response) const;
   awaitable<attempt_result> relay(response_head response, call_outcome reported_outcome);
   awaitable<exchange_result> respond(exchange_decision decision, std::string refused_reason, std::string text);
   void add_response_metadata(response_head& response) const;
@@ -95,6 +97,7 @@
   std::string pinned_service_;
   std::string replay_buffer_;
   std::size_t replay_offset_ = 0;
+  std::string unsent_;  // of a body beyond the replay buffer that was read before the attempt
   bool replayable_ = true;
   bool upload_done_ = false;
   bool attempt_ended_ = false;  // the attempt has a result: `send_request` must not write any more
@@ -124,6 +127,11 @@
              {"age_ms", age().count()}});
 }
 
+call_ending exchange::ending_of(const response_head& response) const {
+  const bool from_upstream = pick_.choice().local && response.execution == execution_status::none;
+  return from_upstream ? call_ending::answered : call_ending::unknown;
+}
+
 request_attributes exchange::attributes() const {
   request_attributes attributes{.host = head_.host, .path = head_.target, .method = head_.method};
   for (const auto& [name, value] : head_.headers) attributes.headers.emplace(name, value);
@@ -137,12 +145,45 @@
   attributes.attempt = core_.attempts();
   attributes.tried_targets = tried_targets_;
   attributes.pinned_service = pinned_service_;
+  attributes.fingerprint = fingerprint();
+  attributes.body_unread =
+      core_.attempts() == 0 && head_.body != body_framing::none && !caller_->body_done() && !body_hash_.full();
   return attributes;
 }
 
 awaitable<scoped_pick> exchange::request_pick() {
   auto acquiring = scoped_pick::acquire(context_, attributes());
-  co_return co_await std::move(acquiring);
+  auto picked = co_await std::move(acquiring);
+  if (!picked.needs_body()) co_return std::move(picked);
+  auto reading = read_hashed_body();
+  co_await std::move(reading);
+  request_attributes whole = attributes();
+  whole.body_unread = false;
+  auto acquiring_again = scoped_pick::acquire(context_, std::move(whole));
+  co_return co_await std::move(acquiring_again);
+}
+
+// Reads the part of the body that the fingerprint covers, before any of it is forwarded. If the caller fails or is too
+// slow, the attempt goes on with what has come, and deals with the rest.
+awaitable<void> exchange::read_hashed_body() {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto signal = std::make_shared<wake_signal>(executor);
+  const auto timer = deadline_timer::make(*context_->timers, [signal] { signal->set(); });
+  timer->set(core_.deadline().value_or(timer_service::now() + context_->idle_timeout));
+  std::string read;
+  auto read_all = [this, &read]() -> awaitable<void> {
+    while (!caller_->body_done() && !body_hash_.full()) {
+      auto reading = next_body_data();
+      auto data = co_await std::move(reading);
+      if (!data) co_return;
+      read += *data;
+    }
+  };
+  auto reading = read_all();
+  auto waiting = signal->wait();
+  auto first = std::move(reading) || std::move(waiting);
+  (void)co_await std::move(first);
+  if (!replayable_) unsent_ = std::move(read);  // otherwise the attempt sends the replay buffer
 }
 
 // Called by each branch as its last step; afterwards no other branch writes to the upstream. Cancellation reaches only
@@ -214,6 +255,7 @@
 
 // Returns the next part of the request body: first the data buffered by an earlier attempt, then data from the caller.
 awaitable<outcome<std::string>> exchange::next_body_data() {
+  if (!unsent_.empty()) co_return std::exchange(unsent_, {});
   if (replay_offset_ < replay_buffer_.size()) {
     std::string data = replay_buffer_.substr(replay_offset_);
     replay_offset_ = replay_buffer_.size();
@@ -260,7 +302,7 @@
   bool last = head_.body == body_framing::none;
   bool write_failed = false;
   std::string data;
-  if (!last && (replay_offset_ < replay_buffer_.size() || caller_->body_buffered())) {
+  if (!last && (!unsent_.empty() || replay_offset_ < replay_buffer_.size() || caller_->body_buffered())) {
     auto first = co_await next_body_data();
     if (!first) co_return end_attempt({attempt_end::caller_body_invalid});
     data = std::move(*first);
@@ -320,14 +362,16 @@
   const time_point now = timer_service::now();
   latency_ = now - sent_at_;
   report_statement(head->statement);
-  exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, replayable_);
+  const auto refused = from_name<refusal_reason>(head->refused_reason);
+  const bool other_may_serve = replayable_ && !(refused && holds_everywhere(*refused));
+  exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, other_may_serve);
   if (decision.action == next_action::retry) {
     tried_targets_.push_back(pick_.choice().target);
     auto picking = request_pick();
     next_pick_ = co_await std::move(picking);
     if (attempt_ended_) co_return end_attempt({attempt_end::failed});
     if (next_pick_) {
-      pick_.finish(decision.reported_outcome, latency_, head->load);
+      pick_.finish({decision.reported_outcome, latency_, head->load, ending_of(*head), fingerprint()});
       co_return end_attempt({attempt_end::retry});
     }
   }
@@ -341,6 +385,7 @@
   core_.mark_response_started();
   record_progress();
   const auto load = response.load;
+  const call_ending ending = ending_of(response);
   const bool end = response.body == body_framing::none;
   add_response_metadata(response);
   auto sending_head = caller_->send_head(std::move(response), end, link_->body_buffered());
@@ -362,7 +407,7 @@
     if (last) break;
   }
   if (!sent) co_return end_attempt({attempt_end::caller_disconnected});
-  pick_.finish(reported_outcome, latency_, load);
+  pick_.finish({reported_outcome, latency_, load, ending, fingerprint()});
   co_return end_attempt({attempt_end::completed});
 }
 
@@ -419,7 +464,7 @@
     }
     // The pick may have waited long for a free slot; a caller that has disconnected meanwhile must not cause any work.
     if (caller_->disconnected()) {
-      pick_.finish(call_outcome::cancelled, {}, {});
+      pick_.finish({});
       caller_->abort();
       co_return exchange_result::aborted;
     }
@@ -438,11 +483,15 @@
                                     : result.end == attempt_end::timeout ? attempt_failure::timeout
                                                                          : result.failure;
     const bool replayable = replayable_;
-    if (pick_.choice().local && (failure == attempt_failure::closed || failure == attempt_failure::reset)) {
-      log_lost_call(failure);
-    }
+    const bool lost = pick_.choice().local && core_.state() != attempt_state::not_sent &&
+                      (failure == attempt_failure::closed || failure == attempt_failure::reset);
+    if (lost) log_lost_call(failure);
     exchange_decision decision = core_.decide_after_failure(failure, timer_service::now(), replayable);
-    pick_.finish(decision.reported_outcome, timer_service::now() - sent_at_, {});
+    pick_.finish({decision.reported_outcome,
+                  timer_service::now() - sent_at_,
+                  {},
+                  lost ? call_ending::lost : call_ending::unknown,
+                  fingerprint()});
     if (decision.action == next_action::abort || result.end == attempt_end::caller_disconnected) {
       caller_->abort();
       co_return exchange_result::aborted;
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -47,6 +47,8 @@
     {refusal_reason::draining, 503},
     {refusal_reason::retry_budget, 503},
     {refusal_reason::hops, 508},
+    {refusal_reason::quarantined, 503},
+    {refusal_reason::on_trial, 503},
 });
 
 }  // namespace
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -86,7 +86,7 @@
 
 void pool_service::state::handle(acquire_connection request) {
   target_connections& target = targets[request.upstream_address];
-  if (upstream_connection_ptr connection = take_idle(target, request.non_idempotent)) {
+  if (upstream_connection_ptr connection = request.fresh ? nullptr : take_idle(target, request.non_idempotent)) {
     ++target.in_use;
     ++reuses;
     connection->reused = true;
--- a/node/scoped_pick.cc
+++ b/node/scoped_pick.cc
@@ -56,7 +56,7 @@
 
 scoped_pick& scoped_pick::operator=(scoped_pick&& other) noexcept {
   if (this != &other) {
-    finish(call_outcome::cancelled, {}, {});
+    finish({});
     context_ = std::move(other.context_);
     answer_ = std::move(other.answer_);
     unfinished_ = std::exchange(other.unfinished_, false);
@@ -84,10 +84,10 @@
   co_return scoped_pick(std::move(context), std::move(picked));
 }
 
-void scoped_pick::finish(call_outcome outcome, duration latency, std::optional<load_report> load) {
+void scoped_pick::finish(const attempt_report& report) {
   if (!std::exchange(unfinished_, false)) return;
-  const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(latency);
-  const finish_call message{choice().pick_id, outcome, micros, load};
+  const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(report.latency);
+  const finish_call message{choice().pick_id, report.outcome, micros, report.load, report.ending, report.request};
   if (context_->traffic.post(message)) return;
   boost::asio::co_spawn(context_->executor, send_when_room(context_->traffic, message), boost::asio::detached);
 }
--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -14,6 +14,7 @@
 #include <queue>
 #include <random>
 
+#include "node/quarantine_core.h"
 #include "traffic/traffic_core.h"
 
 namespace heatherdeck {
@@ -30,7 +31,9 @@
 constexpr std::uint32_t node_attempts = 3;    // of one node for one request, as exchange_core
 constexpr std::uint32_t default_resends = 1;  // as exchange_core
 constexpr double tick_ms = 200;
-constexpr double settling_ms = 3000;  // time that the mesh has to act on what it has learned
+constexpr double quarantine_tick_ms = 1000;
+constexpr double local_check_ms = 0.5;  // until an upstream on the same host has accepted or refused a connection
+constexpr double settling_ms = 3000;    // time that the mesh has to act on what it has learned
 
 struct request_state {
   std::size_t route = 0;
@@ -38,6 +41,7 @@
   double first_sent_ms = 0;
   double work_ms = 0;
   bool crashing = false;
+  request_fingerprint fingerprint;
   std::uint32_t tries = 0;  // of the caller
   // The present try:
   double received_ms = 0;
@@ -87,6 +91,9 @@
                                                                        .seed = o.seed + host}));
       nodes_.back()->set_document(document_);
       nodes_.back()->set_members(members(o.upstreams), time());
+      quarantines_.push_back(std::make_unique<quarantine_core>(
+          quarantine_options{.mesh_address = node_id(host), .random_seed = o.seed * o.hosts + host + 1}));
+      (void)quarantines_.back()->set_members(time(), members(o.upstreams));
     }
   }
 
@@ -99,6 +106,11 @@
       for (double at = o_.crashing_from_s * 1000; at < end_ms; at += exponential(mean)) add_crashing_request(at);
     }
     for (double at = tick_ms; at < end_ms + 3000; at += tick_ms) push(at, [this] { tick(); });
+    for (double at = quarantine_tick_ms; at < end_ms + 3000; at += quarantine_tick_ms) {
+      push(at, [this] {
+        for (std::size_t host = 0; host < o_.hosts; ++host) apply(host, quarantines_[host]->tick(time()));
+      });
+    }
     if (o_.lost_from_s > 0) push(o_.lost_from_s * 1000, [this] { lose_upstreams(); });
     while (!events_.empty()) {
       now_ms_ = events_.top().at_ms;
@@ -135,7 +147,11 @@
   std::vector<member_record> members(std::size_t upstreams) const {
     std::vector<member_record> rows;
     for (std::size_t host = 0; host < o_.hosts; ++host) {
-      member_record row{.node_id = node_id(host), .availability_zone = zone_of(host), .region = region_of(host)};
+      member_record row{.node_id = node_id(host),
+                        .availability_zone = zone_of(host),
+                        .region = region_of(host),
+                        .mesh_address = node_id(host),
+                        .incarnation = 1};
       if (host < upstreams) {
         row.endpoints = {{.service = "gallery",
                           .upstream_version = "v1",
@@ -168,6 +184,7 @@
     while (r->route + 1 < o_.routes.size() && drawn >= o_.routes[r->route].share) drawn -= o_.routes[r->route++].share;
     const simulated_route& route = o_.routes[r->route];
     r->host = random_.below(o_.hosts);
+    r->fingerprint.head = offered_.size() + 1;
     r->first_sent_ms = at;
     std::lognormal_distribution<double> work(std::log(route.work_ms) - route.spread * route.spread / 2, route.spread);
     r->work_ms = work(engine_);
@@ -193,6 +210,7 @@
   request_attributes attributes(const request_state& r) const {
     const simulated_route& route = o_.routes[r.route];
     request_attributes a{.path = "/" + route.name + "/x", .method = route.idempotent ? "GET" : "POST"};
+    a.fingerprint = r.fingerprint;
     // The caller states its time left when it sends, so a first attempt always states the whole deadline.
     const double stated = route.deadline_ms - (r.received_ms - client_ms - r.first_sent_ms);
     a.deadline = milliseconds(std::llround(stated - (now_ms_ - r.received_ms)));
@@ -258,6 +276,7 @@
         const refusal refused = std::get<refusal>(answer);
         after(distance_ms(r->host, owner), [this, r, refused] {
           finish(r->host, r->pick_id, call_outcome::not_executed, 0, refused.load);
+          if (holds_everywhere(refused.reason)) return refuse(r, refused.retry_after);
           retry_elsewhere(r, refused.retry_after);
         });
       });
@@ -290,8 +309,35 @@
   }
 
   void finish(std::size_t host, std::uint64_t pick_id, call_outcome outcome, double latency_ms,
-              const std::optional<load_report>& load) {
-    nodes_[host]->finish(time(), {pick_id, outcome, std::chrono::microseconds(std::llround(latency_ms * 1000)), load});
+              const std::optional<load_report>& load, call_ending ending = call_ending::unknown,
+              const request_fingerprint& request = {}) {
+    nodes_[host]->finish(
+        time(), {pick_id, outcome, std::chrono::microseconds(std::llround(latency_ms * 1000)), load, ending, request});
+    for (const quarantine_message& report : nodes_[host]->take_quarantine_reports()) {
+      if (const auto* lost = std::get_if<call_lost>(&report))
+        apply(host, quarantines_[host]->on_call_lost(time(), *lost));
+      if (const auto* answered = std::get_if<listed_call_answered>(&report)) {
+        apply(host, quarantines_[host]->on_answered(time(), *answered));
+      }
+    }
+    take_answers(host);
+  }
+
+  // The upstream of the check refuses connections while it is down.
+  void apply(std::size_t host, const quarantine_output& out) {
+    for (const upstream_check& wanted : out.checks) {
+      after(local_check_ms, [this, host, target = wanted.target] {
+        const bool refused = down_until_ms_[host] > now_ms_;
+        apply(host, quarantines_[host]->on_checked(time(), {.target = target, .refused = refused}));
+      });
+    }
+    for (const outgoing_quarantine_update& sent : out.updates) {
+      const std::size_t to = std::stoul(sent.to.substr(1));
+      after(distance_ms(host, to),
+            [this, to, update = sent.update] { apply(to, quarantines_[to]->receive(time(), update)); });
+    }
+    if (!out.list_changed) return;
+    nodes_[host]->set_quarantine(quarantines_[host]->list());
     take_answers(host);
   }
 
@@ -317,7 +363,7 @@
       if (run->lost) return;
       std::erase(running_[owner], run);
       nodes_[owner]->report_statement(std::to_string(owner), {.rate_limit = stated_limit(owner)}, time());
-      finish(owner, pick_id, call_outcome::ok, service_ms, load);
+      finish(owner, pick_id, call_outcome::ok, service_ms, load, call_ending::answered, r->fingerprint);
       const double back = over_network ? distance_ms(r->host, owner) : 0;
       after(back, [=, this] {
         if (over_network) finish(r->host, r->pick_id, call_outcome::ok, now_ms_ - started_ms, load);
@@ -343,7 +389,7 @@
     down_until_ms_[owner] = now_ms_ + o_.downtime_ms;
     for (const auto& run : std::exchange(running_[owner], {})) {
       run->lost = true;
-      finish(owner, run->pick_id, call_outcome::connection_failed, 0, {});
+      finish(owner, run->pick_id, call_outcome::connection_failed, 0, {}, call_ending::lost, run->request->fingerprint);
       if (!run->over_network) {
         fail(run->request);
         continue;
@@ -424,6 +470,7 @@
   std::shared_ptr<compiled_document> document_;
   std::vector<double> speeds_;
   std::vector<std::unique_ptr<traffic_core>> nodes_;
+  std::vector<std::unique_ptr<quarantine_core>> quarantines_;  // of the same hosts
   std::map<std::size_t, std::map<std::uint64_t, std::function<void(const pick_result&)>>> waiters_;
   std::map<std::size_t, double> answers_due_ms_;                            // by host
   std::map<std::size_t, std::vector<std::shared_ptr<run_state>>> running_;  // by upstream
--- a/testing/codec_test.cc
+++ b/testing/codec_test.cc
@@ -51,19 +51,21 @@
 }
 
 gossip_message sample_gossip() {
-  gossip_message message{gossip_kind::sync,
-                         "dar-1-03",
-                         77,
-                         0xFEDCBA9876543210,
-                         "10.0.0.3:7001",
-                         {1, 2},
-                         128,
-                         {5, 9},
-                         {{1, 2}, {3, 4}},
-                         {8},
-                         {},
-                         {{"n", 4, 5, member_state::suspect}},
-                         true};
+  gossip_message message{
+      gossip_kind::sync,
+      "dar-1-03",
+      77,
+      0xFEDCBA9876543210,
+      "10.0.0.3:7001",
+      {1, 2},
+      128,
+      {5, 9},
+      {{1, 2}, {3, 4}},
+      {8},
+      {},
+      {{"n", 4, 5, member_state::suspect}},
+      true,
+      {{{9, "certdesk", {{1, 0}, {2, 3}}, milliseconds(40)}}, {{"certdesk", {4, 5}, milliseconds(6)}}}};
   for (const member_record& record : sample_members()) {
     message.records.push_back(std::make_shared<member_record>(record));
   }
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -101,6 +101,7 @@
   if (stopping_) return refuse(refusal_reason::draining);
   const auto found = services_.find(attributes.service);
   if (found == services_.end()) return refuse(refusal_reason::no_upstream);
+  if (auto answer = check_quarantine(attributes.service, attributes)) return answer;
   std::vector<std::shared_ptr<upstream>> local;
   bool draining = false;
   for (const auto& [name, members] : found->second.versions) {
@@ -129,6 +130,45 @@
   return admit_locally(now, {attributes.service, route, attributes, local[*index], now, false}, waiter_id);
 }
 
+std::optional<pick_result> traffic_core::check_quarantine(const std::string& service,
+                                                          const request_attributes& attributes) {
+  if (quarantine_->services.empty()) return std::nullopt;
+  if (attributes.body_unread && quarantine_->lists_head(service, attributes.fingerprint.head)) return body_required{};
+  if (quarantine_->standing_of(service, attributes.fingerprint) != request_standing::quarantined) return std::nullopt;
+  return refuse(refusal_reason::quarantined);
+}
+
+bool traffic_core::suspected(const std::string& service, const request_attributes& attributes) const {
+  return quarantine_->standing_of(service, attributes.fingerprint) == request_standing::suspected;
+}
+
+std::optional<refusal> traffic_core::refuse_trial(time_point now, const queued_attempt& attempt) {
+  const std::vector<request_fingerprint>& running = attempt.target->on_trial;
+  if (running.empty() || !suspected(attempt.service, attempt.attributes)) return std::nullopt;
+  refusal refused = refuse_overloaded(now, *attempt.target);
+  const bool same = std::find(running.begin(), running.end(), attempt.attributes.fingerprint) != running.end();
+  if (same) refused.reason = refusal_reason::on_trial;
+  return refused;
+}
+
+void traffic_core::set_quarantine(quarantine_list_ptr list) {
+  quarantine_ = std::move(list);
+  quarantine_changed_ = true;
+}
+
+void traffic_core::refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+  if (!std::exchange(quarantine_changed_, false)) return;
+  std::erase_if(waiting_, [&](const auto& item) {
+    const queued_attempt& attempt = item.second;
+    const auto standing = quarantine_->standing_of(attempt.service, attempt.attributes.fingerprint);
+    if (standing != request_standing::quarantined) return false;
+    attempt.target->admission.cancel(item.first);
+    if (attempt.limited) services_[attempt.service].limiter.release_unused();
+    answers.emplace_back(item.first, refuse(refusal_reason::quarantined));
+    return true;
+  });
+}
+
 refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
   full.retry_after = target.admission.retry_after(now);
@@ -141,6 +181,7 @@
 std::optional<pick_result> traffic_core::admit_locally(time_point now, queued_attempt attempt,
                                                        std::uint64_t waiter_id) {
   upstream& target = *attempt.target;
+  if (auto refused = refuse_trial(now, attempt)) return *refused;
   target.admission.set_slots(target.endpoint.slots);
   const auto time_allowed = attempt.attributes.deadline ? std::min(attempt.route.timeout, *attempt.attributes.deadline)
                                                         : attempt.route.timeout;
@@ -177,6 +218,7 @@
     answers.emplace_back(item.first, refuse(refusal_reason::draining));
     return true;
   });
+  refuse_quarantined_waiters(answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
     const bool draining = u->endpoint.state == upstream_state::draining;
@@ -193,6 +235,12 @@
         continue;
       }
       queued_attempt& attempt = found.mapped();
+      if (auto refused = refuse_trial(now, attempt)) {
+        u->admission.release({}, {});
+        if (attempt.limited) services_[attempt.service].limiter.release_unused();
+        answers.emplace_back(id, *refused);
+        continue;
+      }
       // The time spent waiting is subtracted from the time that the request has left.
       const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - attempt.arrived);
       if (attempt.attributes.deadline) *attempt.attributes.deadline -= std::min(waited, *attempt.attributes.deadline);
@@ -226,6 +274,7 @@
   if (!rule.split.empty()) service = attributes.pinned_service.empty() ? splits_.pick(rule) : attributes.pinned_service;
   const auto spec = document_->services.find(service);
   if (spec == document_->services.end()) return refuse(refusal_reason::no_upstream);
+  if (auto answer = check_quarantine(service, attributes)) return answer;
   service_state& traffic = services_[service];
   if (attributes.attempt == 0) {
     traffic.retries.on_call(now);
@@ -244,22 +293,23 @@
   } else if (!traffic.limiter.admit(kind)) {
     return refuse(refusal_reason::overloaded);
   }
-  std::vector<std::string> tried_targets = attributes.tried_targets;
-  const spillover_policy spillover =
-      rule.kind == route_kind::download ? spillover_policy::avoid_other_regions : spillover_policy::any_region;
-  std::shared_ptr<upstream> chosen = choose_upstream(now, spec->second, traffic, tried_targets, spillover);
+  choice_criteria criteria{.tried_targets = attributes.tried_targets};
+  if (rule.kind == route_kind::download) criteria.spillover = spillover_policy::avoid_other_regions;
+  if (suspected(service, attributes)) criteria.on_trial = attributes.fingerprint;
+  std::shared_ptr<upstream> chosen = choose_upstream(now, spec->second, traffic, criteria);
   if (!chosen) {
     traffic.limiter.release_unused();
     // If earlier attempts have found upstreams, there are some, but none has capacity left now.
-    return refuse(tried_targets.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
+    return refuse(criteria.tried_targets.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
   }
   if (chosen->locality != locality_class::local) return reserve(std::move(chosen), service, route, attributes, true);
   std::optional<pick_result> local_answer =
       admit_locally(now, {service, route, attributes, chosen, now, true}, waiter_id);
   if (!local_answer || std::holds_alternative<upstream_choice>(*local_answer)) return local_answer;
   // The upstream on this host is full; try another one before refusing the caller.
-  tried_targets.push_back(chosen->endpoint.target);
-  std::shared_ptr<upstream> other = choose_upstream(now, spec->second, traffic, tried_targets, spillover);
+  criteria.tried_targets.push_back(chosen->endpoint.target);
+  const bool final = holds_everywhere(std::get<refusal>(*local_answer).reason);
+  std::shared_ptr<upstream> other = final ? nullptr : choose_upstream(now, spec->second, traffic, criteria);
   if (other && other->locality != locality_class::local) {
     return reserve(std::move(other), service, route, attributes, true);
   }
@@ -281,8 +331,8 @@
 
 std::shared_ptr<traffic_core::upstream> traffic_core::choose_upstream(time_point now, const service_spec& spec,
                                                                       service_state& traffic,
-                                                                      const std::vector<std::string>& tried_targets,
-                                                                      spillover_policy spillover) {
+                                                                      const choice_criteria& criteria) {
+  const std::vector<std::string>& tried_targets = criteria.tried_targets;
   std::vector<version_share> remaining = spec.shares;
   // A request that an overloaded upstream of the old version has refused does not move to the version under rollout:
   // that one would get more than its share of what is served.
@@ -297,7 +347,7 @@
     if (drawn.empty()) return nullptr;
     const std::string& name = resolve_version(spec, traffic, drawn);
     if (!name.empty() && !circuit_breaker_.cut(spec.name, name, now)) {
-      if (auto chosen = choose_upstream_of_version(now, traffic, name, tried_targets, spillover)) return chosen;
+      if (auto chosen = choose_upstream_of_version(now, traffic, name, criteria)) return chosen;
     }
     if (first) ++counters_.shares_moved;
     std::erase_if(remaining, [&](const version_share& s) { return s.upstream_version == drawn; });
@@ -338,11 +388,13 @@
   return *first;
 }
 
-std::shared_ptr<traffic_core::upstream> traffic_core::choose_upstream_of_version(
-    time_point now, service_state& traffic, const std::string& name, const std::vector<std::string>& tried_targets,
-    spillover_policy spillover) {
+std::shared_ptr<traffic_core::upstream> traffic_core::choose_upstream_of_version(time_point now, service_state& traffic,
+                                                                                 const std::string& name,
+                                                                                 const choice_criteria& criteria) {
+  const std::vector<std::string>& tried_targets = criteria.tried_targets;
   const auto members = traffic.versions.find(name);
   if (members == traffic.versions.end()) return nullptr;
+  if (criteria.on_trial) return choose_for_trial(members->second, criteria);
   std::vector<balance_candidate> candidates;
   std::vector<const std::shared_ptr<upstream>*> eligible;
   for (const auto& u : members->second) {
@@ -361,10 +413,29 @@
                           .refusing = status == outlier_ejector::status::avoided});
     eligible.push_back(&u);
   }
-  const auto index = balancer_.pick(candidates, now, spillover);
+  const auto index = balancer_.pick(candidates, now, criteria.spillover);
   return index ? *eligible[*index] : nullptr;
 }
 
+// Rendezvous hashing: every node finds the same upstream for the copies of a request, without knowing of the others.
+std::shared_ptr<traffic_core::upstream> traffic_core::choose_for_trial(
+    const std::vector<std::shared_ptr<upstream>>& members, const choice_criteria& criteria) {
+  const auto tried = [&](const upstream& u) {
+    const auto& targets = criteria.tried_targets;
+    return std::find(targets.begin(), targets.end(), u.endpoint.target) != targets.end();
+  };
+  std::shared_ptr<upstream> best;
+  std::uint64_t best_rank = 0;
+  for (const auto& u : members) {
+    if (!u->usable || u->suspect || tried(*u)) continue;
+    const std::uint64_t rank = rank_for(*criteria.on_trial, u->key);
+    if (best && rank <= best_rank) continue;
+    best = u;
+    best_rank = rank;
+  }
+  return best;
+}
+
 upstream_choice traffic_core::reserve(std::shared_ptr<upstream> chosen, const std::string& service,
                                       const route_policy& route, const request_attributes& attributes, bool limited) {
   upstream_choice choice;
@@ -388,7 +459,11 @@
     choice.target_load = chosen->admission.load();
     choice.statement = chosen->statement;
   }
-  pending_.emplace(choice.pick_id, pending_call{service, route.name, std::move(chosen), choice.timeout, limited});
+  std::optional<request_fingerprint> on_trial;
+  if (choice.local && suspected(service, attributes)) on_trial = attributes.fingerprint;
+  if (on_trial) chosen->on_trial.push_back(*on_trial);
+  pending_.emplace(choice.pick_id,
+                   pending_call{service, route.name, std::move(chosen), choice.timeout, limited, on_trial});
   return choice;
 }
 
@@ -401,6 +476,11 @@
   const pending_call call = std::move(found->second);
   pending_.erase(found);
   if (call.target->load.own_in_flight > 0) --call.target->load.own_in_flight;
+  if (call.on_trial) {
+    std::vector<request_fingerprint>& running = call.target->on_trial;
+    running.erase(std::find(running.begin(), running.end(), *call.on_trial));
+  }
+  report_to_quarantine(call, result);
   if (call.target->locality == locality_class::local) {
     const bool has_service_time = result.outcome == call_outcome::ok;
     call.target->admission.release(call.route, has_service_time ? duration(result.latency) : duration::zero());
@@ -409,6 +489,21 @@
   record_result(now, call, result);
 }
 
+// An upstream that is leaving ends calls without having crashed.
+void traffic_core::report_to_quarantine(const pending_call& call, const finish_call& result) {
+  const upstream& target = *call.target;
+  if (target.locality != locality_class::local) return;
+  const bool leaving = target.statement.leaving || target.endpoint.state != upstream_state::ready;
+  if (result.ending == call_ending::lost && !leaving) {
+    quarantine_reports_.emplace_back(
+        call_lost{call.service, target.endpoint.target, target.endpoint.address, result.request});
+  }
+  if (result.ending == call_ending::answered &&
+      quarantine_->standing_of(call.service, result.request) != request_standing::clear) {
+    quarantine_reports_.emplace_back(listed_call_answered{call.service, result.request});
+  }
+}
+
 void traffic_core::record_result(time_point now, const pending_call& call, const finish_call& result) {
   service_state& traffic = services_[call.service];
   upstream& target = *call.target;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -27,6 +27,7 @@
 #include "model/compiled_document.h"
 #include "model/directory_messages.h"
 #include "model/distribution_messages.h"
+#include "model/quarantine_messages.h"
 #include "model/traffic_messages.h"
 #include "traffic/admission_queue.h"
 #include "traffic/balancer.h"
@@ -94,6 +95,14 @@
   /// @return whether the statement differs from the one before.
   bool report_statement(const std::string& target, const upstream_statement& statement, time_point now);
 
+  /// Replaces the list of requests that crash upstreams. A quarantined one is refused, also while it waits. A
+  /// suspected one is on trial: it runs beside no other suspected one, so that the next crash shows which of them
+  /// causes it, and all its copies go to the same upstream, which runs one at a time.
+  void set_quarantine(quarantine_list_ptr list);
+
+  /// @return what calls that have ended show about requests that crash upstreams, for the service "quarantine".
+  std::vector<quarantine_message> take_quarantine_reports() { return std::exchange(quarantine_reports_, {}); }
+
   /// Refuses requests from other nodes from now on.
   void start_draining() { stopping_ = true; }
 
@@ -123,8 +132,9 @@
     load_estimate load;
     double latency_ms = 0;  ///< moving average, with a penalty for failed calls; 0 when unknown
     slow_start warmup;
-    upstream_statement statement;  ///< known only of the upstream on this host
-    admission_queue admission;     ///< used only for the upstream on this host
+    upstream_statement statement;               ///< known only of the upstream on this host
+    admission_queue admission;                  ///< used only for the upstream on this host
+    std::vector<request_fingerprint> on_trial;  ///< suspected requests that it is running; on this host only
   };
 
   struct service_state {
@@ -141,7 +151,8 @@
     std::string route;
     std::shared_ptr<upstream> target;
     std::chrono::milliseconds timeout{0};
-    bool limited = false;  ///< counted by the service's concurrency limiter
+    bool limited = false;                         ///< counted by the service's concurrency limiter
+    std::optional<request_fingerprint> on_trial;  ///< listed in upstream::on_trial
   };
 
   /// Settings that apply to a request: those of its route, or defaults when no route matches.
@@ -170,11 +181,24 @@
                                            std::uint64_t waiter_id);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
+  std::optional<pick_result> check_quarantine(const std::string& service, const request_attributes& attributes);
+  bool suspected(const std::string& service, const request_attributes& attributes) const;
+  std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
+  void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  void report_to_quarantine(const pending_call& call, const finish_call& result);
+  /// What the choice of an upstream for one attempt depends on.
+  struct choice_criteria {
+    std::vector<std::string> tried_targets;
+    spillover_policy spillover = spillover_policy::any_region;
+    std::optional<request_fingerprint> on_trial;  ///< set: the request is suspected
+  };
+
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
-                                            const std::vector<std::string>& tried_targets, spillover_policy spillover);
+                                            const choice_criteria& criteria);
   std::shared_ptr<upstream> choose_upstream_of_version(time_point now, service_state& traffic, const std::string& name,
-                                                       const std::vector<std::string>& tried_targets,
-                                                       spillover_policy spillover);
+                                                       const choice_criteria& criteria);
+  static std::shared_ptr<upstream> choose_for_trial(const std::vector<std::shared_ptr<upstream>>& members,
+                                                    const choice_criteria& criteria);
   const std::string& resolve_version(const service_spec& spec, const service_state& traffic,
                                      const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
@@ -208,6 +232,9 @@
   evidence_collector evidence_;
   version_circuit_breaker circuit_breaker_;
   traffic_counters counters_;
+  quarantine_list_ptr quarantine_ = std::make_shared<quarantine_list>();
+  bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
+  std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
   bool stopping_ = false;
 };
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -61,6 +61,9 @@
   if (k.has(to_name(service_name::announcements))) {
     BOOST_LEAF_ASSIGN(announcements_, k.find<upstream_leaving>(to_name(service_name::announcements)));
   }
+  if (k.has(to_name(service_name::quarantine))) {
+    BOOST_LEAF_ASSIGN(quarantine_, k.find<quarantine_message>(to_name(service_name::quarantine)));
+  }
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   return {};
 }
@@ -94,11 +97,15 @@
                  [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
                  [&](const upstream_stated& m) { on_statement(now, m); },
                  [&](const start_draining&) { core_.start_draining(); },
+                 [&](quarantine_changed& m) { core_.set_quarantine(std::move(m.list)); },
              },
              message);
   for (auto& [id, answer] : core_.take_answers(now)) {
     if (auto waiter = waiting_.extract(id)) waiter.mapped()(std::move(answer));
   }
+  for (quarantine_message& report : core_.take_quarantine_reports()) {
+    if (quarantine_ && !quarantine_.post(std::move(report))) ++quarantine_reports_dropped_;
+  }
   arm_answer_timer(now);
 }
 
@@ -143,6 +150,7 @@
 boost::json::value traffic_service::dump() const {
   boost::json::value state = core_.dump(timer_service::now());
   state.as_object()["evidence_dropped"] = evidence_dropped_;
+  state.as_object()["quarantine_reports_dropped"] = quarantine_reports_dropped_;
   return state;
 }
 
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -49,12 +49,14 @@
   std::unique_ptr<mailbox<traffic_message>> inbox_;
   address<subscriber_message> subscriber_;
   address<upstream_leaving> announcements_;
+  address<quarantine_message> quarantine_;
   subscription ticks_;
   subscription answer_timer_;
   std::optional<time_point> answers_due_;  ///< of `answer_timer_`
   milliseconds evidence_period_ = compiled_document::max_evidence_period;
   time_point evidence_taken_at_{};
-  std::uint64_t evidence_dropped_ = 0;  ///< reports dropped because the subscriber's mailbox was full
+  std::uint64_t evidence_dropped_ = 0;            ///< reports dropped because the subscriber's mailbox was full
+  std::uint64_t quarantine_reports_dropped_ = 0;  ///< likewise, of "quarantine"
 };
 
 }  // namespace heatherdeck
--- a/wire/codec_gossip.cc
+++ b/wire/codec_gossip.cc
@@ -1,10 +1,54 @@
 // Codec of the gossip messages of the directory.
 // Invariant: a decoded message has a sender and complete pairs of hashes in `keys`. Cost: one allocation per record.
+#include <algorithm>
+
 #include "wire/codec.h"
 #include "wire/codec_parts.h"
 
 namespace heatherdeck::codec {
 
+namespace {
+
+void write(const quarantine_update& from, pb::Gossip& to) {
+  for (const crash_report& report : from.crashes) {
+    auto& added = *to.add_crashes();
+    added.set_id(report.id);
+    added.set_service(report.service);
+    for (const request_fingerprint& request : report.running) {
+      added.add_running(request.head);
+      added.add_running(request.body);
+    }
+    added.set_age_ms(static_cast<std::uint64_t>(report.age.count()));
+  }
+  for (const request_acquittal& acquittal : from.acquittals) {
+    auto& added = *to.add_acquittals();
+    added.set_service(acquittal.service);
+    added.set_head(acquittal.request.head);
+    added.set_body(acquittal.request.body);
+    added.set_age_ms(static_cast<std::uint64_t>(acquittal.age.count()));
+  }
+}
+
+// An age beyond what is remembered anywhere, so that it fits into every duration.
+constexpr std::uint64_t max_age_ms = 86'400'000;
+
+milliseconds read_age(std::uint64_t age_ms) { return milliseconds(std::min(age_ms, max_age_ms)); }
+
+void read(const pb::Gossip& from, quarantine_update& to, decode_context& context) {
+  for (const auto& item : from.crashes()) {
+    if (item.running_size() % 2 != 0)
+      return context.set_error("a crash report has an odd number of hashes; each request needs two");
+    crash_report report{item.id(), item.service(), {}, read_age(item.age_ms())};
+    for (int i = 0; i < item.running_size(); i += 2) report.running.push_back({item.running(i), item.running(i + 1)});
+    to.crashes.push_back(std::move(report));
+  }
+  for (const auto& item : from.acquittals()) {
+    to.acquittals.push_back({item.service(), {item.head(), item.body()}, read_age(item.age_ms())});
+  }
+}
+
+}  // namespace
+
 void write(const gossip_message& from, pb::Gossip& to) {
   to.set_kind(enum_number(from.kind));
   to.set_from(from.from);
@@ -27,6 +71,7 @@
     added.set_sequence(status.sequence);
     added.set_state(enum_number(status.state));
   }
+  write(from.quarantine, to);
   to.set_recent(from.recent);
 }
 
@@ -53,6 +98,7 @@
     to.statuses.push_back(
         {item.node_id(), item.incarnation(), item.sequence(), read_enum<member_state>(item.state(), context)});
   }
+  read(from, to.quarantine, context);
   to.recent = from.recent();
 }
 
