Quarantine: a body that cannot be read ends the exchange; tests of the way through proxy, traffic and pool

When the head of a request is listed, the exchange reads the body before it asks for an upstream.

quarantine_service_test runs the real proxy, pool, traffic and quarantine services with an upstream that crashes on one request, and compares forwarded bodies of up to 300 kB with what was sent. traffic_core_test: refusal at both nodes and in the queue, trials, bodies, upstreams that are leaving.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -59,14 +59,15 @@
   awaitable<exchange_result> run();
 
  private:
-  awaitable<scoped_pick> request_pick();
+  awaitable<scoped_pick> request_pick(request_attributes wanted);
   awaitable<outcome<upstream_link_ptr>> open_link();
   awaitable<attempt_result> run_attempt();
   awaitable<attempt_result> handle_response();
   awaitable<attempt_result> send_request();
   awaitable<attempt_result> wait_for_deadline();
   awaitable<outcome<std::string>> next_body_data();
-  awaitable<void> read_hashed_body();
+  awaitable<outcome<void>> read_hashed_body();
+  awaitable<exchange_result> end_without_body(const error& failure);
   call_ending ending_of(const response_head& response) const;
   awaitable<attempt_result> relay(response_head response, call_outcome reported_outcome);
   awaitable<exchange_result> respond(exchange_decision decision, std::string refused_reason, std::string text);
@@ -151,39 +152,51 @@
   return attributes;
 }
 
-awaitable<scoped_pick> exchange::request_pick() {
-  auto acquiring = scoped_pick::acquire(context_, attributes());
-  auto picked = co_await std::move(acquiring);
-  if (!picked.needs_body()) co_return std::move(picked);
-  auto reading = read_hashed_body();
-  co_await std::move(reading);
-  request_attributes whole = attributes();
-  whole.body_unread = false;
-  auto acquiring_again = scoped_pick::acquire(context_, std::move(whole));
-  co_return co_await std::move(acquiring_again);
+awaitable<scoped_pick> exchange::request_pick(request_attributes wanted) {
+  auto acquiring = scoped_pick::acquire(context_, std::move(wanted));
+  co_return co_await std::move(acquiring);
 }
 
-// Reads the part of the body that the fingerprint covers, before any of it is forwarded. If the caller fails or is too
-// slow, the attempt goes on with what has come, and deals with the rest.
-awaitable<void> exchange::read_hashed_body() {
+// Reads the part of the body that the fingerprint covers, before any of it is forwarded.
+// Returns why the caller's body cannot be read; nothing is wrong when the deadline passes meanwhile.
+awaitable<outcome<void>> exchange::read_hashed_body() {
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto signal = std::make_shared<wake_signal>(executor);
   const auto timer = deadline_timer::make(*context_->timers, [signal] { signal->set(); });
   timer->set(core_.deadline().value_or(timer_service::now() + context_->idle_timeout));
   std::string read;
-  auto read_all = [this, &read]() -> awaitable<void> {
+  outcome<void> result = error{error_kind::timeout, "the caller has sent no more of the body", {}, {}};
+  auto read_all = [this, &read, &result]() -> awaitable<void> {
     while (!caller_->body_done() && !body_hash_.full()) {
       auto reading = next_body_data();
       auto data = co_await std::move(reading);
-      if (!data) co_return;
+      if (!data) {
+        result = data.failure();
+        co_return;
+      }
       read += *data;
     }
+    result = outcome<void>();
   };
   auto reading = read_all();
   auto waiting = signal->wait();
   auto first = std::move(reading) || std::move(waiting);
   (void)co_await std::move(first);
   if (!replayable_) unsent_ = std::move(read);  // otherwise the attempt sends the replay buffer
+  if (!result && result.failure().kind == error_kind::timeout && core_.deadline()) co_return outcome<void>();
+  co_return std::move(result);
+}
+
+awaitable<exchange_result> exchange::end_without_body(const error& failure) {
+  if (failure.kind != error_kind::bad_message) {
+    caller_->abort();
+    co_return exchange_result::aborted;
+  }
+  exchange_decision decision = core_.decide_after_failure(attempt_failure::cancelled, timer_service::now(), false);
+  decision.status = 400;
+  auto responding = respond(decision, {}, "the body is invalid");
+  (void)co_await std::move(responding);
+  co_return exchange_result::close;
 }
 
 // Called by each branch as its last step; afterwards no other branch writes to the upstream. Cancellation reaches only
@@ -367,7 +380,7 @@
   exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, other_may_serve);
   if (decision.action == next_action::retry) {
     tried_targets_.push_back(pick_.choice().target);
-    auto picking = request_pick();
+    auto picking = request_pick(attributes());
     next_pick_ = co_await std::move(picking);
     if (attempt_ended_) co_return end_attempt({attempt_end::failed});
     if (next_pick_) {
@@ -453,7 +466,19 @@
     if (next_pick_) {
       pick_ = std::exchange(next_pick_, {});
     } else {
-      auto picking = request_pick();
+      auto picking = request_pick(attributes());
+      pick_ = co_await std::move(picking);
+    }
+    if (pick_.needs_body()) {
+      auto reading = read_hashed_body();
+      const outcome<void> read = co_await std::move(reading);
+      if (!read) {
+        auto ending = end_without_body(read.failure());
+        co_return co_await std::move(ending);
+      }
+      request_attributes with_body = attributes();
+      with_body.body_unread = false;
+      auto picking = request_pick(std::move(with_body));
       pick_ = co_await std::move(picking);
     }
     if (!pick_) {
--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -155,7 +155,7 @@
     bool started = false;
     proxy_harness h([&](tcp_socket s) -> awaitable<void> {
       h1_stream stream(std::move(s));
-      (void)co_await read_request(stream);
+      (void)co_await read_whole_request(stream);
       started = true;
       char byte = 0;
       auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
@@ -183,7 +183,7 @@
   bool ended = false;
   proxy_harness h([&](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
-    complete = co_await read_request(stream);
+    complete = co_await read_whole_request(stream);
     ended = true;
   });
   h.run([&]() -> awaitable<void> {
@@ -201,7 +201,7 @@
   proxy_harness h(
       [](tcp_socket s) -> awaitable<void> {
         h1_stream stream(std::move(s));
-        (void)co_await read_request(stream);
+        (void)co_await read_whole_request(stream);
         co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n");
         co_await proxy_harness::send(stream, std::string(64UL * 1024 * 1024, 'x'));
       },
@@ -223,7 +223,7 @@
   int runs = 0;
   proxy_harness h([&](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
-    if (!co_await read_request(stream)) co_return;
+    if (!co_await read_whole_request(stream)) co_return;
     ++runs;
     co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   });
@@ -246,7 +246,7 @@
   proxy_harness h([&h](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
     boost::asio::steady_timer timer(h.k.io());
-    while (co_await read_request(stream)) {
+    while (co_await read_whole_request(stream)) {
       timer.expires_after(2ms);
       (void)co_await timer.async_wait(use_tuple);
       co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
--- a/testing/proxy_harness.h
+++ b/testing/proxy_harness.h
@@ -209,7 +209,7 @@
 
 /// Reads one request.
 /// @return false if the connection ended before the request was complete.
-inline awaitable<bool> read_request(h1_stream& stream) {
+inline awaitable<bool> read_whole_request(h1_stream& stream) {
   boost::beast::http::request_parser<boost::beast::http::string_body> parser;
   parser.body_limit(boost::none);
   auto [ec, size] = co_await boost::beast::http::async_read(stream.socket, stream.buffer, parser, use_tuple);
--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -118,7 +118,7 @@
     second_node* node = nullptr;
     second_node second([&](tcp_socket s) -> awaitable<void> {
       h1_stream stream(std::move(s));
-      (void)co_await read_request(stream);
+      (void)co_await read_whole_request(stream);
       ++runs;
       if (stop_node) node->harness.mesh->stop();
     });
@@ -153,7 +153,7 @@
   std::atomic<bool> closed = false;
   second_node second([&](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
-    (void)co_await read_request(stream);
+    (void)co_await read_whole_request(stream);
     started = true;
     char byte = 0;
     auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
@@ -176,7 +176,7 @@
   std::atomic<bool> closed = false;
   second_node second([&](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
-    (void)co_await read_request(stream);
+    (void)co_await read_whole_request(stream);
     char byte = 0;
     auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
     closed = bool(ec);
@@ -214,7 +214,7 @@
 upstream_script breaks_off(const broken_answer& answer) {
   return [answer](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
-    if (!co_await read_request(stream)) co_return;
+    if (!co_await read_whole_request(stream)) co_return;
     co_await proxy_harness::send(stream, answer.sent);
     // The node reads the first part before the connection ends.
     boost::asio::steady_timer timer(stream.socket.get_executor(), 50ms);
--- a/testing/proxy_test.cc
+++ b/testing/proxy_test.cc
@@ -110,7 +110,7 @@
     SCOPED_TRACE(c.name);
     proxy_harness h([&](tcp_socket socket) -> awaitable<void> {
       h1_stream stream(std::move(socket));
-      (void)co_await read_request(stream);
+      (void)co_await read_whole_request(stream);
       co_await proxy_harness::send(stream, c.response);
     });
     h.run([&]() -> awaitable<void> {
@@ -183,7 +183,7 @@
   bool complete = false;
   proxy_harness h([&](tcp_socket socket) -> awaitable<void> {
     h1_stream stream(std::move(socket));
-    complete = co_await read_request(stream) || complete;
+    complete = co_await read_whole_request(stream) || complete;
   });
   h.run([&]() -> awaitable<void> {
     for (const char* chunk :
@@ -226,7 +226,7 @@
   std::size_t sent = 0;
   proxy_harness h([&](tcp_socket socket) -> awaitable<void> {
     h1_stream stream(std::move(socket));
-    (void)co_await read_request(stream);
+    (void)co_await read_whole_request(stream);
     co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(total) + "\r\n\r\n");
     const std::string block(64UL * 1024, 'p');
     while (sent < total) {
--- /dev/null
+++ b/testing/quarantine_service_test.cc
@@ -0,0 +1,219 @@
+// Runs the proxy, pool, traffic and quarantine services of one node with an upstream that crashes on one request, and
+// the proxy alone with a traffic service that asks for bodies. Guards against crashes that are not noticed, against
+// verdicts that do not reach the proxy, and against bodies that are read for a verdict and then forwarded in part.
+#include "node/quarantine_service.h"
+
+#include <set>
+
+#include "model/request_fingerprint.h"
+#include "testing/proxy_harness.h"
+#include "traffic/traffic_service.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string post(const std::string& body) {
+  return "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void require_bodies(proxy_harness& h) {
+  h.traffic->pick = [&h](const request_attributes& attributes) -> pick_result {
+    if (attributes.body_unread) return body_required{};
+    return h.choice;
+  };
+}
+
+std::uint64_t hash_of(const std::string& body) {
+  body_hasher hasher;
+  hasher.update(body);
+  return hasher.value();
+}
+
+TEST(quarantine_proxy, body_that_was_read_for_the_verdict_is_forwarded_whole) {
+  for (const std::size_t size : {5UL, 60'000UL, 65'536UL, 65'537UL, 300'000UL}) {
+    proxy_harness h(echo_upstream);
+    require_bodies(h);
+    std::string body;
+    while (body.size() < size) body += std::to_string(body.size()) + ",";
+    body.resize(size);
+    h.run([&]() -> awaitable<void> {
+      auto stream = co_await h.connect();
+      const std::string text = post(body);
+      // Two parts, so that the whole body is not there when the head is read.
+      const std::size_t first = text.size() - size / 2;
+      co_await proxy_harness::send(*stream, text.substr(0, first));
+      EXPECT_TRUE(co_await eventually(h.k, [&] { return !h.traffic->requests.empty(); }));
+      co_await proxy_harness::send(*stream, text.substr(first));
+      const auto response = co_await proxy_harness::read_response(*stream);
+      EXPECT_EQ(response.result_int(), 200U);
+      EXPECT_TRUE(response.body() == "POST /a " + body) << "size " << size;
+    });
+    ASSERT_EQ(h.traffic->requests.size(), 2U);
+    EXPECT_EQ(h.traffic->requests[1].fingerprint.body, hash_of(body));
+    ASSERT_EQ(h.traffic->finished.size(), 1U);
+    EXPECT_EQ(h.traffic->finished[0].ending, call_ending::answered);
+    EXPECT_EQ(h.traffic->finished[0].request, h.traffic->requests[1].fingerprint);
+  }
+}
+
+TEST(quarantine_proxy, body_that_never_comes_whole_reaches_no_upstream) {
+  const std::string sized = "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nabc";
+  const std::string bad_chunk = "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\nzz\r\n";
+  for (const std::string& text : {sized, bad_chunk}) {
+    proxy_harness h(echo_upstream);
+    require_bodies(h);
+    h.run([&]() -> awaitable<void> {
+      auto stream = co_await h.connect();
+      co_await proxy_harness::send(*stream, text);
+      EXPECT_TRUE(co_await eventually(h.k, [&] { return h.traffic->requests.size() == 1; }));
+      boost::system::error_code ignored;
+      stream->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+      const auto response = co_await proxy_harness::read_response(*stream);
+      EXPECT_EQ(response.result_int(), text == sized ? 0U : 400U);
+    });
+    EXPECT_EQ(h.upstream_connections, 0U);
+    EXPECT_EQ(h.traffic->requests.size(), 1U);
+  }
+}
+
+// A directory with one member, this process, and its one upstream.
+class single_member_directory : public service {
+ public:
+  explicit single_member_directory(std::uint16_t port) : port_(port) {}
+  std::string_view name() const override { return to_name(service_name::directory); }
+  void publish(kernel& k) override {
+    inbox_ = std::make_unique<mailbox<directory_message>>(k.executor(), 64);
+    k.publish(name(), inbox_->address());
+  }
+  result<void> start(kernel& k) override {
+    BOOST_LEAF_AUTO(traffic, k.find<traffic_message>(to_name(service_name::traffic)));
+    member_record own{.node_id = "n1", .availability_zone = "dar-1", .region = "dar"};
+    own.endpoints = {{.service = "certdesk",
+                      .upstream_version = "v1",
+                      .target = "t1",
+                      .address = "127.0.0.1:" + std::to_string(port_),
+                      .state = upstream_state::ready,
+                      .slots = 4,
+                      .connections = 40}};
+    traffic.post(directory_changed{std::make_shared<const std::vector<member_record>>(1, std::move(own))});
+    auto document = std::make_shared<compiled_document>();
+    document->routes.push_back(
+        {.name = "all", .path_prefix = "/", .service = "certdesk", .timeout = 2s, .idempotent = false});
+    document->services["certdesk"] = {.name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
+    traffic.post(update_document{document});
+    return {};
+  }
+  void stop() override { inbox_->close(); }
+  boost::json::value dump() const override { return nullptr; }
+
+ private:
+  std::uint16_t port_;
+  std::unique_ptr<mailbox<directory_message>> inbox_;
+};
+
+// An upstream that closes its listener and all connections when it gets a request to /crash.
+class crashing_upstream {
+ public:
+  explicit crashing_upstream(boost::asio::io_context& io) : io_(io) { listen(0); }
+
+  void listen(std::uint16_t port) {
+    listener_ = std::make_unique<tcp::acceptor>(io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+    port_ = listener_->local_endpoint().port();
+    boost::asio::co_spawn(io_, accept(), boost::asio::detached);
+  }
+  std::uint16_t port() const { return port_; }
+
+  std::size_t requests = 0;
+  std::size_t crashes = 0;
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+
+  awaitable<void> accept() {
+    while (true) {
+      auto [ec, socket] = co_await listener_->async_accept(use_tuple);
+      if (ec) co_return;
+      boost::asio::co_spawn(io_, serve(std::make_shared<h1_stream>(std::move(socket))), boost::asio::detached);
+    }
+  }
+  awaitable<void> serve(std::shared_ptr<h1_stream> stream) {
+    connections_.insert(stream);
+    while (true) {
+      boost::beast::http::request<boost::beast::http::string_body> request;
+      auto [ec, size] = co_await boost::beast::http::async_read(stream->socket, stream->buffer, request, use_tuple);
+      if (ec) break;
+      ++requests;
+      if (request.target() == "/crash") {
+        ++crashes;
+        listener_->close();
+        for (const auto& connection : connections_) connection->close();
+        break;
+      }
+      co_await proxy_harness::send(*stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    }
+    connections_.erase(stream);
+  }
+
+  boost::asio::io_context& io_;
+  std::unique_ptr<tcp::acceptor> listener_;
+  std::uint16_t port_ = 0;
+  std::set<std::shared_ptr<h1_stream>> connections_;
+};
+
+TEST(quarantine_service, request_that_has_crashed_the_upstream_twice_is_refused) {
+  kernel k;
+  crashing_upstream upstream(k.io());
+  settings s;
+  s.id = "n1";
+  s.availability_zone = "dar-1";
+  s.region = "dar";
+  s.seed = 1;
+  s.caller_listen = "127.0.0.1:0";
+  s.mesh_listen = "127.0.0.1:0";
+  ASSERT_TRUE(k.add(std::make_unique<single_member_directory>(upstream.port())));
+  ASSERT_TRUE(k.add(std::move(*traffic_service::make(s))));
+  ASSERT_TRUE(k.add(std::move(*pool_service::make(s))));
+  ASSERT_TRUE(k.add(std::move(*quarantine_service::make(s))));
+  auto made = std::move(*proxy_service::make(s));
+  auto* proxy = static_cast<proxy_service*>(made.get());
+  ASSERT_TRUE(k.add(std::move(made)));
+  ASSERT_TRUE(k.start());
+  auto call = [&](std::string path) -> awaitable<h1_response> {
+    h1_stream stream{tcp_socket(k.io())};
+    const boost::asio::ip::tcp::endpoint where(boost::asio::ip::address_v4::loopback(), proxy->port());
+    (void)co_await stream.socket.async_connect(where, use_tuple);
+    co_await proxy_harness::send(stream, "GET " + path + " HTTP/1.1\r\nhost: h\r\n\r\n");
+    co_return co_await proxy_harness::read_response(stream);
+  };
+  bool done = false;
+  boost::asio::co_spawn(
+      k.io(),
+      [&]() -> awaitable<void> {
+        for (std::size_t crash = 1; crash <= 2; ++crash) {
+          const auto failed = co_await call("/crash");
+          EXPECT_EQ(failed.result_int(), 502U) << "crash " << crash;
+          EXPECT_EQ(upstream.crashes, crash);
+          // Calls that are lost within a second count as one crash.
+          boost::asio::steady_timer pause(k.io(), 1200ms);
+          (void)co_await pause.async_wait(use_tuple);
+          upstream.listen(upstream.port());
+        }
+        const std::size_t before = upstream.requests;
+        const auto refused = co_await call("/crash");
+        EXPECT_EQ(refused.result_int(), 503U);
+        EXPECT_EQ(refused["hd-refused"], "quarantined");
+        EXPECT_EQ(refused["hd-outcome"], "not-run");
+        EXPECT_EQ(upstream.requests, before);
+        EXPECT_EQ((co_await call("/other")).result_int(), 200U);
+        done = true;
+        k.io().stop();
+      },
+      boost::asio::detached);
+  k.io().run_for(30s);
+  EXPECT_TRUE(done);
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -3,6 +3,8 @@
 // not kept, requests that wait forever or are forwarded twice, and slots that are released twice or not at all.
 #include "traffic/traffic_core.h"
 
+#include <set>
+
 #include <boost/asio/co_spawn.hpp>
 #include <gtest/gtest.h>
 
@@ -92,6 +94,131 @@
   EXPECT_FALSE(core.pick(now, first, 7)) << "a first attempt must wait for the slot";
 }
 
+struct quarantine_test : traffic_core_test {
+  static constexpr request_fingerprint crashing{77, 0};
+
+  static request_attributes request(request_fingerprint fingerprint) {
+    request_attributes attributes = lookup();
+    attributes.fingerprint = fingerprint;
+    return attributes;
+  }
+  static request_attributes from_peer(request_fingerprint fingerprint) {
+    request_attributes attributes = request(fingerprint);
+    attributes.from_peer = true;
+    attributes.service = "certdesk";
+    attributes.upstream_version = "v1";
+    return attributes;
+  }
+  static quarantine_list_ptr listed(const listed_requests& requests) {
+    auto list = std::make_shared<quarantine_list>();
+    list->services["certdesk"] = requests;
+    return list;
+  }
+  void set_one_upstream(std::uint32_t slots) {
+    core.set_document(document({{"v1", full_share}}));
+    endpoint_record own = endpoint("t1", "v1");
+    own.slots = slots;
+    core.set_members({member("n1", "dar-1", {own})}, now);
+  }
+};
+
+TEST_F(quarantine_test, quarantined_request_reaches_no_upstream) {
+  set_one_upstream(4);
+  core.set_quarantine(listed({{crashing, request_standing::quarantined}}));
+  EXPECT_EQ(refused(request(crashing)), refusal_reason::quarantined);
+  EXPECT_EQ(refused(from_peer(crashing)), refusal_reason::quarantined);
+  EXPECT_EQ(chosen(request({1, 0})).target, "t1");
+}
+
+// A request that waits for a slot when its verdict comes would crash the upstream a moment later.
+TEST_F(quarantine_test, quarantined_request_leaves_the_queue) {
+  set_one_upstream(1);
+  const upstream_choice running = chosen(request({1, 0}));
+  ASSERT_FALSE(core.pick(now, from_peer(crashing), 7));
+  ASSERT_FALSE(core.pick(now, from_peer({2, 0}), 8));
+  core.set_quarantine(listed({{crashing, request_standing::quarantined}}));
+  const auto answers = core.take_answers(now);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].first, 7U);
+  EXPECT_EQ(std::get<refusal>(answers[0].second).reason, refusal_reason::quarantined);
+  finish(running);
+  const auto next = core.take_answers(now);
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].first, 8U);
+}
+
+// Requests with equal heads and other bodies must not be refused with the one that crashes upstreams.
+TEST_F(quarantine_test, body_decides_when_the_head_is_listed) {
+  set_one_upstream(4);
+  core.set_quarantine(listed({{{77, 5}, request_standing::quarantined}}));
+  request_attributes unread = request({77, 0});
+  unread.body_unread = true;
+  EXPECT_TRUE(std::holds_alternative<body_required>(core.pick(now, unread)));
+  EXPECT_EQ(refused(request({77, 5})), refusal_reason::quarantined);
+  EXPECT_EQ(chosen(request({77, 6})).target, "t1");
+  unread.fingerprint.head = 78;
+  EXPECT_EQ(chosen(unread).target, "t1");
+}
+
+TEST_F(quarantine_test, suspected_requests_run_one_at_a_time) {
+  set_one_upstream(8);
+  core.set_quarantine(listed({{crashing, request_standing::suspected}, {{2, 0}, request_standing::suspected}}));
+  const upstream_choice first = chosen(from_peer(crashing));
+  ASSERT_EQ(first.target, "t1");
+  EXPECT_EQ(refused(from_peer(crashing)), refusal_reason::on_trial);
+  EXPECT_EQ(refused(from_peer({2, 0})), refusal_reason::overloaded);
+  EXPECT_EQ(chosen(from_peer({3, 0})).target, "t1");
+  finish(first);
+  EXPECT_EQ(chosen(from_peer({2, 0})).target, "t1");
+}
+
+// Copies that run at several upstreams at a time crash them all before the verdict.
+TEST_F(quarantine_test, all_nodes_choose_the_same_upstream_for_a_suspected_request) {
+  std::set<std::string> targets;
+  for (std::uint64_t request_number = 1; request_number <= 20; ++request_number) {
+    const request_fingerprint suspect{request_number, 0};
+    std::set<std::string> of_this_request;
+    for (const std::string node : {"n1", "n2", "n3"}) {
+      traffic_core other({.node_id = node, .availability_zone = "dar-1", .region = "dar", .seed = seed});
+      other.set_document(document({{"v1", full_share}}));
+      other.set_members({member("n1", "dar-1", {endpoint("t1", "v1")}), member("n2", "dar-2", {endpoint("t2", "v1")}),
+                         member("n3", "mwa-1", {endpoint("t3", "v1")})},
+                        now);
+      other.set_quarantine(listed({{suspect, request_standing::suspected}}));
+      const pick_result answer = other.pick(now, request(suspect));
+      ASSERT_TRUE(std::holds_alternative<upstream_choice>(answer));
+      of_this_request.insert(std::get<upstream_choice>(answer).target);
+    }
+    EXPECT_EQ(of_this_request.size(), 1U);
+    targets.insert(of_this_request.begin(), of_this_request.end());
+  }
+  EXPECT_EQ(targets.size(), 3U) << "suspected requests must be spread over the upstreams";
+}
+
+TEST_F(quarantine_test, calls_of_an_upstream_that_is_leaving_are_no_sign_of_a_crash) {
+  set_one_upstream(4);
+  const upstream_choice first = chosen(request(crashing));
+  const upstream_choice second = chosen(request(crashing));
+  core.finish(now, {first.pick_id, call_outcome::connection_failed, 5ms, {}, call_ending::lost, crashing});
+  const auto reports = core.take_quarantine_reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(std::get<call_lost>(reports[0]).request, crashing);
+  core.report_statement("t1", {.leaving = true}, now);
+  core.finish(now, {second.pick_id, call_outcome::connection_failed, 5ms, {}, call_ending::lost, crashing});
+  EXPECT_TRUE(core.take_quarantine_reports().empty());
+}
+
+TEST_F(quarantine_test, responses_to_listed_requests_are_reported) {
+  set_one_upstream(4);
+  const upstream_choice first = chosen(request({1, 0}));
+  const upstream_choice second = chosen(request(crashing));
+  core.set_quarantine(listed({{crashing, request_standing::suspected}}));
+  core.finish(now, {first.pick_id, call_outcome::ok, 5ms, {}, call_ending::answered, {1, 0}});
+  EXPECT_TRUE(core.take_quarantine_reports().empty());
+  core.finish(now, {second.pick_id, call_outcome::ok, 5ms, {}, call_ending::answered, crashing});
+  EXPECT_EQ(core.take_quarantine_reports().size(), 1U);
+}
+
 // Without an answer, a request that waits for a slot of an upstream that has ended would wait forever, and so would a
 // graceful stop of the node.
 TEST_F(traffic_core_test, requests_waiting_for_an_upstream_that_has_ended_are_refused) {
