--- a/node/quarantine_service.cc
+++ b/node/quarantine_service.cc
@@ -41,9 +41,9 @@
 }  // namespace
 
 struct quarantine_service::state : std::enable_shared_from_this<quarantine_service::state> {
-  state(kernel& k, const settings& s) : kernel_(k), core(make_options(s)), inbox(k.executor(), inbox_capacity) {}
+  state(kernel& k, const settings& s) : owner(k), core(make_options(s)), inbox(k.executor(), inbox_capacity) {}
 
-  kernel& kernel_;
+  kernel& owner;
   quarantine_core core;
   mailbox<quarantine_message> inbox;
   address<traffic_message> traffic;
@@ -82,7 +82,7 @@
 
 void quarantine_service::state::apply(quarantine_output out) {
   for (upstream_check& wanted : out.checks) {
-    boost::asio::co_spawn(kernel_.executor(), check(shared_from_this(), std::move(wanted)), boost::asio::detached);
+    boost::asio::co_spawn(owner.executor(), check(shared_from_this(), std::move(wanted)), boost::asio::detached);
   }
   for (outgoing_quarantine_update& update : out.updates) {
     if (directory) directory.post(send_quarantine_update{std::move(update.to), std::move(update.update)});
@@ -116,7 +116,7 @@
     auto make = [&wanted](reply<upstream_connection_ptr> answer) {
       return acquire_connection{wanted.upstream_address, true, check_timeout, std::move(answer), true};
     };
-    auto asking = ask<upstream_connection_ptr>(self->kernel_.timers(), self->kernel_.executor(), self->pool,
+    auto asking = ask<upstream_connection_ptr>(self->owner.timers(), self->owner.executor(), self->pool,
                                                2 * check_timeout, make);
     auto connection = co_await std::move(asking);
     checked.refused = !connection && connection.failure().kind == error_kind::unreachable;
