--- a/node/quarantine_service.cc
+++ b/node/quarantine_service.cc
@@ -116,8 +116,8 @@
     auto make = [&wanted](reply<upstream_connection_ptr> answer) {
       return acquire_connection{wanted.upstream_address, true, check_timeout, std::move(answer), true};
     };
-    auto asking = ask<upstream_connection_ptr>(self->owner.timers(), self->owner.executor(), self->pool,
-                                               2 * check_timeout, make);
+    auto asking =
+        ask<upstream_connection_ptr>(self->owner.timers(), self->owner.executor(), self->pool, 2 * check_timeout, make);
     auto connection = co_await std::move(asking);
     checked.refused = !connection && connection.failure().kind == error_kind::unreachable;
     if (connection) return_to_pool(std::move(*connection));
