--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -14,6 +14,7 @@
 #include <boost/json/object.hpp>
 
 #include "kernel/log.h"
+#include "kernel/overloaded.h"
 #include "model/publisher_messages.h"
 #include "model/quarantine_messages.h"
 #include "model/raft_messages.h"
@@ -33,13 +34,6 @@
 // Combines a burst of changes, such as the restart of a zone, into a few posted lists.
 constexpr duration min_view_interval = milliseconds(50);
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 std::uint64_t wall_clock_milliseconds() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
@@ -133,13 +127,14 @@
       auto message = co_await inbox->receive();
       if (!message) co_return;
       const time_point now = timer_service::now();
-      std::visit(overloaded{[&](directory_tick&) { apply_output(core_.tick(now)); },
-                            [&](local_endpoint_changed& m) { apply_output(core_.set_endpoint(now, m.endpoint)); },
-                            [&](announce_draining&) { apply_output(core_.set_draining(now)); },
-                            [&](set_seeds& m) { core_.set_seeds(std::move(m.addresses)); },
-                            [&](get_members& m) { m.answer(core_.view()); },
-                            [&](send_quarantine_update& m) { send(std::move(m)); }},
-                 *message);
+      std::visit(
+          overloaded_handlers{[&](directory_tick&) { apply_output(core_.tick(now)); },
+                              [&](local_endpoint_changed& m) { apply_output(core_.set_endpoint(now, m.endpoint)); },
+                              [&](announce_draining&) { apply_output(core_.set_draining(now)); },
+                              [&](set_seeds& m) { core_.set_seeds(std::move(m.addresses)); },
+                              [&](get_members& m) { m.answer(core_.view()); },
+                              [&](send_quarantine_update& m) { send(std::move(m)); }},
+          *message);
     }
   }
 
--- a/node/quarantine_service.cc
+++ b/node/quarantine_service.cc
@@ -11,6 +11,7 @@
 #include <boost/json/object.hpp>
 
 #include "kernel/log.h"
+#include "kernel/overloaded.h"
 #include "model/quarantine_messages.h"
 #include "model/service_names.h"
 #include "model/traffic_messages.h"
@@ -25,13 +26,6 @@
 // On the same host a connection is accepted or refused at once; an upstream that does neither has not crashed.
 constexpr milliseconds check_timeout{500};
 
-template <class... Handlers>
-struct overloaded_handlers : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded_handlers(Handlers...) -> overloaded_handlers<Handlers...>;
-
 quarantine_options make_options(const settings& s) {
   std::random_device source;
   const std::uint64_t seed = s.seed != 0 ? s.seed : (static_cast<std::uint64_t>(source()) << 32) | source();
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "kernel/log.h"
+#include "kernel/overloaded.h"
 #include "model/service_names.h"
 
 namespace heatherdeck {
@@ -20,13 +21,6 @@
 // Evidence is sent at the tick nearest to the period that the document asks for.
 constexpr milliseconds evidence_tolerance = tick_period / 2;
 
-template <class... Handlers>
-struct overloaded_handlers : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded_handlers(Handlers...) -> overloaded_handlers<Handlers...>;
-
 }  // namespace
 
 result<std::unique_ptr<traffic_service>> traffic_service::make(const settings& own) {
