--- a/testing/quarantine_service_test.cc
+++ b/testing/quarantine_service_test.cc
@@ -7,6 +7,7 @@
 
 #include "model/request_fingerprint.h"
 #include "testing/proxy_harness.h"
+#include "testing/single_member_directory.h"
 #include "traffic/traffic_service.h"
 
 namespace heatherdeck {
@@ -78,41 +79,6 @@
   }
 }
 
-// A directory with one member, this process, and its one upstream.
-class single_member_directory : public service {
- public:
-  explicit single_member_directory(std::uint16_t port) : port_(port) {}
-  std::string_view name() const override { return to_name(service_name::directory); }
-  void publish(kernel& k) override {
-    inbox_ = std::make_unique<mailbox<directory_message>>(k.executor(), 64);
-    k.publish(name(), inbox_->address());
-  }
-  result<void> start(kernel& k) override {
-    BOOST_LEAF_AUTO(traffic, k.find<traffic_message>(to_name(service_name::traffic)));
-    member_record own{.node_id = "n1", .availability_zone = "dar-1", .region = "dar"};
-    own.endpoints = {{.service = "certdesk",
-                      .upstream_version = "v1",
-                      .target = "t1",
-                      .address = "127.0.0.1:" + std::to_string(port_),
-                      .state = upstream_state::ready,
-                      .slots = 4,
-                      .connections = 40}};
-    traffic.post(directory_changed{std::make_shared<const std::vector<member_record>>(1, std::move(own))});
-    auto document = std::make_shared<compiled_document>();
-    document->routes.push_back(
-        {.name = "all", .path_prefix = "/", .service = "certdesk", .timeout = 2s, .idempotent = false});
-    document->services["certdesk"] = {.name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
-    traffic.post(update_document{document});
-    return {};
-  }
-  void stop() override { inbox_->close(); }
-  boost::json::value dump() const override { return nullptr; }
-
- private:
-  std::uint16_t port_;
-  std::unique_ptr<mailbox<directory_message>> inbox_;
-};
-
 // An upstream that closes its listener and all connections when it gets a request to /crash.
 class crashing_upstream {
  public:
@@ -172,7 +138,7 @@
   s.seed = 1;
   s.caller_listen = "127.0.0.1:0";
   s.mesh_listen = "127.0.0.1:0";
-  ASSERT_TRUE(k.add(std::make_unique<single_member_directory>(upstream.port())));
+  ASSERT_TRUE(k.add(std::make_unique<single_member_directory>()));
   ASSERT_TRUE(k.add(std::move(*traffic_service::make(s))));
   ASSERT_TRUE(k.add(std::move(*pool_service::make(s))));
   ASSERT_TRUE(k.add(std::move(*quarantine_service::make(s))));
@@ -180,6 +146,19 @@
   auto* proxy = static_cast<proxy_service*>(made.get());
   ASSERT_TRUE(k.add(std::move(made)));
   ASSERT_TRUE(k.start());
+  k.find<directory_message>(to_name(service_name::directory))
+      ->post(local_endpoint_changed{{.service = "certdesk",
+                                     .upstream_version = "v1",
+                                     .target = "t1",
+                                     .address = "127.0.0.1:" + std::to_string(upstream.port()),
+                                     .state = upstream_state::ready,
+                                     .slots = 4,
+                                     .connections = 40}});
+  auto document = std::make_shared<compiled_document>();
+  document->routes.push_back(
+      {.name = "all", .path_prefix = "/", .service = "certdesk", .timeout = 2s, .idempotent = false});
+  document->services["certdesk"] = {.name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
+  k.find<traffic_message>(to_name(service_name::traffic))->post(update_document{document});
   auto call = [&](std::string path) -> awaitable<h1_response> {
     h1_stream stream{tcp_socket(k.io())};
     const boost::asio::ip::tcp::endpoint where(boost::asio::ip::address_v4::loopback(), proxy->port());
