Logs: requests that end without a complete response, and what is open at the drain limit

A node told neither which requests of callers it cut nor why, and drain_limit_reached named the service only. The hypotheses on requests lost around a planned stop could not be told apart.

request_unanswered is written for each exchange that ends without a complete response: id, cause, state of the attempt, route, target, age. drain_limit_reached shows the state of the service that overran the limit, and the proxy counts its sessions by kind. No change of logic; proxy_fault_test and kernel_test pass.

--- a/kernel/kernel.cc
+++ b/kernel/kernel.cc
@@ -103,7 +103,7 @@
         finished->try_send(boost::system::error_code(boost::asio::error::timed_out));
       });
       auto [ec] = co_await finished->async_receive(use_tuple);
-      if (ec) log_event(log_level::warning, "drain_limit_reached", {{"service", s->name()}});
+      if (ec) log_event(log_level::warning, "drain_limit_reached", {{"service", s->name()}, {"state", s->dump()}});
     }
     s->stop();
     log_event(log_level::debug, "service_stopped", {{"service", s->name()}});
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -56,9 +56,14 @@
         arrived_(timer_service::now()),
         core_(head_.limits, arrived_) {}
 
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
+  ~exchange();
+
   awaitable<exchange_result> run();
 
  private:
+  exchange_result abort(unanswered_cause cause);
   awaitable<scoped_pick> request_pick(request_attributes wanted);
   awaitable<outcome<upstream_link_ptr>> open_link();
   awaitable<attempt_result> run_attempt();
@@ -102,8 +107,34 @@
   bool replayable_ = true;
   bool upload_done_ = false;
   bool attempt_ended_ = false;  // the attempt has a result: `send_request` must not write any more
+  // Removed when the response is complete; the exchange is destroyed early only when the process ends.
+  std::optional<unanswered_cause> unanswered_ = unanswered_cause::process_ended;
+  std::optional<attempt_failure> last_failure_;
 };
 
+exchange::~exchange() {
+  if (!unanswered_) return;
+  const bool chosen = static_cast<bool>(pick_);
+  const milliseconds since_sent = std::chrono::duration_cast<milliseconds>(timer_service::now() - sent_at_);
+  log_event(log_level::info, "request_unanswered",
+            {{"request", head_.request_id},
+             {"cause", to_name(*unanswered_)},
+             {"failure", last_failure_ ? to_name(*last_failure_) : std::string_view()},
+             {"state", chosen ? to_name(core_.state()) : std::string_view("waiting")},
+             {"attempts", core_.attempts()},
+             {"route", chosen ? pick_.choice().route : std::string()},
+             {"target", chosen ? pick_.choice().target : std::string()},
+             {"from_peer", head_.limits.from_peer},
+             {"age_ms", age().count()},
+             {"attempt_ms", chosen && core_.attempts() > 0 ? since_sent.count() : 0}});
+}
+
+exchange_result exchange::abort(unanswered_cause cause) {
+  unanswered_ = cause;
+  caller_->abort();
+  return exchange_result::aborted;
+}
+
 milliseconds exchange::age() const {
   return head_.age + std::chrono::duration_cast<milliseconds>(timer_service::now() - arrived_);
 }
@@ -188,10 +219,7 @@
 }
 
 awaitable<exchange_result> exchange::end_without_body(const error& failure) {
-  if (failure.kind != error_kind::bad_message) {
-    caller_->abort();
-    co_return exchange_result::aborted;
-  }
+  if (failure.kind != error_kind::bad_message) co_return abort(unanswered_cause::body_unreadable);
   exchange_decision decision = core_.decide_after_failure(attempt_failure::cancelled, timer_service::now(), false);
   decision.status = 400;
   auto responding = respond(decision, {}, "the body is invalid");
@@ -263,6 +291,7 @@
   auto sending =
       send_error_response(*caller_, decision.status, decision.execution, std::move(details), head_.request_id);
   co_await std::move(sending);
+  unanswered_.reset();
   co_return caller_->body_done() ? exchange_result::reusable : exchange_result::close;
 }
 
@@ -490,8 +519,7 @@
     // The pick may have waited long for a free slot; a caller that has disconnected meanwhile must not cause any work.
     if (caller_->disconnected()) {
       pick_.finish({});
-      caller_->abort();
-      co_return exchange_result::aborted;
+      co_return abort(unanswered_cause::caller_disconnected);
     }
     const upstream_choice& choice = pick_.choice();
     pinned_service_ = choice.service;
@@ -499,8 +527,10 @@
     core_.begin_attempt(choice.idempotent, choice.timeout, timer_service::now(), choice.attempts);
     auto attempting = run_attempt();
     const attempt_result result = co_await std::move(attempting);
-    if (result.end == attempt_end::completed)
+    if (result.end == attempt_end::completed) {
+      unanswered_.reset();
       co_return caller_->body_done() ? exchange_result::reusable : exchange_result::close;
+    }
     if (result.end == attempt_end::retry) continue;
     const bool caller_failed =
         result.end == attempt_end::caller_disconnected || result.end == attempt_end::caller_body_invalid;
@@ -517,10 +547,9 @@
                   {},
                   lost ? call_ending::lost : call_ending::unknown,
                   fingerprint()});
-    if (decision.action == next_action::abort || result.end == attempt_end::caller_disconnected) {
-      caller_->abort();
-      co_return exchange_result::aborted;
-    }
+    last_failure_ = failure;
+    if (result.end == attempt_end::caller_disconnected) co_return abort(unanswered_cause::caller_disconnected);
+    if (decision.action == next_action::abort) co_return abort(unanswered_cause::response_broken_off);
     if (decision.action == next_action::retry) {
       tried_targets_.push_back(pick_.choice().target);
       continue;
--- a/node/exchange.h
+++ b/node/exchange.h
@@ -30,6 +30,24 @@
   });
 };
 
+/// Why a caller gets no complete response.
+enum class unanswered_cause {
+  process_ended,        ///< the process stopped while the exchange was in progress
+  caller_disconnected,  ///< the caller has closed its connection or reset its stream
+  body_unreadable,      ///< the request body could not be read
+  response_broken_off,  ///< the response had begun when the upstream failed or the deadline passed
+};
+
+template <>
+struct enum_table<unanswered_cause> {
+  static constexpr auto entries = std::to_array<enum_entry<unanswered_cause>>({
+      {unanswered_cause::process_ended, "process_ended"},
+      {unanswered_cause::caller_disconnected, "caller_disconnected"},
+      {unanswered_cause::body_unreadable, "body_unreadable"},
+      {unanswered_cause::response_broken_off, "response_broken_off"},
+  });
+};
+
 /// Contents of an error response besides its status.
 struct refusal_details {
   std::string refused_reason;       ///< machine-readable reason (hd-refused); empty: none
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -58,6 +58,7 @@
   static awaitable<void> accept_streams(std::shared_ptr<state> self);
   static awaitable<void> collect_ended_sessions(std::shared_ptr<state> self);
   void spawn_session(std::uint64_t id, session_kind kind, awaitable<session_counts> task);
+  boost::json::object count_sessions() const;
 
   executor_type executor;
   mailbox<incoming_stream> streams;
@@ -67,6 +68,7 @@
   proxy_context_ptr context;
   address<directory_message> directory;
   std::map<std::uint64_t, address<session_message>> sessions;
+  std::map<session_kind, std::size_t> session_counts_by_kind;
   std::string request_id_prefix;
   std::uint64_t next_session_id = 1;
   std::uint64_t requests = 0;
@@ -88,7 +90,14 @@
   return {};
 }
 
+boost::json::object proxy_service::state::count_sessions() const {
+  boost::json::object counts;
+  for (const auto& [kind, count] : session_counts_by_kind) counts[to_name(kind)] = count;
+  return counts;
+}
+
 void proxy_service::state::spawn_session(std::uint64_t id, session_kind kind, awaitable<session_counts> task) {
+  ++session_counts_by_kind[kind];
   boost::asio::co_spawn(executor, std::move(task),
                         [end = ended_sessions.address(), id, kind](std::exception_ptr failure, session_counts counts) {
                           if (failure) log_event(log_level::error, "session_failed", {{"kind", to_name(kind)}});
@@ -147,6 +156,7 @@
     auto end = co_await std::move(receiving);
     if (!end) co_return;
     self->sessions.erase(end->session_id);
+    --self->session_counts_by_kind[end->kind];
     self->requests += end->requests;
     self->aborted += end->aborted;
     self->session_ended_signal.try_send(boost::system::error_code{});
@@ -171,7 +181,7 @@
   context->traffic.post(start_draining{});
   if (context->mesh) context->mesh.post(refuse_new_streams{});
   for (const auto& [id, session] : sessions) session.post(begin_drain{});
-  log_event(log_level::info, "proxy_draining", {{"sessions", sessions.size()}});
+  log_event(log_level::info, "proxy_draining", {{"sessions", count_sessions()}});
 }
 
 proxy_service::proxy_service(const settings& s, const http_dialect& dialect)
@@ -256,6 +266,7 @@
   return boost::json::object{{"listen", listen_},
                              {"port", state_->port},
                              {"sessions", state_->sessions.size()},
+                             {"sessions_by_kind", state_->count_sessions()},
                              {"requests", state_->requests},
                              {"cut", state_->aborted},
                              {"draining", state_->draining}};
