Stop: the drain ends at 95 % of stop_grace instead of five sixths

A node broke off what was in flight at five sixths of the time after which it is killed. A response that became ready just before that moment, or in the last sixth, was lost although the process had time to deliver it; so was a call of another node, which then answered its caller with 502.

What remains after the drain takes no time that callers need: the process closes its connections, and a kill does the same. planned_stop, delivers_a_response_that_is_ready_before_the_process_is_killed: no response before (upstream ready at 87 % of stop_grace), 200 now.

--- a/model/settings.h
+++ b/model/settings.h
@@ -87,8 +87,8 @@
 /// @return the mesh addresses that gossip contacts first: those of all control hosts, and `seeds`.
 std::vector<std::string> seed_addresses(const settings& s);
 
-/// @return the time limit for draining at shutdown: drain_limit, but at most five sixths of stop_grace, so that the
-/// process exits before it is killed.
+/// @return the time limit for draining at shutdown: drain_limit, but at most 95 % of stop_grace, so that the process
+/// exits before it is killed.
 std::chrono::milliseconds effective_drain_limit(const settings& s);
 
 /// Documentation of one key of the settings file.
