Stop: requests that could outlast the process are refused

Callers lost requests around a planned stop: a node accepts callers for half of stop_grace after the SIGTERM and ends at a fixed time, whatever is in flight then. The longer stop_grace, the longer it accepts requests that take more time than it has left. Nothing that decides on a request knew when the process ends.

start_draining now carries the end of the drain. A request that comes within stop_notice_ms (3 s: callers take that long to notice a stop) is accepted if its objective is before the end, a later one only if its deadline is; otherwise it is refused as not executed.

--- a/model/settings.cc
+++ b/model/settings.cc
@@ -80,6 +80,9 @@
     {"stop_grace_ms", &settings::stop_grace, 0, 3'600'000,
      "time after which a stopping process is killed; draining ends at 95 % of it; 0: only drain_limit_ms "
      "applies"},
+    {"stop_notice_ms", &settings::stop_notice, 0, 3'600'000,
+     "role node: time in which callers notice that a process is stopping; a request that comes later is refused unless "
+     "its deadline is before the end of the drain"},
 };
 
 constexpr number_row number_rows[] = {
--- a/model/settings.h
+++ b/model/settings.h
@@ -76,6 +76,7 @@
   std::chrono::milliseconds keepalive{5'000};
   std::chrono::milliseconds announcement_period{500};
   std::chrono::milliseconds stop_grace{0};  ///< 0: only drain_limit bounds a shutdown
+  std::chrono::milliseconds stop_notice{3'000};
   double convergence_weight = 0.5;  ///< 1: favour convergence and rollback; 0: favour few bytes and good versions
   double rollout_exposure = 0.1;    ///< part of a service's requests that a bad version may get in an ordered rollout
   std::vector<control_host> control_hosts;
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -209,7 +209,10 @@
 };
 
 /// Sent by `proxy` when the process begins its graceful shutdown; later requests from peers are refused as `draining`.
-struct start_draining {};
+struct start_draining {
+  time_point noticed_at;  ///< callers that come later may know that the process is stopping
+  time_point ends_at;     ///< what is in flight then is broken off
+};
 
 using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
                                      finish_call, local_load, upstream_stated, start_draining, quarantine_changed>;
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -31,6 +31,8 @@
 constexpr std::size_t max_sessions = 8'192;
 constexpr std::size_t stream_capacity = 4'096;
 constexpr int backlog = 4'096;
+// Responses that are ready this long before the end of the drain still reach their callers.
+constexpr milliseconds delivery_margin{500};
 
 error listen_error(const std::string& address, const std::string& text) {
   return {error_kind::bad_settings, "cannot listen for callers at caller_listen: " + text,
@@ -53,7 +55,7 @@
   void start_caller_session(tcp_socket socket);
   void start_peer_session(incoming_stream incoming);
   void accept_pending_connections();
-  void begin_draining();
+  void begin_draining(const start_draining& stop);
   static awaitable<void> accept_callers(std::shared_ptr<state> self);
   static awaitable<void> accept_streams(std::shared_ptr<state> self);
   static awaitable<void> collect_ended_sessions(std::shared_ptr<state> self);
@@ -175,10 +177,10 @@
   acceptor.close(ec);
 }
 
-void proxy_service::state::begin_draining() {
+void proxy_service::state::begin_draining(const start_draining& stop) {
   draining = true;
   if (directory) directory.post(announce_draining{});
-  context->traffic.post(start_draining{});
+  context->traffic.post(stop);
   if (context->mesh) context->mesh.post(refuse_new_streams{});
   for (const auto& [id, session] : sessions) session.post(begin_drain{});
   log_event(log_level::info, "proxy_draining", {{"sessions", count_sessions()}});
@@ -189,7 +191,9 @@
       node_id_(s.id),
       caller_service_(s.caller_service),
       dialect_(&dialect),
-      accept_while_draining_(s.stop_grace / 2) {}
+      accept_while_draining_(s.stop_grace / 2),
+      stop_notice_(s.stop_notice),
+      drain_limit_(effective_drain_limit(s)) {}
 
 proxy_service::~proxy_service() { stop(); }
 
@@ -238,7 +242,8 @@
 
 awaitable<void> proxy_service::drain() {
   const auto self = state_;
-  self->begin_draining();
+  const time_point now = timer_service::now();
+  self->begin_draining({now + stop_notice_, now + drain_limit_ - std::min<duration>(drain_limit_, delivery_margin)});
   if (accept_while_draining_ > duration::zero() && self->acceptor.is_open()) {
     auto expired = std::make_shared<wake_signal>(self->executor);
     const subscription timer = self->context->timers->after(accept_while_draining_, [expired] { expired->set(); });
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -53,6 +53,8 @@
   const http_dialect* dialect_;
   duration idle_timeout_ = std::chrono::seconds(60);
   duration accept_while_draining_;
+  duration stop_notice_;
+  duration drain_limit_;
   std::shared_ptr<state> state_;
 };
 
--- a/testing/planned_stop_test.cc
+++ b/testing/planned_stop_test.cc
@@ -31,10 +31,11 @@
   milliseconds timeout;
 };
 
-// A stop lasts 2 s in these tests.
 constexpr milliseconds stop_grace = 2s;
+constexpr milliseconds stop_notice = 200ms;
 const std::map<std::string, route_times> routes = {
     {"/lookup", {50ms, 200ms, 300ms}},
+    {"/report", {600ms, 1000ms, 6000ms}},
     {"/archive", {1700ms, 5000ms, 6000ms}},
     {"/export", {1800ms, 5000ms, 6000ms}},
 };
@@ -50,6 +51,7 @@
     s.seed = 1;
     s.caller_listen = "127.0.0.1:0";
     s.stop_grace = stop_grace;
+    s.stop_notice = stop_notice;
     node_ = std::make_unique<kernel>();
     node_->set_drain_limit(effective_drain_limit(s));
     ASSERT_TRUE(node_->add(std::make_unique<single_member_directory>()));
@@ -161,9 +163,11 @@
     call(at, "/lookup");
     call(at, "/archive");
   }
+  call(50ms, "/report");
   stop_node(0ms);
   EXPECT_EQ(responses("/lookup"), std::vector<unsigned>(5, 200U)) << "what can end in time is served";
   EXPECT_EQ(responses("/archive"), std::vector<unsigned>(5, 503U)) << "what cannot is refused at once as not executed";
+  EXPECT_EQ(responses("/report"), std::vector<unsigned>{200U}) << "its caller could not know of the stop";
 }
 
 // The drain ended at five sixths of the time after which the process is killed.
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -334,10 +334,54 @@
   core.set_members({member("n1", "dar-1", {endpoint("t1", "v1", upstream_state::draining)})}, now);
   EXPECT_EQ(refused(attributes), refusal_reason::draining);
   set_two_versions();
-  core.start_draining();
+  core.start_draining({now, now + 1min});
   EXPECT_EQ(refused(attributes), refusal_reason::draining);
 }
 
+struct stopping_traffic_core : traffic_core_test {
+  void SetUp() override {
+    auto d = document({{"v1", full_share}});
+    d->routes.front().objective = 2s;
+    d->routes.front().timeout = 10s;
+    core.set_document(d);
+    endpoint_record one_slot = endpoint("t1", "v1");
+    one_slot.slots = 1;
+    core.set_members({member("n1", "dar-1", {one_slot})}, now);
+  }
+};
+
+TEST_F(stopping_traffic_core, refuses_what_could_outlast_the_process) {
+  core.start_draining({now + 3s, now + 8s});
+  request_attributes patient = lookup();
+  patient.deadline = 15s;
+  request_attributes short_lived = lookup();
+  short_lived.deadline = 4s;
+  finish(chosen(patient));
+  now += 3s;
+  EXPECT_EQ(refused(patient), refusal_reason::draining) << "callers can know of the stop";
+  finish(chosen(short_lived));
+  now += 1500ms;
+  EXPECT_EQ(refused(short_lived), refusal_reason::draining) << "its deadline is after the end";
+}
+
+TEST_F(stopping_traffic_core, refuses_early_requests_whose_objective_is_after_the_end) {
+  core.start_draining({now + 3s, now + 4s});
+  now += 2500ms;
+  EXPECT_EQ(refused(lookup()), refusal_reason::draining);
+}
+
+TEST_F(stopping_traffic_core, answers_waiting_requests_before_the_end) {
+  finish(chosen());  // shows the service time
+  const upstream_choice running = chosen();
+  ASSERT_TRUE(running.local);
+  ASSERT_FALSE(core.pick(now, lookup(), 7)) << "it waits for the slot";
+  core.start_draining({now, now + 1s});
+  EXPECT_TRUE(core.take_answers(now + 500ms).empty());
+  const auto answers = core.take_answers(now + 1100ms);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<refusal>(answers.front().second));
+}
+
 TEST_F(traffic_core_test, retry_avoids_the_failed_target_and_is_limited_by_the_retry_budget) {
   core.set_document(document({{"v1", 10'000}}));
   set_two_versions();
--- a/traffic/admission_queue.cc
+++ b/traffic/admission_queue.cc
@@ -140,6 +140,13 @@
   return expired;
 }
 
+void admission_queue::limit_waiting(time_point end) {
+  for (admission_request& r : waiting_) {
+    r.objective = std::min(r.objective, end);
+    r.deadline = std::min(r.deadline, end);
+  }
+}
+
 std::vector<std::uint64_t> admission_queue::take_all() {
   std::vector<std::uint64_t> all;
   for (const admission_request& r : waiting_) all.push_back(r.id);
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -90,6 +90,9 @@
   /// @return ids of the waiting requests that can no longer meet their objective; they are removed.
   std::vector<std::uint64_t> take_expired(time_point now);
 
+  /// Moves objective and deadline of the waiting requests to `end` if they are later.
+  void limit_waiting(time_point end);
+
   /// @return ids of all waiting requests; the queue is empty afterwards.
   std::vector<std::uint64_t> take_all();
 
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -98,7 +98,7 @@
 
 std::optional<pick_result> traffic_core::pick_for_peer(time_point now, const request_attributes& attributes,
                                                        std::uint64_t waiter_id) {
-  if (stopping_) return refuse(refusal_reason::draining);
+  if (stop_) return refuse(refusal_reason::draining);
   const auto found = services_.find(attributes.service);
   if (found == services_.end()) return refuse(refusal_reason::no_upstream);
   if (auto answer = check_quarantine(attributes.service, attributes)) return answer;
@@ -130,6 +130,21 @@
   return admit_locally(now, {attributes.service, route, attributes, local[*index], now, false}, waiter_id);
 }
 
+void traffic_core::start_draining(const heatherdeck::start_draining& stop) {
+  stop_ = stop;
+  for (const auto& [key, u] : upstreams_) u->admission.limit_waiting(stop.ends_at);
+}
+
+// Callers that cannot know of the stop yet send what they would send anyway, and nearly all of it ends within its
+// objective. Later ones have other nodes, so they are served only where no slow call can outlast the drain.
+bool traffic_core::may_be_broken_off(time_point now, const route_policy& route,
+                                     const request_attributes& attributes) const {
+  if (!stop_) return false;
+  const auto limit = attributes.deadline ? std::min(route.timeout, *attributes.deadline) : route.timeout;
+  const bool noticed = now >= stop_->noticed_at || route.objective.count() == 0;
+  return now + (noticed ? limit : std::min(limit, route.objective)) > stop_->ends_at;
+}
+
 std::optional<pick_result> traffic_core::check_quarantine(const std::string& service,
                                                           const request_attributes& attributes) {
   if (quarantine_->services.empty()) return std::nullopt;
@@ -282,6 +297,7 @@
     return refuse(refusal_reason::retry_budget);
   }
   const route_policy route = route_policy_for(&rule, attributes);
+  if (attributes.attempt == 0 && may_be_broken_off(now, route, attributes)) return refuse(refusal_reason::draining);
   const bool has_short_deadline = attributes.deadline && *attributes.deadline <= short_deadline;
   const request_class kind =
       !route.idempotent || has_short_deadline ? request_class::reserved : request_class::ordinary;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -103,8 +103,10 @@
   /// @return what calls that have ended show about requests that crash upstreams, for the service "quarantine".
   std::vector<quarantine_message> take_quarantine_reports() { return std::exchange(quarantine_reports_, {}); }
 
-  /// Refuses requests from other nodes from now on.
-  void start_draining() { stopping_ = true; }
+  /// Prepares for the end of the process: requests from other nodes are refused from now on. Requests from callers are
+  /// refused if they could be broken off: until `noticed_at` if their objective is after the end, and then if their
+  /// deadline is. Requests that wait for a slot are refused before the end.
+  void start_draining(const start_draining& stop);
 
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
   /// @return versions that are cut at this node from now on.
@@ -181,6 +183,7 @@
                                            std::uint64_t waiter_id);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
+  bool may_be_broken_off(time_point now, const route_policy& route, const request_attributes& attributes) const;
   std::optional<pick_result> check_quarantine(const std::string& service, const request_attributes& attributes);
   bool suspected(const std::string& service, const request_attributes& attributes) const;
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
@@ -236,7 +239,7 @@
   bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
   std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
-  bool stopping_ = false;
+  std::optional<heatherdeck::start_draining> stop_;  ///< set while the process is stopping
 };
 
 }  // namespace heatherdeck
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -134,7 +134,7 @@
     cut.push_back(boost::json::object{{"service", service}, {"version", name}});
   }
   return boost::json::object{{"document", document_ ? document_->document_version.text() : "none"},
-                             {"draining", stopping_},
+                             {"draining", stop_.has_value()},
                              {"pending", pending_.size()},
                              {"picks", counters_.picks},
                              {"refusals", counters_.refusals},
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -90,7 +90,7 @@
                  [&](const finish_call& m) { core_.finish(now, m); },
                  [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
                  [&](const upstream_stated& m) { on_statement(now, m); },
-                 [&](const start_draining&) { core_.start_draining(); },
+                 [&](const start_draining& m) { core_.start_draining(m); },
                  [&](quarantine_changed& m) { core_.set_quarantine(std::move(m.list)); },
              },
              message);
