Stop: the services that the proxy uses run until it has drained

For up to 8 s a stopping node saw no change of the other members, told nobody that it was draining, and refused its upstream's announcements.

A service can name optional dependencies, which are started before it and stopped after it if they are registered; proxy names what it uses. planned_stop, hears_its_upstream_while_it_drains: connection refused before, 200 now; kernel, optional_dependencies_that_are_registered_run_until_the_drain_has_ended.

--- a/kernel/kernel.cc
+++ b/kernel/kernel.cc
@@ -53,12 +53,19 @@
       return fail(error_kind::internal, "the dependencies of service '" + std::string(s->name()) + "' form a cycle",
                   "remove a service from the dependencies() of one of the services in the cycle");
     }
+    const auto find_service = [&](std::string_view dependency) {
+      return std::find_if(services_.begin(), services_.end(),
+                          [&](const auto& other) { return other->name() == dependency; });
+    };
     for (const std::string_view dependency : s->dependencies()) {
-      const auto found = std::find_if(services_.begin(), services_.end(),
-                                      [&](const auto& other) { return other->name() == dependency; });
+      const auto found = find_service(dependency);
       if (found == services_.end()) return fail(missing_service_error(dependency));
       BOOST_LEAF_CHECK(visit(found->get()));
     }
+    for (const std::string_view dependency : s->optional_dependencies()) {
+      const auto found = find_service(dependency);
+      if (found != services_.end()) BOOST_LEAF_CHECK(visit(found->get()));
+    }
     order.push_back(s);
     return {};
   };
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -207,6 +207,12 @@
   return {to_name(service_name::traffic), to_name(service_name::pool)};
 }
 
+// While the node drains it needs the members as they change, and its upstream needs someone to announce itself to.
+std::vector<std::string_view> proxy_service::optional_dependencies() const {
+  return {to_name(service_name::mesh), to_name(service_name::directory), to_name(service_name::announcements),
+          to_name(service_name::quarantine), to_name(service_name::subscriber)};
+}
+
 void proxy_service::publish(kernel& k) {
   state_ = std::make_shared<state>(k);
   k.publish(name(), state_->streams.address());
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -29,6 +29,7 @@
 
   std::string_view name() const override;
   std::vector<std::string_view> dependencies() const override;
+  std::vector<std::string_view> optional_dependencies() const override;
   void publish(kernel& k) override;
   result<void> start(kernel& k) override;
   awaitable<void> drain() override;
--- a/testing/kernel_test.cc
+++ b/testing/kernel_test.cc
@@ -17,10 +17,15 @@
 
 class recording_service : public service {
  public:
-  recording_service(std::string name, std::vector<std::string_view> dependencies, std::vector<std::string>* log)
-      : name_(std::move(name)), dependencies_(std::move(dependencies)), log_(log) {}
+  recording_service(std::string name, std::vector<std::string_view> dependencies, std::vector<std::string>* log,
+                    std::vector<std::string_view> optional_dependencies = {})
+      : name_(std::move(name)),
+        dependencies_(std::move(dependencies)),
+        optional_dependencies_(std::move(optional_dependencies)),
+        log_(log) {}
   std::string_view name() const override { return name_; }
   std::vector<std::string_view> dependencies() const override { return dependencies_; }
+  std::vector<std::string_view> optional_dependencies() const override { return optional_dependencies_; }
   result<void> start(kernel&) override {
     log_->push_back("start " + name_);
     return {};
@@ -31,6 +36,7 @@
  private:
   std::string name_;
   std::vector<std::string_view> dependencies_;
+  std::vector<std::string_view> optional_dependencies_;
   std::vector<std::string>* log_;
 };
 
@@ -46,6 +52,19 @@
   EXPECT_EQ(log, (std::vector<std::string>{"start mesh", "start proxy", "stop proxy", "stop mesh"}));
 }
 
+// A service that an earlier row of the table uses would otherwise stop before that one has drained.
+TEST(kernel, optional_dependencies_that_are_registered_run_until_the_drain_has_ended) {
+  std::vector<std::string> log;
+  kernel k;
+  ASSERT_TRUE(k.add(std::make_unique<recording_service>("proxy", std::vector<std::string_view>{}, &log,
+                                                        std::vector<std::string_view>{"directory", "quarantine"})));
+  ASSERT_TRUE(k.add(std::make_unique<recording_service>("directory", std::vector<std::string_view>{}, &log)));
+  ASSERT_TRUE(k.start());
+  boost::asio::co_spawn(k.io(), k.stop(), boost::asio::detached);
+  k.io().run();
+  EXPECT_EQ(log, (std::vector<std::string>{"start directory", "start proxy", "stop proxy", "stop directory"}));
+}
+
 // A missing dependency must fail the start with a remedy instead of a null pointer dereference later.
 TEST(kernel, missing_dependency_fails_the_start_and_names_the_setting) {
   std::vector<std::string> log;
--- a/testing/planned_stop_test.cc
+++ b/testing/planned_stop_test.cc
@@ -13,6 +13,7 @@
 
 #include "kernel/kernel.h"
 #include "model/service_names.h"
+#include "node/announcement_service.h"
 #include "node/h1_stream.h"
 #include "node/pool_service.h"
 #include "node/proxy_service.h"
@@ -50,17 +51,23 @@
     s.region = "dar";
     s.seed = 1;
     s.caller_listen = "127.0.0.1:0";
+    s.upstream_listen = "127.0.0.1:0";
     s.stop_grace = stop_grace;
     s.stop_notice = stop_notice;
     node_ = std::make_unique<kernel>();
     node_->set_drain_limit(effective_drain_limit(s));
-    ASSERT_TRUE(node_->add(std::make_unique<single_member_directory>()));
+    // In the order of the daemon's table.
     ASSERT_TRUE(node_->add(std::move(*traffic_service::make(s))));
     ASSERT_TRUE(node_->add(std::move(*pool_service::make(s))));
     auto made = std::move(*proxy_service::make(s));
     const auto* proxy = static_cast<proxy_service*>(made.get());
     ASSERT_TRUE(node_->add(std::move(made)));
+    auto announcements = std::move(*announcement_service::make(s));
+    const auto* announced_to = static_cast<announcement_service*>(announcements.get());
+    ASSERT_TRUE(node_->add(std::move(announcements)));
+    ASSERT_TRUE(node_->add(std::make_unique<single_member_directory>()));
     ASSERT_TRUE(capture([this] { return node_->start(); }));
+    upstream_listen_ = "127.0.0.1:" + std::to_string(announced_to->port());
     address_ = "127.0.0.1:" + std::to_string(proxy->port());
     set_document_and_upstream();
     thread_ = std::thread([this] {
@@ -75,15 +82,25 @@
   }
 
   /// Calls `path` at a time after the first call.
-  void call(duration at, std::string path) {
+  void call(duration at, std::string path) { send(at, address_, {.method = "GET", .path = std::move(path)}); }
+
+  /// Announces the upstream in a state at a time after the first call.
+  void announce(duration at, const std::string& state) {
+    http_request put{.method = "PUT", .path = "/v1/announcement"};
+    put.body = R"({"service":"certdesk","version":"v1","target":"t1","address":"127.0.0.1:9","slots":4,"state":")" +
+               state + R"(","born":1000,"sequence":1})";
+    send(at, upstream_listen_, std::move(put));
+  }
+
+  /// Sends a request at a time after the first one.
+  void send(duration at, const std::string& address, http_request request) {
     ++calls_;
     boost::asio::co_spawn(
         world_.io(),
-        [this, at, path]() -> awaitable<void> {
+        [this, at, address, request]() -> awaitable<void> {
           co_await sleep(at);
-          const http_request request{.method = "GET", .path = path};
-          const auto response = co_await http_call(world_.timers(), world_.executor(), address_, request, 5s);
-          responses_[path].push_back(response ? response->status : 0U);
+          const auto response = co_await http_call(world_.timers(), world_.executor(), address, request, 5s);
+          responses_[request.path].push_back(response ? response->status : 0U);
           if (++answered_ == calls_) world_.io().stop();
         },
         boost::asio::detached);
@@ -153,6 +170,7 @@
   boost::asio::ip::tcp::acceptor upstream_{world_.io(), {boost::asio::ip::address_v4::loopback(), 0}};
   std::thread thread_;
   std::string address_;
+  std::string upstream_listen_;
   std::map<std::string, std::vector<unsigned>> responses_;
   int calls_ = 0;
   int answered_ = 0;
@@ -177,5 +195,13 @@
   EXPECT_EQ(responses("/export"), std::vector<unsigned>{200U});
 }
 
+// The directory and the announcements ended before the drain began.
+TEST_F(planned_stop, hears_its_upstream_while_it_drains) {
+  call(0ms, "/export");
+  announce(500ms, "draining");
+  stop_node(50ms);
+  EXPECT_EQ(responses("/v1/announcement"), std::vector<unsigned>{200U});
+}
+
 }  // namespace
 }  // namespace heatherdeck
