Log store: the state loaded at a start is durable before it is used

What callers could see: an acknowledged change that is gone after a power loss, although no more disks were lost than are tolerated; or a control host that doesn't start again and reports a corrupt log.

Change: `open` syncs the folder before it reads any file, and the last segment after it was read.

Evidence: `loaded_state_survives_a_power_loss` kills the process after each of 0 to 79 file operations, loads the state, cuts the power and loads again.

--- a/consensus/log_store.h
+++ b/consensus/log_store.h
@@ -9,7 +9,8 @@
 ///
 /// `persist` returns only after everything is durable. After any error the store rejects all further calls, because a
 /// failed sync may have lost dirty pages; the process must stop. On start a torn tail (a batch that was never
-/// acknowledged) is truncated; damage that affects acknowledged data is reported as `corrupt`.
+/// acknowledged) is truncated; damage that affects acknowledged data is reported as `corrupt`. The state that `open`
+/// loads is durable.
 ///
 /// Not thread-safe; `log_writer` runs it on a thread of its own.
 ///
--- a/consensus/log_store_load.cc
+++ b/consensus/log_store_load.cc
@@ -1,8 +1,8 @@
 // Loads the store on start. Invariants: acknowledged data is never dropped silently; a file that fails its checks is
 // reported as corrupt, with its path. Only bytes of the last batch are ever truncated: a batch is acknowledged after
 // its sync, and the mark of the next batch is written after that, so damage before a valid batch mark affects
-// acknowledged data. Damage inside the last batch cannot be distinguished from a torn write and is treated as one. The
-// cost is one read of all files.
+// acknowledged data. Damage inside the last batch cannot be distinguished from a torn write and is treated as one.
+// Everything that is loaded is durable when `open` returns. The cost is one read of all files and two syncs.
 #include <algorithm>
 #include <random>
 #include <string_view>
@@ -48,6 +48,9 @@
   BOOST_LEAF_CHECK(file_system_->create_folder(options_.folder));
   BOOST_LEAF_ASSIGN(lock_, file_system_->lock(path("lock")));
   BOOST_LEAF_AUTO(names, file_system_->list(options_.folder));
+  // A process that was killed before a sync leaves names and bytes that only the page cache holds. The core acknowledges
+  // what is loaded here without another write, so it is made durable first, the bytes in `load_segment`.
+  BOOST_LEAF_CHECK(sync_folder());
   for (const std::string& name : names) {
     if (name.ends_with(temporary_suffix)) BOOST_LEAF_CHECK(file_system_->remove(path(name)));
   }
@@ -146,8 +149,10 @@
     }
     return truncate_torn_tail(segments_.back(), bytes, reader.offset());
   }
-  if (is_last) return open_last_segment();
-  return {};
+  if (!is_last) return {};
+  BOOST_LEAF_CHECK(open_last_segment());
+  ++syncs_;
+  return last_segment_file_->sync();
 }
 
 result<void> log_store::truncate_torn_tail(segment& last, const std::string& bytes, std::size_t valid) {
--- a/testing/log_store_test.cc
+++ b/testing/log_store_test.cc
@@ -190,6 +190,40 @@
   }
 }
 
+// A process that is killed before a sync leaves state that only the page cache holds. The next process loads it and the
+// core acknowledges it, so a power loss after the load must not lose it.
+TEST_F(log_store_test, loaded_state_survives_a_power_loss) {
+  for (int allowed = 0; allowed < 80; ++allowed) {
+    SCOPED_TRACE(fmt::format("the process is killed after {} operations", allowed));
+    disk = {};
+    {
+      auto store = open();
+      ASSERT_TRUE(store);
+      disk.operations_left = allowed;
+      for (std::uint64_t i = 1; i <= 20; ++i) {
+        persist_state action = entries(i, i);
+        if (i % 4 == 0) action.hard = hard_state{i, "a", "s1"};
+        if (i % 7 == 0) action.snapshot = snapshot(i - 2, 1);
+        if (!persist_one(*store, action)) break;
+      }
+    }
+    disk.operations_left = -1;
+    stored_state loaded;
+    {
+      auto store = open();
+      ASSERT_TRUE(store) << store.failure().message();
+      loaded = store->take_state();
+    }
+    disk.crash();
+    auto store = open();
+    ASSERT_TRUE(store) << store.failure().message();
+    const stored_state found = store->take_state();
+    EXPECT_EQ(found.hard, loaded.hard);
+    EXPECT_EQ(found.entries, loaded.entries);
+    EXPECT_EQ(found.snapshot ? found.snapshot->index : 0, loaded.snapshot ? loaded.snapshot->index : 0);
+  }
+}
+
 // A flipped byte in acknowledged data must not be accepted, nor silently drop the entries after it.
 TEST_F(log_store_test, flipped_byte_before_the_last_batch_is_refused) {
   std::size_t last_batch = 0;
