Ledger test: rollouts, withdrawn versions and stored answers after a restore

Every control host continues from an image after a restart, so what the final fault must not take back has to be in it: a rollout that was ordered, its share and state, withdrawn versions, the version that makes outdated steps fail, and the answers to resent submissions, also the refusals. Until now a random schedule compared whole images, and one test the stored answers.

It fails when the restore drops the rollouts, the withdrawn versions, the versions of the last rollout changes or the stored refusals (each tried).

--- a/testing/ledger_test.cc
+++ b/testing/ledger_test.cc
@@ -167,6 +167,45 @@
   EXPECT_EQ(encode_image(copy->content()), encode_image(h.state.content()));
 }
 
+// After a restart every control host continues from an image: an acknowledged rollout, its progress, withdrawn versions
+// and the answers to resent submissions must be in it.
+TEST(ledger, rollouts_and_answers_survive_a_restore) {
+  for (const bool withdrawn : {false, true}) {
+    host h = started();
+    const submission order = h.change("order", {{"rollouts", "certdesk: { from: v1, to: v2, finish_within_s: 60 }\n"}});
+    const command_result ordered = h.apply(order);
+    ASSERT_TRUE(ordered.ok()) << ordered.refusal.message();
+    ASSERT_TRUE(h.step(100, rollout_status::running).ok());
+    const set_rollout_step outdated{"certdesk", "v2", 5000, rollout_status::running, ordered.accepted_version};
+    const submission refused = h.change("refused", {{"routes.b", "- {name: x, service: gone}\n"}});
+    const command_result refusal = h.apply(refused);
+    ASSERT_FALSE(refusal.ok());
+    if (withdrawn) {
+      ASSERT_TRUE(h.apply(withdraw_version{"certdesk", "v2", "v2 failed 9 of 100 calls"}).ok());
+    }
+
+    const auto content = capture([&] { return decode_image(encode_image(h.state.content())); });
+    ASSERT_TRUE(content) << content.failure().message();
+    const auto restored = capture([&] { return ledger::restore(1, *content); });
+    ASSERT_TRUE(restored) << restored.failure().message();
+    host copy{*restored, h.next};
+    EXPECT_EQ(copy.state.document(), h.state.document());
+    ASSERT_NE(copy.rollout(), nullptr);
+    EXPECT_EQ(copy.rollout()->share, h.rollout()->share);
+    EXPECT_EQ(copy.rollout()->status, withdrawn ? rollout_status::rolled_back : rollout_status::running);
+    EXPECT_EQ(copy.state.document().withdrawn.size(), withdrawn ? 1U : 0U);
+    EXPECT_EQ(copy.shares(), h.shares());
+    EXPECT_EQ(copy.apply(order).accepted_version, ordered.accepted_version);
+    ASSERT_NE(copy.state.find("amina", "refused"), nullptr) << "a later change could make it acceptable";
+    EXPECT_EQ(copy.apply(refused).refusal.message(), refusal.refusal.message());
+    submission other = order;
+    other.edits[0].text = "{}\n";
+    EXPECT_EQ(copy.apply(other).refusal.kind, error_kind::usage) << "another content under an accepted id";
+    EXPECT_FALSE(copy.apply(outdated).ok()) << "a step decided before the last one is refused";
+    EXPECT_EQ(copy.state.document(), h.state.document());
+  }
+}
+
 // Versions after a restore must be newer than any version that nodes have; an epoch below that of the image would break
 // this.
 TEST(ledger, epoch_in_the_settings_must_not_be_lower_than_in_the_image) {
