Callers: a request head that comes in parts around the idle limit is read or refused

Callers on a kept connection saw it closed without any response when the first part of a request head came shortly before the idle limit (1 s during a drain) and the rest after it.

Cause: the limit of the idle connection ran on while the head was read, and its expiry ended the session without a response. The mark of the expiry also stayed set if the limit passed in the moment in which the head was complete; the next request on the connection was then refused as idle.

Change: the limit counts anew from the first bytes of a head; a head that does not end within it gets 408 with hd-outcome: not-run; the mark is cleared before each wait, and a request that has arrived is served although the limit passes.

The stale mark was found by reading; no run showed it. proxy_test and proxy_fault_test pass.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -200,6 +200,7 @@
 
  private:
   static awaitable<void> receive_messages(std::shared_ptr<caller_session> self);
+  void start_idle_timer();
   awaitable<bool> wait_for_request();
   awaitable<bool> serve_request();
   awaitable<void> reject(request_reader& reader, unsigned status, std::string text);
@@ -229,15 +230,23 @@
   }
 }
 
-// @return false if the connection must be closed.
-awaitable<bool> caller_session::wait_for_request() {
+void caller_session::start_idle_timer() {
+  expired_ = false;
   const duration timeout = draining_ ? std::min(drain_idle_timeout, context_->idle_timeout) : context_->idle_timeout;
   idle_timer_->set(timer_service::now() + timeout);
+}
+
+// The idle limit counts anew for the head, whose first bytes may arrive just before the limit.
+// @return false if the connection must be closed.
+awaitable<bool> caller_session::wait_for_request() {
+  start_idle_timer();
   if (stream_.buffer.size() != 0) co_return true;
   idle_ = true;
   auto [ec] = co_await stream_.socket.async_wait(boost::asio::socket_base::wait_read, use_tuple);
   idle_ = false;
-  co_return !ec && !expired_;
+  if (ec) co_return false;
+  start_idle_timer();
+  co_return true;
 }
 
 awaitable<void> caller_session::reject(request_reader& reader, unsigned status, std::string text) {
@@ -259,6 +268,9 @@
     if (request_reader::error_kind_of(ec) == error_kind::bad_message) {
       auto responding = reject(reader, too_long ? 431 : 400, "the request is malformed: " + ec.message());
       co_await std::move(responding);
+    } else if (expired_) {
+      auto responding = reject(reader, 408, "the request head did not arrive in time");
+      co_await std::move(responding);
     }
     co_return false;
   }
--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -218,6 +218,37 @@
   EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::timeout);
 }
 
+// Lets the time pass while the event loop runs.
+awaitable<void> pause(kernel& k, duration time) {
+  boost::asio::steady_timer timer(k.io(), time);
+  (void)co_await timer.async_wait(use_tuple);
+}
+
+// The idle limit ran on while the head was read: a caller whose head came in two parts around it got no response.
+TEST(proxy_fault, request_that_begins_before_the_idle_limit_is_answered) {
+  proxy_harness h(echo_upstream, 300ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await pause(h.k, 200ms);
+    co_await h.send(*caller, "GET /two-parts HTTP/1.1\r\nHo");
+    co_await pause(h.k, 200ms);
+    co_await h.send(*caller, "st: a\r\n\r\n");
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.body(), "GET /two-parts ");
+  });
+}
+
+TEST(proxy_fault, request_whose_head_does_not_end_is_refused_as_not_executed) {
+  proxy_harness h(echo_upstream, 100ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await h.send(*caller, "GET / HTTP/1.1\r\nHo");
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.result_int(), 408U);
+    EXPECT_EQ(response["hd-outcome"], "not-run");
+  });
+}
+
 // An upstream that closes each connection after its response without announcing it must not cause a failed POST.
 TEST(proxy_fault, stale_pooled_connections_lose_no_request) {
   int runs = 0;
