--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -1,6 +1,7 @@
 // Tests the proxy with failing upstreams and callers: non-idempotent requests are not repeated, hd-outcome is correct,
 // no caller gets the response to another request, and a graceful shutdown loses no request.
 #include <map>
+#include <thread>
 
 #include "testing/proxy_harness.h"
 
@@ -238,6 +239,27 @@
   });
 }
 
+// A late process refused a request that had arrived before the idle limit, because it read the socket after the timer.
+TEST(proxy_fault, request_that_arrives_before_the_idle_limit_of_a_late_process_is_served) {
+  proxy_harness h(echo_upstream, 300ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    // The second handler and a timer become due while the first one runs; the idle limit passes in the second one.
+    const time_point begin = timer_service::now();
+    const subscription earlier = h.k.timers().after(120ms, [] {});
+    boost::asio::steady_timer first(h.k.io(), begin + 100ms);
+    first.async_wait([&](auto) { std::this_thread::sleep_until(begin + 140ms); });
+    boost::asio::steady_timer second(h.k.io(), begin + 110ms);
+    second.async_wait([&](auto) {
+      const std::string request = "GET /in-time HTTP/1.1\r\nHost: a\r\n\r\n";
+      boost::asio::write(caller->socket, boost::asio::buffer(request));
+      std::this_thread::sleep_until(begin + 400ms);
+    });
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.body(), "GET /in-time ");
+  });
+}
+
 TEST(proxy_fault, request_whose_head_does_not_end_is_refused_as_not_executed) {
   proxy_harness h(echo_upstream, 100ms);
   h.run([&]() -> awaitable<void> {
