Mesh: a slow node keeps the calls that cannot be sent again

Callers got 504 for requests that their upstream answered, or saw their connection closed within an answer, when the node of the upstream did not run for about 2 s: a long handler at a tenth of a core, or a link that holds its frames for as long.

Cause: a connection on which nothing arrives within 1 s after a PING was closed with all its streams. The peer is not known to be dead then. That helps a call that may be sent elsewhere; a call that may not, or whose response has begun, only loses its response, and the upstream its work.

Change: streams have an action for silence. The others wait for the peer until their own deadlines, which every exchange has; the connection is closed after the last of them. The limits are unchanged.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -333,7 +333,8 @@
     co_return error{error_kind::unreachable, "the deadline has passed before the request was forwarded", {}, {}};
   request_head forwarded_head = head_;
   forwarded_head.age = age();
-  auto opening = open_mesh_upstream(context_, choice, forwarded_head, limits, timeout);
+  const silence_action on_silence = core_.may_repeat(replayable_) ? silence_action::fail : silence_action::wait;
+  auto opening = open_mesh_upstream(context_, choice, forwarded_head, limits, timeout, on_silence);
   auto opened = co_await std::move(opening);
   const auto failed = opened ? attempt_failure::closed : failure_of(opened.failure().kind);
   if (opened || failed != attempt_failure::connect_failed) core_.mark_sent();
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -90,6 +90,11 @@
 
 bool exchange_core::may_send(time_point now) const { return !deadline_ || now < *deadline_; }
 
+bool exchange_core::may_repeat(bool replayable) const {
+  return idempotent_ && replayable && attempts_ < attempt_limit() && limits_.retries_left > 0 &&
+         targets_reached_ + 1 < max_targets_;
+}
+
 void exchange_core::mark_sent() {
   if (state_ == attempt_state::not_sent) state_ = attempt_state::sent;
 }
@@ -114,8 +119,7 @@
 }
 
 bool exchange_core::try_consume_retry(bool proved_not_executed, time_point now, bool replayable) {
-  const std::uint32_t limit = limits_.from_peer ? 1 : max_attempts;
-  if (attempts_ >= limit || !replayable || !may_send(now)) return false;
+  if (attempts_ >= attempt_limit() || !replayable || !may_send(now)) return false;
   if (may_have_executed_ && !idempotent_) return false;
   if (proved_not_executed) return true;
   ++targets_reached_;
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -157,6 +157,10 @@
   /// @return false if the deadline has passed.
   bool may_send(time_point now) const;
 
+  /// @param replayable as for `decide_after_failure`.
+  /// @return whether another attempt could follow if this one fails after it may have been executed.
+  bool may_repeat(bool replayable) const;
+
   /// Must be called before the first byte of the request can leave the process.
   void mark_sent();
 
@@ -202,6 +206,7 @@
  private:
   // Decides whether another attempt is allowed and takes it from `retries_left` if the last one may have been executed.
   bool try_consume_retry(bool proved_not_executed, time_point now, bool replayable);
+  std::uint32_t attempt_limit() const { return limits_.from_peer ? 1 : max_attempts; }
   execution_status execution() const {
     return may_have_executed_ ? execution_status::unknown : execution_status::not_executed;
   }
--- a/node/mesh_upstream.cc
+++ b/node/mesh_upstream.cc
@@ -52,12 +52,12 @@
 
 awaitable<outcome<upstream_link_ptr>> open_mesh_upstream(proxy_context_ptr context, upstream_choice choice,
                                                          const request_head& head, exchange_limits limits,
-                                                         duration timeout) {
+                                                         duration timeout, silence_action on_silence) {
   const bool end = head.body == body_framing::none;
   std::string method = head.method;
   header_list fields = make_h2_request_fields(head, choice, limits);
   auto make = [&](reply<std::shared_ptr<h2_stream>> answer) {
-    return open_stream{choice.mesh_address, stream_kind::call, std::move(fields), end, std::move(answer)};
+    return open_stream{choice.mesh_address, stream_kind::call, std::move(fields), end, std::move(answer), on_silence};
   };
   if (!context->mesh)
     co_return error{error_kind::unreachable, "this process does not run the mesh service", "set mesh_listen", {}};
--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -282,6 +282,42 @@
   EXPECT_TRUE(client.closed());
 }
 
+// A stream that waits for a stopped process must not keep the connection for good, and new streams go elsewhere at
+// once.
+TEST(h2, connection_to_an_unresponsive_peer_ends_with_the_last_stream_that_waits) {
+  kernel k;
+  tcp::acceptor acceptor(k.executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  tcp::socket socket(k.executor());
+  socket.connect(acceptor.local_endpoint());
+  const tcp::socket frozen = acceptor.accept();
+  std::vector<h2_event> events;
+  h2_connection_options options;
+  options.peer = "frozen";
+  options.on_event = [&](h2_event e) { events.push_back(e); };
+  const h2_connection client = h2_connection::start(std::move(socket), k.timers(), std::move(options));
+  auto [ready, answer] = [&] {
+    auto channel = std::make_shared<reply<std::shared_ptr<h2_stream>>::channel_type>(k.executor(), 1);
+    return std::pair(channel, reply<std::shared_ptr<h2_stream>>(channel));
+  }();
+  client.open(stream_kind::call, request_headers, true, answer, silence_action::wait);
+  std::shared_ptr<h2_stream> waiting;
+  boost::asio::co_spawn(
+      k.io(),
+      [&, ready]() -> awaitable<void> {
+        auto [ec, stream] = co_await ready->async_receive(use_tuple);
+        waiting = *stream;
+      },
+      boost::asio::detached);
+  k.io().run_for(3s);
+  EXPECT_EQ(events, std::vector{h2_event::unresponsive});
+  EXPECT_FALSE(client.closed());
+  ASSERT_TRUE(waiting);
+  EXPECT_FALSE(waiting->closed());
+  waiting.reset();
+  k.io().run_for(100ms);
+  EXPECT_TRUE(client.closed());
+}
+
 TEST(h2, headers_beyond_the_limits_fail_only_their_own_stream) {
   connected_pair pair;
   pair.spawn([&] { return serve_echo(pair); });
--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -194,6 +194,89 @@
   });
 }
 
+// Stops the whole second node while its upstream is at work, as on a host whose processor is taken.
+void block_event_loop(duration time) { std::this_thread::sleep_for(time); }
+
+constexpr duration longer_than_a_ping_check = 3s;
+
+// A node that was slow for more than 1 s lost every call on its connections; those that cannot be sent again got 504
+// although their upstream answered them.
+TEST(proxy_peer, call_that_cannot_be_sent_again_survives_a_slow_second_node) {
+  second_node second([](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_whole_request(stream);
+    block_event_loop(longer_than_a_ping_check);
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  route_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    auto response = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), "ok");
+  });
+}
+
+// Its caller saw the connection closed within the answer.
+TEST(proxy_peer, answer_that_has_begun_survives_a_slow_second_node) {
+  second_node second([](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_whole_request(stream);
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha");
+    boost::asio::steady_timer relayed(stream.socket.get_executor(), 200ms);
+    (void)co_await relayed.async_wait(use_tuple);
+    block_event_loop(longer_than_a_ping_check);
+    co_await proxy_harness::send(stream, "lf");
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  route_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    auto response = co_await first.call("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), "half");
+  });
+}
+
+// A call that can be sent again must not wait for its deadline at a node that is stopped, and later calls must not be
+// sent on the connection to it, even if another call still waits there.
+TEST(proxy_peer, repeatable_call_leaves_a_second_node_that_does_not_respond) {
+  std::atomic<bool> started = false;
+  second_node second([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_whole_request(stream);
+    started = true;
+    block_event_loop(longer_than_a_ping_check + 1s);
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  route_to(first, second);
+  first.traffic->pick = [&first](const request_attributes& attributes) {
+    upstream_choice picked = first.choice;
+    picked.local = attributes.attempt > 0;
+    picked.idempotent = attributes.method != "POST";
+    return picked;
+  };
+  first.run([&]() -> awaitable<void> {
+    std::string waiting_body;
+    bool ended = false;
+    boost::asio::co_spawn(
+        first.k.io(),
+        [&]() -> awaitable<void> {
+          auto response = co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+          waiting_body = response.body();
+          ended = true;
+        },
+        boost::asio::detached);
+    EXPECT_TRUE(co_await eventually(first.k, [&] { return started.load(); }));
+    const time_point start = timer_service::now();
+    auto response = co_await first.call("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(response.body(), "GET /elsewhere ");
+    EXPECT_LT(timer_service::now() - start, 2900ms);
+    EXPECT_TRUE(co_await eventually(first.k, [&] { return ended; }));
+    EXPECT_EQ(waiting_body, "late");
+  });
+}
+
 struct broken_answer {
   const char* name;
   std::string sent;
--- a/wire/h2_connection.cc
+++ b/wire/h2_connection.cc
@@ -183,7 +183,7 @@
     });
   }
 
-  /// Sends a PING after a silence, and closes the connection if nothing arrives after it. Runs every
+  /// Sends a PING after a silence, and gives up the peer if nothing arrives after it. Runs every
   /// silence_check_period while streams are open.
   void check_silence() {
     if (session_->open_streams() == 0) {
@@ -196,9 +196,7 @@
     // The response to a PING may be older than one period at the next check, because timers fire late.
     if (last_received_ >= ping_sent_at_) checks_until_timeout_ = 0;
     if (checks_until_timeout_ > 0) {
-      if (--checks_until_timeout_ == 0) {
-        close({error_kind::timeout, "the peer sent nothing within 1 s after a PING", "use another process", {}});
-      }
+      if (--checks_until_timeout_ == 0) handle_silent_peer();
       return;
     }
     for (const silence_limit& row : silence_limits) {
@@ -211,6 +209,17 @@
     }
   }
 
+  /// The streams that wait end by their holders' deadlines. As long as nothing arrives, further PINGs bring the task
+  /// here again, so the connection does not outlive them even if their resets cannot be sent.
+  void handle_silent_peer() {
+    const error reason{error_kind::timeout, "the peer sent nothing within 1 s after a PING", "use another process", {}};
+    if (!std::exchange(unresponsive_reported_, true)) notify_owner(h2_event::unresponsive);
+    session_->fail_on_silence(reason.text);
+    if (!session_->has_unfailed_streams()) return close(reason);
+    if (options_.side == h2_side::client) outbox_->close_when_idle = true;
+    outbox_->signal.set();
+  }
+
   void close(const error& reason) {
     if (std::exchange(closed_, true)) return;
     const auto self = shared_from_this();
@@ -247,6 +256,7 @@
   bool goaway_sent_ = false;
   bool goaway_reported_ = false;
   bool calls_finished_reported_ = false;
+  bool unresponsive_reported_ = false;
   bool closed_ = false;
 };
 
@@ -278,8 +288,9 @@
 }
 
 void h2_connection::open(stream_kind kind, header_list headers, bool end_stream,
-                         const reply<std::shared_ptr<h2_stream>>& answer) const {
+                         const reply<std::shared_ptr<h2_stream>>& answer, silence_action on_silence) const {
   auto state = prepare(kind, std::move(headers), end_stream);
+  state->on_silence = on_silence;
   answer(std::make_shared<h2_stream>(state));
   state->notify();
 }
--- a/wire/h2_connection.h
+++ b/wire/h2_connection.h
@@ -10,7 +10,9 @@
 /// of the event loop are sent in one write.
 ///
 /// A process that is stopped (SIGSTOP, or a hung machine) keeps its sockets open. The task therefore sends a PING when
-/// streams are open and nothing arrives, and closes the connection if nothing at all arrives within 1 s after it.
+/// streams are open and nothing arrives. If nothing at all arrives within 1 s after it, the owner opens new streams
+/// elsewhere, and streams that can be opened elsewhere fail. The peer may only be slow, so the others wait for it, and
+/// the connection is closed when none is left.
 #pragma once
 
 #include <functional>
@@ -25,6 +27,7 @@
 
 enum class h2_event {
   goaway_received,  ///< the peer has sent GOAWAY: open new streams elsewhere
+  unresponsive,     ///< the peer has not responded to a PING: open new streams elsewhere
   calls_finished,   ///< after `refuse_new_streams`: the last incoming call has ended
   closed,           ///< the connection has ended
 };
@@ -48,8 +51,8 @@
 
   /// Opens a stream and replies with it. The requester is resumed before the connection's task, so what it writes in
   /// the same iteration of the event loop is sent together with the headers.
-  void open(stream_kind kind, header_list headers, bool end_stream,
-            const reply<std::shared_ptr<h2_stream>>& answer) const;
+  void open(stream_kind kind, header_list headers, bool end_stream, const reply<std::shared_ptr<h2_stream>>& answer,
+            silence_action on_silence = silence_action::fail) const;
 
   /// Sends GOAWAY: open streams continue, streams that the peer opens later are not processed.
   void refuse_new_streams() const;
--- a/wire/h2_session.cc
+++ b/wire/h2_session.cc
@@ -181,6 +181,7 @@
     const bool has_status = !fields.empty() && fields.front().first == ":status";
     if (has_status && !informational) {
       stream->headers = std::move(fields);
+      stream->response_begun = true;
       stream->inbound_changed.set();
     }
     end_inbound(stream, frame);
@@ -370,6 +371,19 @@
   streams_.clear();
 }
 
+void h2_session::fail_on_silence(const std::string& text) {
+  for (const auto& [id, stream] : streams_) {
+    const bool unsent = !stream->incoming && !stream->may_have_been_sent;
+    if (!unsent && !stream->fails_on_silence()) continue;
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    stream->fail(unsent ? error_kind::not_processed : error_kind::timeout, text, peer_);
+  }
+}
+
+bool h2_session::has_unfailed_streams() const {
+  return std::any_of(streams_.begin(), streams_.end(), [](const auto& item) { return !item.second->failure; });
+}
+
 bool h2_session::finished() const {
   return nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
 }
--- a/wire/h2_session.h
+++ b/wire/h2_session.h
@@ -63,6 +63,13 @@
   /// Fails every stream: own streams of which nothing was sent with `not_processed`, all others with `kind`.
   void fail_all(error_kind kind, const std::string& text);
 
+  /// Fails the streams that are not to wait for a peer that does not respond: with `timeout`, or with `not_processed`
+  /// if nothing of them was sent.
+  void fail_on_silence(const std::string& text);
+
+  /// @return true if a stream is open whose holder still waits for it.
+  bool has_unfailed_streams() const;
+
   /// @return true if nothing is left to receive or send, which happens after a GOAWAY.
   bool finished() const;
   bool received_goaway() const { return received_goaway_; }
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -46,6 +46,20 @@
   });
 };
 
+/// What becomes of a stream whose peer does not respond to a PING. The peer may be stopped, or slow for a moment.
+enum class silence_action {
+  fail,  ///< fails with `timeout`, unless its response has begun: its holder can use another process
+  wait,  ///< stays open until its holder gives up: nothing is gained by failing it before its own deadline
+};
+
+template <>
+struct enum_table<silence_action> {
+  static constexpr auto entries = std::to_array<enum_entry<silence_action>>({
+      {silence_action::fail, "fail"},
+      {silence_action::wait, "wait"},
+  });
+};
+
 class h2_stream_state;
 
 class h2_stream {
--- a/wire/h2_stream_state.h
+++ b/wire/h2_stream_state.h
@@ -51,6 +51,9 @@
   /// @return true if nothing more can be sent or received.
   bool finished() const { return failure.has_value() || (inbound_ended && outbound_ended); }
 
+  /// @return true if the stream is to be failed when the peer does not respond to a PING.
+  bool fails_on_silence() const { return !failure && !response_begun && on_silence == silence_action::fail; }
+
   const stream_kind kind;
   const bool incoming;  ///< opened by the peer
 
@@ -75,9 +78,12 @@
   std::size_t consumed = 0;  ///< body bytes read by the holder, not yet returned to the peer's window
   bool queued = false;       ///< this stream is in the outbox
 
+  silence_action on_silence = silence_action::fail;  ///< set before the stream is opened
+
   // Set by the connection's task.
   bool may_have_been_sent = false;
-  std::int32_t id = 0;  ///< HTTP/2 stream id; 0 until the stream is opened
+  bool response_begun = false;  ///< the peer's response headers have arrived
+  std::int32_t id = 0;          ///< HTTP/2 stream id; 0 until the stream is opened
 
   std::shared_ptr<h2_outbox> outbox;
 };
--- a/wire/mesh_messages.h
+++ b/wire/mesh_messages.h
@@ -20,6 +20,7 @@
   header_list headers;  ///< request headers after `hd-stream`; `:method` and `:path` default to POST and /
   bool end_stream = false;
   reply<std::shared_ptr<h2_stream>> answer;
+  silence_action on_silence = silence_action::fail;
 };
 
 /// Sends GOAWAY on all incoming connections: streams that are already open continue, new ones are refused as not
--- a/wire/mesh_task.cc
+++ b/wire/mesh_task.cc
@@ -1,8 +1,8 @@
 // Two loops with one mailbox each: messages of other services, and events of its own child tasks (handshakes and
 // connections). Only these loops access the maps of connections.
 // Invariants: at most one outgoing connection or connection attempt per address; requests that come meanwhile wait for
-// it in a bounded list. A connection whose peer has sent GOAWAY is removed when that event is handled, so later
-// requests connect anew. Cost: two look-ups per outgoing stream; bodies never pass through this task.
+// it in a bounded list. A connection whose peer has sent GOAWAY or does not respond is removed when that event is
+// handled, so later requests connect anew. Cost: two look-ups per outgoing stream; bodies never pass through this task.
 #include "wire/mesh_task.h"
 
 #include <algorithm>
@@ -196,7 +196,7 @@
 
 void mesh_task::open_on(const h2_connection& connection, open_stream& request) {
   auto headers = request_headers(request);
-  connection.open(request.kind, std::move(headers), request.end_stream, request.answer);
+  connection.open(request.kind, std::move(headers), request.end_stream, request.answer, request.on_silence);
 }
 
 void mesh_task::handle(refuse_new_streams&) { begin_drain(); }
