Mesh: a node keeps the calls of a slow node that it serves

Calls that take longer than 5 s on a quiet connection ended with a closed connection, and their upstreams lost the work, when the node that had sent them did not run for 1 s after the server's PING.

Cause: the server closed the connection with all its streams.

Change: incoming calls wait for their own deadlines, which the sending node forwards, until the whole response is written. Afterwards nothing limits the time, so such a stream fails after the PING as before. Other kinds of streams are unchanged.

--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -1,4 +1,5 @@
 // Tests of HTTP/2 connections over loopback: parallel streams, flow control, resets, GOAWAY and an unresponsive peer.
+#include <optional>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -318,6 +319,55 @@
   EXPECT_TRUE(client.closed());
 }
 
+// A client that was slow for more than 1 s lost the calls that it had waited 5 s for: the server closed the connection.
+TEST(h2, server_keeps_the_calls_of_a_slow_client) {
+  kernel slow;
+  kernel k;
+  tcp::acceptor acceptor(k.executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  tcp::socket socket(slow.executor());
+  socket.connect(acceptor.local_endpoint());
+  mailbox<request> requests{k.executor(), 16};
+  h2_connection_options options;
+  options.side = h2_side::server;
+  options.peer = "slow";
+  options.on_request = [inbox = requests.address()](std::shared_ptr<h2_stream_state> state, header_list headers) {
+    inbox.post({std::move(headers), std::make_shared<h2_stream>(std::move(state))});
+  };
+  const h2_connection server = h2_connection::start(acceptor.accept(), k.timers(), std::move(options));
+  options = {};
+  options.peer = "server";
+  const h2_connection client = h2_connection::start(std::move(socket), slow.timers(), std::move(options));
+  bool begun = false;
+  boost::asio::co_spawn(
+      k.io(),
+      [&]() -> awaitable<void> {
+        auto arrived = co_await requests.receive();
+        begun = true;
+        boost::asio::steady_timer timer(k.io(), 7s);
+        (void)co_await timer.async_wait(use_tuple);
+        const header_list headers = {{":status", "200"}};
+        (void)co_await arrived->stream->send_headers(headers, true);
+      },
+      boost::asio::detached);
+  std::optional<outcome<header_list>> answer;
+  boost::asio::co_spawn(
+      slow.io(),
+      [&]() -> awaitable<void> {
+        auto stream = client.open(stream_kind::call, request_headers, true);
+        answer = co_await stream->read_headers();
+      },
+      boost::asio::detached);
+  const time_point limit = timer_service::now() + 20s;
+  while (!begun && timer_service::now() < limit) {
+    slow.io().run_one_for(1ms);
+    k.io().run_one_for(1ms);
+  }
+  k.io().run_for(8s);  // the client's process does not run
+  slow.io().run_for(500ms);
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(*answer) << answer->failure().message();
+}
+
 TEST(h2, headers_beyond_the_limits_fail_only_their_own_stream) {
   connected_pair pair;
   pair.spawn([&] { return serve_echo(pair); });
--- a/wire/h2_session.cc
+++ b/wire/h2_session.cc
@@ -169,6 +169,7 @@
     if (frame.headers.cat == NGHTTP2_HCAT_REQUEST) {
       auto stream = std::make_shared<h2_stream_state>(session.executor_, session.outbox_, kind_of(fields),
                                                       /*opened_by_peer=*/true);
+      if (stream->kind == stream_kind::call) stream->on_silence = silence_action::wait;
       session.add(id, stream);
       end_inbound(stream.get(), frame);
       session.on_request_(std::move(stream), std::move(fields));
--- a/wire/h2_stream_state.h
+++ b/wire/h2_stream_state.h
@@ -52,7 +52,12 @@
   bool finished() const { return failure.has_value() || (inbound_ended && outbound_ended); }
 
   /// @return true if the stream is to be failed when the peer does not respond to a PING.
-  bool fails_on_silence() const { return !failure && !response_begun && on_silence == silence_action::fail; }
+  bool fails_on_silence() const {
+    if (failure) return false;
+    // The holder of an incoming call has a deadline only until it has written the whole response.
+    if (incoming) return on_silence == silence_action::fail || outbound_ended;
+    return !response_begun && on_silence == silence_action::fail;
+  }
 
   const stream_kind kind;
   const bool incoming;  ///< opened by the peer
