--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -1,6 +1,7 @@
 // Tests the proxy with failing upstreams and callers: non-idempotent requests are not repeated, hd-outcome is correct,
 // no caller gets the response to another request, and a graceful shutdown loses no request.
 #include <map>
+#include <thread>
 
 #include "testing/proxy_harness.h"
 
@@ -218,6 +219,58 @@
   EXPECT_EQ(h.traffic->finished[0].outcome, call_outcome::timeout);
 }
 
+// Lets the time pass while the event loop runs.
+awaitable<void> pause(kernel& k, duration time) {
+  boost::asio::steady_timer timer(k.io(), time);
+  (void)co_await timer.async_wait(use_tuple);
+}
+
+// The idle limit ran on while the head was read: a caller whose head came in two parts around it got no response.
+TEST(proxy_fault, request_that_begins_before_the_idle_limit_is_answered) {
+  proxy_harness h(echo_upstream, 300ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await pause(h.k, 200ms);
+    co_await h.send(*caller, "GET /two-parts HTTP/1.1\r\nHo");
+    co_await pause(h.k, 200ms);
+    co_await h.send(*caller, "st: a\r\n\r\n");
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.body(), "GET /two-parts ");
+  });
+}
+
+// A late process refused a request that had arrived before the idle limit, because it read the socket after the timer.
+TEST(proxy_fault, request_that_arrives_before_the_idle_limit_of_a_late_process_is_served) {
+  proxy_harness h(echo_upstream, 300ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    // The second handler and a timer become due while the first one runs; the idle limit passes in the second one.
+    const time_point begin = timer_service::now();
+    const subscription earlier = h.k.timers().after(120ms, [] {});
+    boost::asio::steady_timer first(h.k.io(), begin + 100ms);
+    first.async_wait([&](auto) { std::this_thread::sleep_until(begin + 140ms); });
+    boost::asio::steady_timer second(h.k.io(), begin + 110ms);
+    second.async_wait([&](auto) {
+      const std::string request = "GET /in-time HTTP/1.1\r\nHost: a\r\n\r\n";
+      boost::asio::write(caller->socket, boost::asio::buffer(request));
+      std::this_thread::sleep_until(begin + 400ms);
+    });
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.body(), "GET /in-time ");
+  });
+}
+
+TEST(proxy_fault, request_whose_head_does_not_end_is_refused_as_not_executed) {
+  proxy_harness h(echo_upstream, 100ms);
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await h.send(*caller, "GET / HTTP/1.1\r\nHo");
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.result_int(), 408U);
+    EXPECT_EQ(response["hd-outcome"], "not-run");
+  });
+}
+
 // An upstream that closes each connection after its response without announcing it must not cause a failed POST.
 TEST(proxy_fault, stale_pooled_connections_lose_no_request) {
   int runs = 0;
