--- a/consensus/log_store_load.cc
+++ b/consensus/log_store_load.cc
@@ -48,8 +48,8 @@
   BOOST_LEAF_CHECK(file_system_->create_folder(options_.folder));
   BOOST_LEAF_ASSIGN(lock_, file_system_->lock(path("lock")));
   BOOST_LEAF_AUTO(names, file_system_->list(options_.folder));
-  // A process that was killed before a sync leaves names and bytes that only the page cache holds. The core acknowledges
-  // what is loaded here without another write, so it is made durable first, the bytes in `load_segment`.
+  // A process that was killed before a sync leaves names and bytes that only the page cache holds. The core
+  // acknowledges what is loaded here without another write, so it is made durable first, the bytes in `load_segment`.
   BOOST_LEAF_CHECK(sync_folder());
   for (const std::string& name : names) {
     if (name.ends_with(temporary_suffix)) BOOST_LEAF_CHECK(file_system_->remove(path(name)));
