Callers: an early response is not lost while the caller still sends its body

A caller whose upstream answered before the whole body had come lost the end of the response if it went on sending for more than 1 s.

Cause: the session read and discarded the caller's data for 1 s in all, then closed the socket. Data that came afterwards reset the connection, and the reset discards the part of the response that the caller has not received.

Change: the second counts from the last data, and the whole time is bounded by the idle timeout. A caller that stops sending, as one does that has read the response, costs no more time than before.

Evidence: early_response_reaches_a_caller_that_sends_its_body_first sends for 2 s before it reads; its connection was reset after 1.1 s and 36,821 of 200,000 bytes arrived. All arrive now, 3 of 3 runs. proxy_test, proxy_fault_test and proxy_peer_test pass.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -19,7 +19,7 @@
 
 using request_reader = h1_reader<true>;
 
-// How long data that a caller sends after the last response is read and discarded.
+// A caller that has sent nothing for this time after the last response has taken note of it.
 constexpr duration lingering_close_timeout = std::chrono::seconds(1);
 
 error connection_error(const boost::system::error_code& ec) {
@@ -298,9 +298,10 @@
   boost::system::error_code ec;
   if (!stream_.socket.is_open()) co_return;
   stream_.socket.shutdown(tcp_socket::shutdown_send, ec);
-  idle_timer_->set(timer_service::now() + lingering_close_timeout);
+  const time_point latest_end = timer_service::now() + std::max(lingering_close_timeout, context_->idle_timeout);
   expired_ = false;
   while (!ec && !expired_) {
+    idle_timer_->set(std::min(latest_end, timer_service::now() + lingering_close_timeout));
     stream_.buffer.clear();
     auto [failed, size] = co_await stream_.socket.async_read_some(stream_.buffer.prepare(4096), use_tuple);
     ec = failed;
--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -271,6 +271,35 @@
   });
 }
 
+// The end of an early response was lost when the caller went on with its body for more than 1 s before it read it.
+TEST(proxy_fault, early_response_reaches_a_caller_that_sends_its_body_first) {
+  constexpr std::size_t size = 200'000;
+  proxy_harness h([](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    h1_reader<true> reader(stream);
+    (void)co_await reader.read_head();
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+    co_await proxy_harness::send(stream, std::string(size, 'x'));
+    (void)co_await reader.read_body();
+  });
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    caller->socket.set_option(boost::asio::socket_base::receive_buffer_size(16'384));
+    co_await h.send(*caller, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i <= 20; ++i) {
+      co_await pause(h.k, 100ms);
+      const std::string chunk = i < 20 ? "1\r\ny\r\n" : "0\r\n\r\n";
+      auto [ec, sent] = co_await boost::asio::async_write(caller->socket, boost::asio::buffer(chunk), use_tuple);
+      EXPECT_FALSE(ec) << ec.message() << " after " << i << " parts";
+      if (ec) break;
+    }
+    caller->socket.set_option(boost::asio::socket_base::receive_buffer_size(4'194'304));
+    auto response = co_await h.read_response(*caller);
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body().size(), size);
+  });
+}
+
 // An upstream that closes each connection after its response without announcing it must not cause a failed POST.
 TEST(proxy_fault, stale_pooled_connections_lose_no_request) {
   int runs = 0;
