Crash check: a connection that is refused is told apart from one that fails otherwise

What callers saw: nothing was reported; the fault was found by reading. A node whose upstream had lost a call could report a crash of an upstream that runs, and two such reports refuse an innocent request for 10 minutes.

Cause: the pool answered every failed connection except a timeout with `unreachable`, and the quarantine service took `unreachable` for a refused connection. A connection reset while it is established, a node without file descriptors and an address that cannot be parsed were crashes.

Change: the pool answers `refused` when the host of the upstream refuses the connection, and `unreachable` for what says nothing about the upstream. The check takes only `refused` for a crash. open_local_upstream still returns `unreachable` for both, as the links to other hosts do, so that exchanges don't change. The other users of `unreachable` (mesh_task, http_client) draw no conclusion about a process.

Evidence: of seven new tests in quarantine_service_test three failed on the code before, each with one crash reported instead of none (reset, no descriptors, bad address); refused, accepted, full backlog and limit of connections passed.

--- a/kernel/error.h
+++ b/kernel/error.h
@@ -31,6 +31,7 @@
   overloaded,       ///< a mailbox, queue or limit is full
   not_processed,    ///< the peer states that it did not process the request, so a retry is safe
   timeout,          ///< no response before the timeout
+  refused,          ///< the peer's host refuses the connection: nothing listens at its address
   unreachable,      ///< the peer cannot be reached
   closed,           ///< the connection or the mailbox is closed
   unauthorised,     ///< a key, signature or message authentication code is invalid
@@ -60,6 +61,7 @@
       {error_kind::overloaded, "overloaded"},
       {error_kind::timeout, "timeout"},
       {error_kind::not_processed, "not_processed"},
+      {error_kind::refused, "refused"},
       {error_kind::unreachable, "unreachable"},
       {error_kind::closed, "closed"},
       {error_kind::unauthorised, "unauthorised"},
--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -212,7 +212,12 @@
   auto asking = ask<upstream_connection_ptr>(*context->timers, context->executor, context->pool,
                                              timeout + std::chrono::seconds(1), make);
   auto connection = co_await std::move(asking);
-  if (!connection) co_return connection.failure();
+  if (!connection) {
+    error failure = connection.failure();
+    // An exchange handles a refused connection as any other that cannot be established, as links to other hosts do.
+    if (failure.kind == error_kind::refused) failure.kind = error_kind::unreachable;
+    co_return failure;
+  }
   upstream_link_ptr link = std::make_unique<local_upstream>(std::move(*connection), std::move(text), chunked,
                                                             is_head_request, head.request_id, *context->dialect);
   co_return std::move(link);
--- a/node/local_upstream.h
+++ b/node/local_upstream.h
@@ -13,7 +13,7 @@
 /// Acquires a connection; the request head is sent with the first part of the body.
 /// @param limits those of the next hop.
 /// @param timeout for establishing a connection.
-/// @return the link; after an error nothing has been sent.
+/// @return the link. Errors: `unreachable`, `timeout` and `overloaded`; after an error nothing has been sent.
 awaitable<outcome<upstream_link_ptr>> open_local_upstream(proxy_context_ptr context, upstream_choice choice,
                                                           const request_head& head, exchange_limits limits,
                                                           duration timeout);
--- a/node/pool_messages.h
+++ b/node/pool_messages.h
@@ -20,8 +20,9 @@
 /// Sent by the pool to itself every second: closes connections that are stale or idle for too long.
 struct pool_tick {};
 
-/// Requests a connection. Errors: `unreachable`, `timeout`, `overloaded` (all connections to the target are in use).
-/// After an error nothing has been sent to the upstream.
+/// Requests a connection. Errors: `refused` (the upstream does not run), `timeout`, `overloaded` (all connections to
+/// the target are in use), `unreachable` (any other failure, which says nothing about whether the upstream runs). After
+/// an error nothing has been sent to the upstream.
 struct acquire_connection {
   std::string upstream_address;  ///< "ip:port"
   bool non_idempotent = true;    ///< excludes connections that were idle for too long to be safe
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -34,6 +34,11 @@
           "check that the upstream listens on its announced address", address};
 }
 
+error_kind connect_error_kind(const boost::system::error_code& ec, bool timed_out) {
+  if (timed_out) return error_kind::timeout;
+  return ec == boost::asio::error::connection_refused ? error_kind::refused : error_kind::unreachable;
+}
+
 }  // namespace
 
 struct pool_service::state : std::enable_shared_from_this<pool_service::state> {
@@ -148,8 +153,7 @@
     }
     ++self->failures;
     const std::string text = timed_out ? std::string("no answer in time") : ec.message();
-    const error failure =
-        connect_error(timed_out ? error_kind::timeout : error_kind::unreachable, pending.upstream_address, text);
+    const error failure = connect_error(connect_error_kind(ec, timed_out), pending.upstream_address, text);
     log_error("upstream_connect_failed", failure);
     pending.answer(failure);
     self->inbox.address().post(release_connection{pending.upstream_address, nullptr});
--- a/node/quarantine_service.cc
+++ b/node/quarantine_service.cc
@@ -113,7 +113,7 @@
     auto asking =
         ask<upstream_connection_ptr>(self->owner.timers(), self->owner.executor(), self->pool, 2 * check_timeout, make);
     auto connection = co_await std::move(asking);
-    checked.refused = !connection && connection.failure().kind == error_kind::unreachable;
+    checked.refused = !connection && connection.failure().kind == error_kind::refused;
     if (connection) return_to_pool(std::move(*connection));
   }
   auto sending = self->inbox.address().send(std::move(checked));
--- a/testing/quarantine_service_test.cc
+++ b/testing/quarantine_service_test.cc
@@ -1,10 +1,14 @@
-// Runs the proxy, pool, traffic and quarantine services of one node with an upstream that crashes on one request, and
-// the proxy alone with a traffic service that asks for bodies. Guards against crashes that are not noticed, against
-// verdicts that do not reach the proxy, and against bodies that are read for a verdict and then forwarded in part.
+// Runs the proxy, pool, traffic and quarantine services of one node with an upstream that crashes on one request, the
+// proxy alone with a traffic service that asks for bodies, and the pool and quarantine services with upstreams that
+// lose calls. Guards against crashes that are not noticed or are reported of upstreams that run, against verdicts that
+// do not reach the proxy, and against bodies that are read for a verdict and then forwarded in part.
 #include "node/quarantine_service.h"
 
 #include <set>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "model/request_fingerprint.h"
 #include "testing/proxy_harness.h"
 #include "testing/single_member_directory.h"
@@ -128,6 +132,159 @@
   std::set<std::shared_ptr<h1_stream>> connections_;
 };
 
+// The services "pool" and "quarantine" of a node, and an upstream that has lost a call.
+class crash_check {
+ public:
+  crash_check() : listener_(k_.io()) {
+    settings s;
+    s.id = "n1";
+    s.seed = 1;
+    s.mesh_listen = "127.0.0.1:0";
+    EXPECT_TRUE(k_.add(std::move(*pool_service::make(s))));
+    EXPECT_TRUE(k_.add(std::move(*quarantine_service::make(s))));
+    EXPECT_TRUE(capture([this] { return k_.start(); }));
+    listener_.open(tcp::v4());
+    listener_.bind({boost::asio::ip::address_v4::loopback(), 0});
+    listener_.non_blocking(true);
+    address_ = "127.0.0.1:" + std::to_string(listener_.local_endpoint().port());
+  }
+
+  void listen(int backlog = 16) { listener_.listen(backlog); }
+  void set_address(std::string address) { address_ = std::move(address); }
+
+  // Connects without waiting for the upstream to accept.
+  void connect() {
+    clients_.emplace_back(k_.io(), tcp::v4());
+    clients_.back().async_connect(listener_.local_endpoint(), [](const boost::system::error_code&) {});
+  }
+
+  void take_connections(std::uint32_t limit) {
+    const auto pool = k_.find<pool_message>(to_name(service_name::pool));
+    pool->post(set_connection_limit{address_, limit});
+    for (std::uint32_t i = 0; i < limit; ++i) {
+      boost::asio::co_spawn(
+          k_.io(),
+          [this, pool = *pool]() -> awaitable<void> {
+            auto make = [this](reply<upstream_connection_ptr> answer) {
+              return acquire_connection{address_, true, 5s, std::move(answer)};
+            };
+            auto asking = ask<upstream_connection_ptr>(k_.timers(), k_.executor(), pool, 5s, make);
+            auto connection = co_await std::move(asking);
+            EXPECT_TRUE(connection);
+            if (connection) taken_.push_back(*connection);
+          },
+          boost::asio::detached);
+    }
+    while (taken_.size() < limit && k_.io().run_one_for(5s) != 0) {
+    }
+    ASSERT_EQ(taken_.size(), limit);
+  }
+
+  // Resets each connection as soon as it is established, before the node has seen that it is.
+  void reset_connections() {
+    tcp::socket accepted(k_.io());
+    boost::system::error_code none;
+    listener_.accept(accepted, none);
+    if (none) return;
+    accepted.set_option(boost::asio::socket_base::linger(true, 0));
+    accepted.close();
+  }
+
+  // Reports the lost call and runs the services until the check is over.
+  void lose_call(const std::function<void()>& after_each_handler = [] {}) {
+    k_.find<quarantine_message>(to_name(service_name::quarantine))
+        ->post(call_lost{"certdesk", "t1", address_, {.head = 7}});
+    // Longer than the check's timeout.
+    const time_point limit = timer_service::now() + 800ms;
+    while (crashes() == 0 && timer_service::now() < limit) {
+      k_.io().run_one_for(5ms);
+      after_each_handler();
+    }
+  }
+
+  std::int64_t crashes() const { return number_of(service_name::quarantine, "crashes"); }
+  std::int64_t failed_connections() const { return number_of(service_name::pool, "failures"); }
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+
+  std::int64_t number_of(service_name service, std::string_view member) const {
+    return k_.dump().at("services").at(to_name(service)).at(member).to_number<std::int64_t>();
+  }
+
+  kernel k_;
+  tcp::acceptor listener_;
+  std::string address_;
+  std::vector<tcp::socket> clients_;
+  std::vector<upstream_connection_ptr> taken_;
+};
+
+TEST(quarantine_service, upstream_that_refuses_connections_has_crashed) {
+  crash_check check;
+  check.lose_call();
+  EXPECT_EQ(check.failed_connections(), 1);
+  EXPECT_EQ(check.crashes(), 1);
+}
+
+TEST(quarantine_service, upstream_that_accepts_connections_has_not_crashed) {
+  crash_check check;
+  check.listen();
+  check.lose_call();
+  EXPECT_EQ(check.failed_connections(), 0);
+  EXPECT_EQ(check.crashes(), 0);
+}
+
+TEST(quarantine_service, upstream_that_resets_a_new_connection_has_not_crashed) {
+  crash_check check;
+  check.listen();
+  check.lose_call([&check] { check.reset_connections(); });
+  EXPECT_EQ(check.failed_connections(), 1);
+  EXPECT_EQ(check.crashes(), 0);
+}
+
+TEST(quarantine_service, upstream_with_a_full_backlog_has_not_crashed) {
+  crash_check check;
+  check.listen(0);
+  for (int i = 0; i < 3; ++i) check.connect();
+  check.lose_call();
+  EXPECT_EQ(check.failed_connections(), 1);
+  EXPECT_EQ(check.crashes(), 0);
+}
+
+TEST(quarantine_service, upstream_at_its_limit_of_connections_has_not_crashed) {
+  crash_check check;
+  check.listen();
+  check.take_connections(1);
+  check.lose_call();
+  EXPECT_EQ(check.failed_connections(), 1);
+  EXPECT_EQ(check.crashes(), 0);
+}
+
+TEST(quarantine_service, node_without_file_descriptors_reports_no_crash) {
+  crash_check check;
+  check.listen();
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  // The lowest free descriptor is the first one that may not be opened.
+  const int lowest_free = dup(0);
+  ASSERT_GE(lowest_free, 0);
+  close(lowest_free);
+  rlimit lowered = before;
+  lowered.rlim_cur = static_cast<rlim_t>(lowest_free);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+  check.lose_call();
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_EQ(check.failed_connections(), 1);
+  EXPECT_EQ(check.crashes(), 0);
+}
+
+TEST(quarantine_service, address_that_cannot_be_used_is_no_crash) {
+  crash_check check;
+  check.set_address("not an address");
+  check.lose_call();
+  EXPECT_EQ(check.crashes(), 0);
+}
+
 TEST(quarantine_service, request_that_has_crashed_the_upstream_twice_is_refused) {
   kernel k;
   crashing_upstream upstream(k.io());
