Kernel: reloads during a stop do not end the process

Callers of a stopping node lost every request in flight when it got SIGHUP twice. wait_for_reloads returned after the first SIGHUP that followed the begin of the stop and destroyed its signal set, which restores the default action; the next one terminated the process. Nothing was logged.

The reload task now handles signals until the process ends and ignores them during a stop. SIGHUP is ignored until the kernel handles it, so that it cannot end a process that is still starting.

The commit also gives each service's drain a channel of its own: after one had overrun the limit, drain_limit_reached could name services that had not.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,5 +1,6 @@
 // heatherdeckd: the daemon, whose settings enable the roles `control` and `node`. Invariant: the settings are validated
 // completely before any port is opened.
+#include <csignal>
 #include <cstdio>
 
 #include <gflags/gflags.h>
@@ -52,6 +53,8 @@
 }  // namespace heatherdeck
 
 int main(int argc, char** argv) {
+  // Until the kernel handles it: the default action would terminate a process that is still starting.
+  std::signal(SIGHUP, SIG_IGN);
   gflags::SetUsageMessage(
       "heatherdeckd --settings=FILE\n\n  Runs one process of the mesh, for example:\n"
       "    heatherdeckd --settings=/etc/heatherdeck/node.yaml");
--- a/kernel/kernel.cc
+++ b/kernel/kernel.cc
@@ -95,9 +95,10 @@
   if (std::exchange(stopping_, true)) co_return;
   // A service that is still draining at the deadline is stopped with its work in flight; the log names it.
   const time_point deadline = timer_service::now() + drain_limit_;
-  auto finished = std::make_shared<boost::asio::experimental::channel<void(boost::system::error_code)>>(executor(), 1);
   while (!started_.empty()) {
     service* s = started_.back();
+    auto finished =
+        std::make_shared<boost::asio::experimental::channel<void(boost::system::error_code)>>(executor(), 1);
     boost::asio::co_spawn(
         executor(),
         [s, finished]() -> awaitable<void> {
@@ -132,7 +133,8 @@
     log_event(log_level::info, "stopping", {{"signal", number}});
     boost::asio::co_spawn(io_, stop(), boost::asio::detached);
   });
-  // Always handled, also without a reload callback: the default action of SIGHUP would terminate the process.
+  // Always handled, also without a reload callback and during a stop: the default action of SIGHUP would terminate the
+  // process.
   boost::asio::co_spawn(io_, wait_for_reloads(), boost::asio::detached);
   io_.run();
   log_event(log_level::info, "stopped", {{"exit_code", exit_code_}});
@@ -141,10 +143,10 @@
 
 awaitable<void> kernel::wait_for_reloads() {
   boost::asio::signal_set signals(io_, SIGHUP);
-  while (!stopping_) {
+  while (true) {
     auto [ec, number] = co_await signals.async_wait(use_tuple);
     if (ec) co_return;
-    if (reload_callback_) reload_callback_();
+    if (!stopping_ && reload_callback_) reload_callback_();
   }
 }
 
--- a/testing/kernel_test.cc
+++ b/testing/kernel_test.cc
@@ -1,6 +1,7 @@
 // Tests of the kernel: start and stop order, look-up by name, bounded mailboxes, responses, timeouts and timers.
 #include "kernel/kernel.h"
 
+#include <csignal>
 #include <thread>
 
 #include <boost/asio/co_spawn.hpp>
@@ -70,6 +71,40 @@
   EXPECT_EQ(log, (std::vector<std::string>{"start directory", "start proxy", "stop proxy", "stop directory"}));
 }
 
+/// Its drain takes half a second.
+class slow_service : public service {
+ public:
+  std::string_view name() const override { return "slow"; }
+  result<void> start(kernel& k) override {
+    kernel_ = &k;
+    return {};
+  }
+  awaitable<void> drain() override {
+    boost::asio::steady_timer timer(kernel_->executor(), 500ms);
+    (void)co_await timer.async_wait(use_tuple);
+  }
+  void stop() override {}
+  boost::json::value dump() const override { return {}; }
+
+ private:
+  kernel* kernel_ = nullptr;
+};
+
+[[noreturn]] void stop_with_two_reloads() {
+  kernel k;
+  if (!capture([&] { return k.add(std::make_unique<slow_service>()); })) std::_Exit(2);
+  k.set_reload_callback([] {});
+  subscription signals[] = {k.timers().after(50ms, [] { std::raise(SIGTERM); }),
+                            k.timers().after(150ms, [] { std::raise(SIGHUP); }),
+                            k.timers().after(250ms, [] { std::raise(SIGHUP); })};
+  std::_Exit(k.run());
+}
+
+// The second SIGHUP during a stop ended the process with everything in flight.
+TEST(kernel, reloads_during_a_stop_do_not_end_the_process) {
+  EXPECT_EXIT(stop_with_two_reloads(), testing::ExitedWithCode(0), "");
+}
+
 // A missing dependency must fail the start with a remedy instead of a null pointer dereference later.
 TEST(kernel, missing_dependency_fails_the_start_and_names_the_setting) {
   std::vector<std::string> log;
