--- a/wire/http_listener.cc
+++ b/wire/http_listener.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "wire/endpoint.h"
+#include "wire/wake_signal.h"
 
 namespace heatherdeck {
 namespace {
@@ -79,7 +80,8 @@
 }  // namespace
 
 struct http_listener::state : std::enable_shared_from_this<http_listener::state> {
-  state(asio::io_context& io, http_handler serve) : acceptor(io), handler(std::move(serve)) {}
+  state(asio::io_context& io, http_handler serve)
+      : acceptor(io), handler(std::move(serve)), request_ended(io.get_executor()) {}
 
   awaitable<void> accept_loop() {
     const auto self = shared_from_this();
@@ -105,7 +107,8 @@
       stream.expires_after(idle_limit);
       auto [read_error, read_size] = co_await http::async_read(stream, buffer, parser, use_tuple);
       if (read_error) break;
-      const bool keep_alive = parser.get().keep_alive();
+      ++requests;
+      const bool keep_alive = parser.get().keep_alive() && !draining;
       const unsigned http_version = parser.get().version();
       // A handler may wait for a change (long polling), so the idle limit does not apply to it.
       stream.expires_never();
@@ -120,14 +123,27 @@
       stream.expires_after(idle_limit);
       auto [write_error, written] = co_await http::async_write(stream, response, use_tuple);
       keep = !write_error && keep_alive;
+      --requests;
+      request_ended.set();
     }
     beast::error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     connections.erase(connection);
   }
 
+  awaitable<void> drain() {
+    const auto self = shared_from_this();
+    draining = true;
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    while (requests != 0 && !stopped) {
+      if (!co_await request_ended.wait()) co_return;
+    }
+  }
+
   void stop() {
     stopped = true;
+    request_ended.close();
     boost::system::error_code ignored;
     acceptor.close(ignored);
     for (beast::tcp_stream& stream : connections) stream.socket().close(ignored);
@@ -136,6 +152,9 @@
   tcp::acceptor acceptor;
   http_handler handler;
   std::list<beast::tcp_stream> connections;
+  wake_signal request_ended;
+  std::size_t requests = 0;  ///< that have been read and whose responses have not been written
+  bool draining = false;
   bool stopped = false;
 };
 
@@ -166,6 +185,8 @@
   return ec ? std::uint16_t{0} : local.port();
 }
 
+awaitable<void> http_listener::drain() { return state_->drain(); }
+
 void http_listener::stop() { state_->stop(); }
 
 }  // namespace heatherdeck
--- a/wire/http_listener.h
+++ b/wire/http_listener.h
@@ -32,6 +32,9 @@
   /// @return the local port; 0 after `stop`.
   std::uint16_t port() const;
 
+  /// Closes the port and waits until the requests that were read have been answered, or until `stop`.
+  awaitable<void> drain();
+
   /// Closes the port and all connections; pending requests get no response.
   void stop();
 
