Callers: a pipelined request that was read before a stop is answered

A stopping node closed the connection after the response in progress and discarded the next request, which it had read already. It answers what is in its buffer now. answers_a_pipelined_request_that_was_read_before_the_stop: one response of two in 5 of 5 runs before, two now.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -118,8 +118,10 @@
     response_started_ = true;
     chunked_ = head.body == body_framing::streamed && !http_1_0_;
     const bool until_close = head.body == body_framing::streamed && http_1_0_;
-    // Unread data of this request's body must not be parsed as the next request.
-    keep_alive_ = keep_alive_ && !http_1_0_ && !until_close && body_done() && !*draining_;
+    // Unread data of this request's body must not be parsed as the next request. A pipelined request that has been read
+    // is answered, also by a node that is stopping.
+    const bool last = *draining_ && !reader_->has_buffered_data();
+    keep_alive_ = keep_alive_ && !http_1_0_ && !until_close && body_done() && !last;
     if (is_head_request_ && !end) {
       head.declared_length = head.content_length;
       head.body = body_framing::none;
