Callers: a response without a length is reset when the process ends

An HTTP/1.0 caller of a streamed response saw the end of its connection when the drain limit broke the response off, and took the part for the whole.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include "node/deadline_timer.h"
 #include "node/exchange.h"
@@ -118,6 +119,7 @@
     response_started_ = true;
     chunked_ = head.body == body_framing::streamed && !http_1_0_;
     const bool until_close = head.body == body_framing::streamed && http_1_0_;
+    if (until_close && !end) reset_on_close(true);
     // Unread data of this request's body must not be parsed as the next request. A pipelined request that has been read
     // is answered, also by a node that is stopping.
     const bool last = *draining_ && !reader_->has_buffered_data();
@@ -139,6 +141,7 @@
     auto writing = write_h1(*stream_, std::exchange(head_text_, {}), std::move(data), chunked_, last);
     const auto written = co_await std::move(writing);
     if (written.ec) co_return connection_error(written.ec);
+    if (last) reset_on_close(false);
     co_return outcome<void>();
   }
 
@@ -166,13 +169,21 @@
 
   void abort() override {
     keep_alive_ = false;
-    // Zero linger time resets the connection, so a response that ends with the connection is seen as incomplete.
-    boost::system::error_code ignored;
-    stream_->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    reset_on_close(true);
     stream_->close();
   }
 
  private:
+  // Zero linger time resets the connection when it is closed, also by the end of the process, so a response that ends
+  // with the connection is seen as incomplete.
+  void reset_on_close(bool reset) {
+    if (resets_on_close_ == reset) return;
+    resets_on_close_ = reset;
+    // Asio undoes its own linger option when a socket is destroyed.
+    const linger value{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+    (void)::setsockopt(stream_->socket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof value);
+  }
+
   h1_stream* stream_;
   request_reader* reader_;
   const bool* draining_;
@@ -184,6 +195,7 @@
   bool is_head_request_ = false;
   bool chunked_ = false;
   bool response_started_ = false;
+  bool resets_on_close_ = false;
 };
 
 class caller_session : public std::enable_shared_from_this<caller_session> {
