--- a/model/settings.cc
+++ b/model/settings.cc
@@ -82,7 +82,7 @@
      "applies"},
     {"stop_notice_ms", &settings::stop_notice, 0, 3'600'000,
      "role node: time in which callers notice that a process is stopping; a request that comes later is refused unless "
-     "its deadline is before the end of the drain"},
+     "its deadline and its route's timeout end before the drain does"},
 };
 
 constexpr number_row number_rows[] = {
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -208,10 +208,11 @@
   upstream_statement statement;
 };
 
-/// Sent by `proxy` when the process begins its graceful shutdown; later requests from peers are refused as `draining`.
+/// Sent by `proxy` when the process begins its graceful shutdown. Later requests from peers, and those from callers
+/// that could be broken off, are refused as `draining`.
 struct start_draining {
   time_point noticed_at;  ///< callers that come later may know that the process is stopping
-  time_point ends_at;     ///< what is in flight then is broken off
+  time_point ends_at;     ///< latest time at which a response begins that still reaches its caller
 };
 
 using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -382,6 +382,42 @@
   EXPECT_TRUE(std::holds_alternative<refusal>(answers.front().second));
 }
 
+// The refusal named an overload and the load of this upstream, so callers waited although other nodes were free.
+TEST_F(stopping_traffic_core, refuses_waiting_requests_at_the_end_as_draining) {
+  finish(chosen());  // shows the service time
+  ASSERT_TRUE(chosen().local);
+  ASSERT_FALSE(core.pick(now, lookup(), 7)) << "it waits for the slot";
+  core.start_draining({now, now + 1s});
+  const auto answers = core.take_answers(now + 1100ms);
+  ASSERT_EQ(answers.size(), 1U);
+  const auto* refused = std::get_if<refusal>(&answers.front().second);
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(refused->reason, refusal_reason::draining);
+}
+
+// A retry of a request that came before callers could know of the stop was refused although it had time for its answer.
+TEST_F(stopping_traffic_core, serves_late_retries_of_early_requests) {
+  core.start_draining({now + 3s, now + 8s});
+  now += 3100ms;
+  request_attributes retry = lookup();
+  retry.attempt = 1;
+  retry.age = 3500ms;
+  retry.deadline = 6500ms;
+  EXPECT_TRUE(chosen(retry).local);
+}
+
+// A retry that waits for a slot at the end of the drain is broken off without a response.
+TEST_F(stopping_traffic_core, answers_waiting_retries_before_the_end) {
+  finish(chosen());  // shows the service time
+  const upstream_choice running = chosen();
+  ASSERT_TRUE(running.local);
+  core.start_draining({now, now + 1s});
+  request_attributes retry = lookup();
+  retry.attempt = 1;
+  if (core.pick(now, retry, 7)) return;  // refused at once
+  EXPECT_EQ(core.take_answers(now + 1100ms).size(), 1U);
+}
+
 TEST_F(traffic_core_test, retry_avoids_the_failed_target_and_is_limited_by_the_retry_budget) {
   core.set_document(document({{"v1", 10'000}}));
   set_two_versions();
--- a/traffic/admission_queue.cc
+++ b/traffic/admission_queue.cc
@@ -141,10 +141,7 @@
 }
 
 void admission_queue::limit_waiting(time_point end) {
-  for (admission_request& r : waiting_) {
-    r.objective = std::min(r.objective, end);
-    r.deadline = std::min(r.deadline, end);
-  }
+  for (admission_request& r : waiting_) r.objective = std::min(r.objective, end);
 }
 
 std::vector<std::uint64_t> admission_queue::take_all() {
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -90,7 +90,8 @@
   /// @return ids of the waiting requests that can no longer meet their objective; they are removed.
   std::vector<std::uint64_t> take_expired(time_point now);
 
-  /// Moves objective and deadline of the waiting requests to `end` if they are later.
+  /// Shortens the wait of the requests in the queue.
+  /// @param end latest objective; a request that cannot meet it is returned by `take_expired`.
   void limit_waiting(time_point end);
 
   /// @return ids of all waiting requests; the queue is empty afterwards.
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -1,9 +1,9 @@
-// A pick checks in this order: document, deadline, route, service, retry budget, concurrency limit, version, upstream,
-// and for the upstream on this host its admission queue. The first check that fails is the reason of the refusal.
-// Before the last step nothing is reserved but a place under the concurrency limit, which is released when no upstream
-// is found. Invariants: every choice has one entry in `pending_` until its finish; a request from another node never
-// leaves this host; a version with share 0 or a local cut is never chosen. Cost: one route lookup and O(upstreams of
-// the drawn version) for each pick.
+// A pick checks in this order: document, deadline, route, service, end of the process, retry budget, concurrency limit,
+// version, upstream, and for the upstream on this host its admission queue. The first check that fails is the reason of
+// the refusal. Before the last step nothing is reserved but a place under the concurrency limit, which is released when
+// no upstream is found. Invariants: every choice has one entry in `pending_` until its finish; a request from another
+// node never leaves this host; a version with share 0 or a local cut is never chosen. Cost: one route lookup and
+// O(upstreams of the drawn version) for each pick.
 #include "traffic/traffic_core.h"
 
 #include <algorithm>
@@ -141,8 +141,9 @@
                                      const request_attributes& attributes) const {
   if (!stop_) return false;
   const auto limit = attributes.deadline ? std::min(route.timeout, *attributes.deadline) : route.timeout;
-  const bool noticed = now >= stop_->noticed_at || route.objective.count() == 0;
-  return now + (noticed ? limit : std::min(limit, route.objective)) > stop_->ends_at;
+  // A late request was accepted only if its deadline is before the end, so its retries need no check of their own.
+  if (now >= stop_->noticed_at && attributes.attempt == 0) return now + limit > stop_->ends_at;
+  return route.objective.count() > 0 && now + std::min(limit, route.objective) > stop_->ends_at;
 }
 
 std::optional<pick_result> traffic_core::check_quarantine(const std::string& service,
@@ -204,11 +205,12 @@
   const auto time_to_objective =
       attempt.route.objective.count() > 0 ? std::min(objective_remaining, time_allowed) : time_allowed;
   const time_point deadline = attempt.attributes.deadline ? now + *attempt.attributes.deadline : time_point::max();
+  const time_point process_end = stop_ ? stop_->ends_at : time_point::max();
   const admission_request request{waiter_id,
                                   attempt.route.name,
                                   attempt.route.priority,
-                                  now + time_to_objective,
-                                  deadline,
+                                  std::min(now + time_to_objective, process_end),
+                                  std::min(deadline, process_end),
                                   attempt.route.objective / assumed_objective_per_service_time};
   const admission_decision decision = target.admission.admit(now, request);
   if (decision == admission_decision::run) {
@@ -241,7 +243,7 @@
       const auto attempt = waiting_.extract(id);
       if (attempt.empty()) continue;
       if (attempt.mapped().limited) services_[attempt.mapped().service].limiter.release_unused();
-      answers.emplace_back(id, draining ? refuse(refusal_reason::draining) : refuse_overloaded(now, *u));
+      answers.emplace_back(id, draining || stop_ ? refuse(refusal_reason::draining) : refuse_overloaded(now, *u));
     }
     for (const std::uint64_t id : u->admission.take_ready(now)) {
       const auto found = waiting_.extract(id);
@@ -290,14 +292,14 @@
   const auto spec = document_->services.find(service);
   if (spec == document_->services.end()) return refuse(refusal_reason::no_upstream);
   if (auto answer = check_quarantine(service, attributes)) return answer;
+  const route_policy route = route_policy_for(&rule, attributes);
+  if (may_be_broken_off(now, route, attributes)) return refuse(refusal_reason::draining);
   service_state& traffic = services_[service];
   if (attributes.attempt == 0) {
     traffic.retries.on_call(now);
   } else if (!traffic.retries.try_retry(now)) {
     return refuse(refusal_reason::retry_budget);
   }
-  const route_policy route = route_policy_for(&rule, attributes);
-  if (attributes.attempt == 0 && may_be_broken_off(now, route, attributes)) return refuse(refusal_reason::draining);
   const bool has_short_deadline = attributes.deadline && *attributes.deadline <= short_deadline;
   const request_class kind =
       !route.idempotent || has_short_deadline ? request_class::reserved : request_class::ordinary;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -106,6 +106,7 @@
   /// Prepares for the end of the process: requests from other nodes are refused from now on. Requests from callers are
   /// refused if they could be broken off: until `noticed_at` if their objective is after the end, and then if their
   /// deadline is. Requests that wait for a slot are refused before the end.
+  /// @param stop when callers notice the stop, and when it ends.
   void start_draining(const start_draining& stop);
 
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
