Proxy: the end of a drain neither spins nor depends on a free mailbox

After an overrun the drain loop received from a closed channel without waiting until the process ended. The message that announces the stop to "traffic" was posted and lost if its mailbox was full; it is sent now.

--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -55,7 +55,7 @@
   void start_caller_session(tcp_socket socket);
   void start_peer_session(incoming_stream incoming);
   void accept_pending_connections();
-  void begin_draining(const start_draining& stop);
+  void begin_draining();
   static awaitable<void> accept_callers(std::shared_ptr<state> self);
   static awaitable<void> accept_streams(std::shared_ptr<state> self);
   static awaitable<void> collect_ended_sessions(std::shared_ptr<state> self);
@@ -177,10 +177,9 @@
   acceptor.close(ec);
 }
 
-void proxy_service::state::begin_draining(const start_draining& stop) {
+void proxy_service::state::begin_draining() {
   draining = true;
   if (directory) directory.post(announce_draining{});
-  context->traffic.post(stop);
   if (context->mesh) context->mesh.post(refuse_new_streams{});
   for (const auto& [id, session] : sessions) session.post(begin_drain{});
   log_event(log_level::info, "proxy_draining", {{"sessions", count_sessions()}});
@@ -249,7 +248,11 @@
 awaitable<void> proxy_service::drain() {
   const auto self = state_;
   const time_point now = timer_service::now();
-  self->begin_draining({now + stop_notice_, now + drain_limit_ - std::min<duration>(drain_limit_, delivery_margin)});
+  self->begin_draining();
+  const duration margin = std::min<duration>(drain_limit_, delivery_margin);
+  traffic_message stop = start_draining{now + stop_notice_, now + drain_limit_ - margin};
+  auto sending = self->context->traffic.send(std::move(stop));
+  (void)co_await std::move(sending);
   if (accept_while_draining_ > duration::zero() && self->acceptor.is_open()) {
     auto expired = std::make_shared<wake_signal>(self->executor);
     const subscription timer = self->context->timers->after(accept_while_draining_, [expired] { expired->set(); });
@@ -257,7 +260,10 @@
     (void)co_await std::move(waiting);
   }
   if (self->acceptor.is_open()) self->accept_pending_connections();
-  while (!self->sessions.empty()) (void)co_await self->session_ended_signal.async_receive(use_tuple);
+  while (!self->sessions.empty()) {
+    auto [ec] = co_await self->session_ended_signal.async_receive(use_tuple);
+    if (ec) co_return;
+  }
 }
 
 bool proxy_service::ready() const { return !state_->draining; }
