--- a/kernel/service.h
+++ b/kernel/service.h
@@ -40,9 +40,8 @@
   /// @return the names of the services that must be started before this one.
   virtual std::vector<std::string_view> dependencies() const { return {}; }
 
-  /// @return the names of further services that, if they are registered, are started before this one. They run until
-  /// its
-  ///   drain has ended.
+  /// @return the names of services that are started before this one if they are registered, and stopped after its
+  /// drain.
   virtual std::vector<std::string_view> optional_dependencies() const { return {}; }
 
   /// Registers the service's addresses; called for all services before the first `start`.
--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -296,10 +296,8 @@
   options.peer = "frozen";
   options.on_event = [&](h2_event e) { events.push_back(e); };
   const h2_connection client = h2_connection::start(std::move(socket), k.timers(), std::move(options));
-  auto [ready, answer] = [&] {
-    auto channel = std::make_shared<reply<std::shared_ptr<h2_stream>>::channel_type>(k.executor(), 1);
-    return std::pair(channel, reply<std::shared_ptr<h2_stream>>(channel));
-  }();
+  const auto ready = std::make_shared<reply<std::shared_ptr<h2_stream>>::channel_type>(k.executor(), 1);
+  const reply<std::shared_ptr<h2_stream>> answer(ready);
   client.open(stream_kind::call, request_headers, true, answer, silence_action::wait);
   std::shared_ptr<h2_stream> waiting;
   boost::asio::co_spawn(
