Test fleet: stop grace, own routes, runs of requests, closed descriptors of children

For a soak with planned stops. A fleet takes stop_grace_ms of its nodes, further sections of the document and flags of the upstreams; it reads exit codes without blocking and returns log lines by event. The fake upstream takes the service time and the body size of a request from headers, returns the request's test id and writes a log line for each run (--log_runs).

Children inherited the sockets of the test's process, so a connection stayed open after the test had closed it. They are now started with the standard descriptors only.

--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -34,9 +34,6 @@
 constexpr auto start_timeout = 30s;
 constexpr auto poll_interval = 10ms;
 
-/// Ports within the block of a process. Control hosts have operator_port, nodes have caller_port in its place.
-enum port_offset : unsigned { mesh_port, admin_port, operator_port, caller_port = 2, announce_port, upstream_port = 5 };
-
 unsigned process_number(const std::string& name) { return static_cast<unsigned>(std::stoul(name.substr(1))); }
 
 outcome<http_response> http_get(const std::string& address, const std::string& path) {
@@ -135,6 +132,7 @@
   } else {
     text += fmt::format("roles: [node]\ncaller_listen: {}\nupstream_listen: {}\n", address(name, caller_port),
                         address(name, announce_port));
+    if (options_.stop_grace != 0ms) text += fmt::format("stop_grace_ms: {}\n", options_.stop_grace.count());
   }
   return text + control_hosts_yaml_;
 }
@@ -142,12 +140,14 @@
 std::vector<std::string> fleet::command_line_of(const std::string& name) const {
   if (name[0] != 'u') return {options_.bin + "/daemon/heatherdeckd", "--settings=" + path(name + ".yaml")};
   const std::string node = "n" + name.substr(1);
-  return {options_.bin + "/testing/heatherdeck_upstream",
-          "--listen=" + address(node, upstream_port),
-          "--announce_to=" + address(node, announce_port),
-          "--service=certdesk",
-          "--upstream_version=v1",
-          "--target=certdesk-" + node};
+  std::vector<std::string> command{options_.bin + "/testing/heatherdeck_upstream",
+                                   "--listen=" + address(node, upstream_port),
+                                   "--announce_to=" + address(node, announce_port),
+                                   "--service=certdesk",
+                                   "--upstream_version=v1",
+                                   "--target=certdesk-" + node};
+  command.insert(command.end(), options_.upstream_flags.begin(), options_.upstream_flags.end());
+  return command;
 }
 
 result<void> fleet::start(const std::string& name) {
@@ -201,7 +201,8 @@
       "timeout_ms: " +
       std::to_string(timeout_ms) +
       "}\n    - {name: book, match: {host: certdesk.pwani, path_prefix: /bookings, method: POST}, service: certdesk, "
-      "timeout_ms: 2000, idempotent: false}\n";
+      "timeout_ms: 2000, idempotent: false}\n" +
+      options_.further_sections;
   for (unsigned i = 0; i < options_.sections; ++i) {
     text += fmt::format(
         "  routes.s{0}:\n    - {{name: s{0}, match: {{host: s{0}.pwani, path_prefix: /}}, service: certdesk}}\n", i);
@@ -293,6 +294,16 @@
   return lines;
 }
 
+std::vector<logged_line> fleet::logged(char kind, std::string_view event) const {
+  std::vector<logged_line> lines;
+  for (const std::string& name : names(kind)) {
+    for_each_event(path(name + ".log"), event, [&](const boost::json::object& line) {
+      lines.push_back({name, timestamp_of(line), line});
+    });
+  }
+  return lines;
+}
+
 milliseconds fleet::accepted_at(const version& v) const {
   milliseconds first{0};
   for (const std::string& name : names('c')) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -18,9 +18,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
 #include "kernel/result.h"
@@ -30,14 +32,20 @@
 
 namespace heatherdeck {
 
+/// Ports within the block of a process. Control hosts have operator_port, nodes have caller_port in its place.
+enum port_offset : unsigned { mesh_port, admin_port, operator_port, caller_port = 2, announce_port, upstream_port = 5 };
+
 struct fleet_options {
   std::string bin;                   ///< build folder with the programs to run
   std::string work;                  ///< empty folder for settings, keys, data and logs
   std::uint16_t base_port = 23'000;  ///< first port on 127.0.0.1; each process has a block of 10
   unsigned control_hosts = 3;
   unsigned nodes = 6;
-  unsigned upstreams = 0;  ///< upstreams of the service certdesk, on the hosts of the first nodes
-  unsigned sections = 3;   ///< additional sections in the document
+  unsigned upstreams = 0;                        ///< upstreams of the service certdesk, on the hosts of the first nodes
+  unsigned sections = 3;                         ///< additional sections in the document
+  std::chrono::milliseconds stop_grace{0};       ///< stop_grace_ms of the nodes
+  std::string further_sections;                  ///< of the document, indented by two spaces
+  std::vector<std::string> upstream_flags = {};  ///< further flags of the upstreams
 };
 
 /// One log event `document_applied` of a node.
@@ -47,6 +55,13 @@
   std::chrono::milliseconds logged_at{0};  ///< wall-clock time of the log line, since the Unix epoch
 };
 
+/// One line of a process's log.
+struct logged_line {
+  std::string process;
+  std::chrono::milliseconds logged_at{0};  ///< wall-clock time, since the Unix epoch
+  boost::json::object fields;
+};
+
 /// The processes of one mesh, with their settings, keys, data and logs in one folder. Destruction kills them all.
 class fleet {
  public:
@@ -65,6 +80,8 @@
   /// Sends SIGTERM and waits until the process has ended.
   /// @return the exit code.
   int stop(const std::string& name);
+  /// @return the exit code of a process that has ended after a signal, without blocking; nothing if it runs.
+  std::optional<int> try_wait(const std::string& name) { return processes_.at(name).try_wait(); }
   /// Deletes the data folder of a stopped control host, which simulates the loss of its disk.
   void delete_data_folder(const std::string& name);
 
@@ -108,6 +125,10 @@
   /// this version; zero if none did.
   std::chrono::milliseconds accepted_at(const version& v) const;
 
+  /// @param event name of a log event.
+  /// @return the lines with this event of all processes of a kind (c, n or u), ordered by process.
+  std::vector<logged_line> logged(char kind, std::string_view event) const;
+
   const fleet_options& options() const { return options_; }
   /// @param kind c, n or u.
   /// @return the names of all configured processes of that kind, running or not.
@@ -115,7 +136,7 @@
   /// @return whether the process was started and has not been waited for, by kill() or stop().
   bool running(const std::string& name) const;
   pid_t pid(const std::string& name) const;
-  /// @param offset port within the block of the process, see `port_offset` in fleet.cc.
+  /// @param offset port within the block of the process.
   /// @return "127.0.0.1:port".
   std::string address(const std::string& name, unsigned offset) const;
 
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -33,6 +33,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherits a socket of this process keeps the connection open after it is closed here.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = -1;
   const int spawn_error = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
@@ -65,6 +67,14 @@
   return exit_code_from_status(status);
 }
 
+std::optional<int> process::try_wait() {
+  int status = 0;
+  if (!running()) return -1;
+  if (::waitpid(pid_, &status, WNOHANG) == 0) return std::nullopt;
+  pid_ = -1;
+  return exit_code_from_status(status);
+}
+
 command_output run_command(const std::vector<std::string>& command) {
   std::array<int, 2> pipe_ends{};
   command_output finished;
@@ -74,6 +84,7 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = -1;
   const int spawn_error = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/testing/process.h
+++ b/testing/process.h
@@ -8,6 +8,7 @@
 /// Only tests and tools start processes; heatherdeckd itself starts none.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   /// @return the exit code, or 128 plus the number of the signal that ended it; -1 if it was waited for before.
   int wait();
 
+  /// @return the exit code as wait() does if the process has ended, without blocking; nothing if it runs.
+  std::optional<int> try_wait();
+
   /// @return true from start() until wait() returns, even if the process has ended in between.
   bool running() const { return pid_ > 0; }
   pid_t pid() const { return pid_; }
--- a/testing/upstream_main.cc
+++ b/testing/upstream_main.cc
@@ -24,6 +24,7 @@
 DEFINE_uint32(report_lag_ms, 0, "delay of the reported load behind the real one, ms");
 DEFINE_int32(report_fixed, -1, "constant load to report; negative: report the real load");
 DEFINE_uint32(body_bytes, 200, "size of each response body, bytes");
+DEFINE_bool(log_runs, false, "write a log line for each request that runs");
 DEFINE_uint64(seed, 1, "seed of the random failures");
 
 int main(int argc, char** argv) {
@@ -45,8 +46,8 @@
   behaviour.reported_load_lag = milliseconds(FLAGS_report_lag_ms);
   if (FLAGS_report_fixed >= 0) behaviour.fixed_reported_load = static_cast<std::uint32_t>(FLAGS_report_fixed);
   behaviour.seed = FLAGS_seed;
-  upstream_identity identity{FLAGS_listen, FLAGS_announce_to, FLAGS_service,   FLAGS_upstream_version,
-                             FLAGS_target, FLAGS_connections, FLAGS_body_bytes};
+  upstream_identity identity{FLAGS_listen, FLAGS_announce_to, FLAGS_service,    FLAGS_upstream_version,
+                             FLAGS_target, FLAGS_connections, FLAGS_body_bytes, FLAGS_log_runs};
   kernel k;
   const outcome<void> added =
       capture([&] { return k.add(std::make_unique<upstream_service>(std::move(identity), behaviour)); });
--- a/testing/upstream_model.cc
+++ b/testing/upstream_model.cc
@@ -27,11 +27,11 @@
 }
 
 upstream_model::planned_response upstream_model::begin(const std::string& path, std::optional<milliseconds> deadline,
-                                                       time_point now) {
+                                                       time_point now, std::optional<milliseconds> work) {
   if (in_flight() >= behaviour_.slots + behaviour_.queue_limit) return {.kind = decision::shed, .status = 503};
   const auto slot = std::min_element(slot_free_at_.begin(), slot_free_at_.end());
   const time_point begin = std::max(*slot, now);
-  duration service_time = current_service_time(now);
+  duration service_time = work ? duration(*work) : current_service_time(now);
   planned_response response;
   if (fault_applies(path, now)) {
     service_time += behaviour_.fault_delay;
--- a/testing/upstream_model.h
+++ b/testing/upstream_model.h
@@ -56,7 +56,9 @@
 
   /// Decides how to answer a request and, for the decision `run`, assigns it to a slot.
   /// @param deadline time that remains until the caller gives up, if known.
-  planned_response begin(const std::string& path, std::optional<milliseconds> deadline, time_point now);
+  /// @param work service time of this request instead of the one of the behaviour.
+  planned_response begin(const std::string& path, std::optional<milliseconds> deadline, time_point now,
+                         std::optional<milliseconds> work = {});
 
   /// Removes a request that has completed or was cancelled from the requests in flight.
   void finish(std::uint64_t request_id, time_point now);
--- a/testing/upstream_service.cc
+++ b/testing/upstream_service.cc
@@ -36,12 +36,17 @@
 // Longer than the 2 s within which every node learns that this upstream is draining.
 constexpr auto min_drain_time = 2500ms;
 
-std::optional<milliseconds> deadline_of(const http::request<http::string_body>& request) {
-  const auto text = request["hd-deadline-ms"];
+std::optional<long> number_in(const http::request<http::string_body>& request, boost::string_view name) {
+  const auto text = request[name];
   long value = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (ec != std::errc() || text.empty()) return std::nullopt;
-  return milliseconds(value);
+  return value;
+}
+
+std::optional<milliseconds> time_in(const http::request<http::string_body>& request, boost::string_view name) {
+  const std::optional<long> value = number_in(request, name);
+  return value ? std::optional(milliseconds(*value)) : std::nullopt;
 }
 
 /// Suspends the coroutine for `delay`.
@@ -93,7 +98,11 @@
     const std::string path(request.target().data(), request.target().size());
     if (path == "/stand-in/runs") co_return co_await respond_with_runs();
     const auto id = request["hd-test-id"];
-    begin_request message{path, std::string(id.data(), id.size()), deadline_of(request), {}};
+    begin_request message{path,
+                          std::string(id.data(), id.size()),
+                          time_in(request, "hd-deadline-ms"),
+                          time_in(request, "hd-test-work-ms"),
+                          {}};
     auto make = [&message](reply<upstream_model::planned_response> r) {
       message.answer = std::move(r);
       return std::move(message);
@@ -103,6 +112,7 @@
     http::response<http::string_body> response(http::status::ok, request.version());
     response.set("hd-upstream", identity.target);
     response.set("hd-upstream-version", identity.upstream_version);
+    if (!id.empty()) response.set("x-test-id", id);
     if (!planned_response || planned_response->kind != upstream_model::decision::run) {
       response.result(planned_response ? planned_response->status : 503U);
       response.set("hd-outcome", "not-run");
@@ -112,7 +122,8 @@
     const bool client_disconnected = peer_has_closed(socket);
     owner.post(end_request{planned_response->request_id, client_disconnected});
     response.result(planned_response->status);
-    response.body() = std::string(identity.body_bytes, 'x');
+    const long body_bytes = number_in(request, "hd-test-body-bytes").value_or(identity.body_bytes);
+    response.body() = std::string(static_cast<std::size_t>(body_bytes), 'x');
     co_return response;
   }
 
@@ -223,10 +234,15 @@
 }
 
 void upstream_service::handle(begin_request&& m) {
-  const upstream_model::planned_response planned_response = model_.begin(m.path, m.deadline, timer_service::now());
+  const upstream_model::planned_response planned_response =
+      model_.begin(m.path, m.deadline, timer_service::now(), m.work);
   if (planned_response.kind == upstream_model::decision::run) {
     ++requests_run_;
     if (!m.test_id.empty()) ++run_counts_[m.test_id];
+    if (identity_.log_runs) {
+      const auto planned = std::chrono::duration_cast<milliseconds>(planned_response.delay);
+      log_event(log_level::info, "request_run", {{"request", m.test_id}, {"planned_ms", planned.count()}});
+    }
   } else {
     ++requests_shed_;
   }
--- a/testing/upstream_service.h
+++ b/testing/upstream_service.h
@@ -4,9 +4,11 @@
 ///
 /// It counts the runs of each request by the header `hd-test-id`, so that a test can detect a request that ran twice:
 ///     GET /stand-in/runs      {"ids": distinct ids, "runs": runs, "repeated": ids that ran more than once, ...}
-/// A request that it sheds (503), or that cannot finish within its `hd-deadline-ms` (504), does not run and is answered
-/// at once with `hd-outcome: not-run`. If the client has closed the connection by the time of the response, the request
-/// is counted as cancelled.
+/// Two headers change one request: `hd-test-work-ms` its service time and `hd-test-body-bytes` the size of the
+/// response. A response carries the request's `hd-test-id` as `x-test-id`, because nodes drop unknown fields of
+/// responses that start with `hd-`. A request that it sheds (503), or that cannot finish within its `hd-deadline-ms`
+/// (504), does not run and is answered at once with `hd-outcome: not-run`. If the client has closed the connection by
+/// the time of the response, the request is counted as cancelled.
 #pragma once
 
 #include <map>
@@ -29,6 +31,7 @@
   std::string target;               ///< name of this upstream process
   std::uint32_t connections = 130;  ///< connection limit that it announces; not enforced here
   std::uint32_t body_bytes = 200;   ///< size of each response body
+  bool log_runs = false;            ///< write `request_run` with id and planned time for each request that runs
 };
 
 /// Request from a connection's task for each HTTP request: decide whether it runs.
@@ -36,6 +39,7 @@
   std::string path;
   std::string test_id;
   std::optional<milliseconds> deadline;
+  std::optional<milliseconds> work;
   reply<upstream_model::planned_response> answer;
 };
 
