Soak of planned stops with real processes; it fails on this code

stop_soak_test runs 3 control hosts and 12 nodes with an upstream each. Groups of up to six nodes get SIGTERM and are started again, and SIGHUPs and document changes overlap with that, while 96 callers go on: six bound to each node until its process is gone, 24 with a new connection for each call to a node that is ready. Judged by what callers and upstreams saw: requests without a complete response, answers in place of an upstream at work, "not executed" for a request that ran, non-idempotent requests that ran twice, wrong or short responses, and exit codes.

--- a/testing/fleet.cmake
+++ b/testing/fleet.cmake
@@ -1,10 +1,10 @@
-# hd_fleet starts a small mesh of real processes, for scenarios (testing/) and benchmarks (tools/).
+#hd_fleet starts a small mesh of real processes, for scenarios(testing /) and benchmarks(tools /).
 add_library(hd_fleet STATIC process.cc fleet.cc)
 target_link_libraries(hd_fleet PUBLIC hd_wire)
 add_executable(heatherdeck_scenario scenario_main.cc scenario.cc)
 target_link_libraries(heatherdeck_scenario PRIVATE hd_fleet hd_model gflags)
 
-# Each scenario file is one test against real processes, with its own range of 400 ports.
+#Each scenario file is one test against real processes, with its own range of 400 ports.
 file(GLOB scenario_files CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/scenarios/*.yaml)
 set(scenario_port 24000)
 foreach(scenario_file ${scenario_files})
@@ -15,3 +15,10 @@
   set_tests_properties(scenario_${scenario_name} PROPERTIES TIMEOUT 300)
   math(EXPR scenario_port "${scenario_port} + 400")
 endforeach()
+
+hd_test(stop_soak_test hd_fleet)
+target_sources(stop_soak_test PRIVATE soak_callers.cc)
+target_compile_definitions(stop_soak_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
+add_dependencies(stop_soak_test heatherdeckd heatherdeck heatherdeck_upstream)
+# Its 27 processes and callers would slow down tests that run beside it.
+set_tests_properties(stop_soak_test PROPERTIES RUN_SERIAL TRUE)
