--- a/consensus/log_store.h
+++ b/consensus/log_store.h
@@ -9,7 +9,8 @@
 ///
 /// `persist` returns only after everything is durable. After any error the store rejects all further calls, because a
 /// failed sync may have lost dirty pages; the process must stop. On start a torn tail (a batch that was never
-/// acknowledged) is truncated; damage that affects acknowledged data is reported as `corrupt`.
+/// acknowledged) is truncated; damage that affects acknowledged data is reported as `corrupt`. The state that `open`
+/// loads is durable.
 ///
 /// Not thread-safe; `log_writer` runs it on a thread of its own.
 ///
@@ -78,6 +79,7 @@
   result<void> start_segment(std::uint64_t first);
   result<void> truncate_after(std::uint64_t index);
   result<void> remove_all_segments();
+  result<void> remove_segment(std::uint64_t first);
   result<void> remove_last_segment();
   result<void> open_last_segment();
   result<void> flush();
--- a/node/proxy_service.h
+++ b/node/proxy_service.h
@@ -29,6 +29,7 @@
 
   std::string_view name() const override;
   std::vector<std::string_view> dependencies() const override;
+  std::vector<std::string_view> optional_dependencies() const override;
   void publish(kernel& k) override;
   result<void> start(kernel& k) override;
   awaitable<void> drain() override;
@@ -53,6 +54,8 @@
   const http_dialect* dialect_;
   duration idle_timeout_ = std::chrono::seconds(60);
   duration accept_while_draining_;
+  duration stop_notice_;
+  duration drain_limit_;
   std::shared_ptr<state> state_;
 };
 
--- a/testing/kernel_test.cc
+++ b/testing/kernel_test.cc
@@ -1,8 +1,13 @@
 // Tests of the kernel: start and stop order, look-up by name, bounded mailboxes, responses, timeouts and timers.
 #include "kernel/kernel.h"
 
+#include <thread>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace heatherdeck {
@@ -17,10 +22,15 @@
 
 class recording_service : public service {
  public:
-  recording_service(std::string name, std::vector<std::string_view> dependencies, std::vector<std::string>* log)
-      : name_(std::move(name)), dependencies_(std::move(dependencies)), log_(log) {}
+  recording_service(std::string name, std::vector<std::string_view> dependencies, std::vector<std::string>* log,
+                    std::vector<std::string_view> optional_dependencies = {})
+      : name_(std::move(name)),
+        dependencies_(std::move(dependencies)),
+        optional_dependencies_(std::move(optional_dependencies)),
+        log_(log) {}
   std::string_view name() const override { return name_; }
   std::vector<std::string_view> dependencies() const override { return dependencies_; }
+  std::vector<std::string_view> optional_dependencies() const override { return optional_dependencies_; }
   result<void> start(kernel&) override {
     log_->push_back("start " + name_);
     return {};
@@ -31,6 +41,7 @@
  private:
   std::string name_;
   std::vector<std::string_view> dependencies_;
+  std::vector<std::string_view> optional_dependencies_;
   std::vector<std::string>* log_;
 };
 
@@ -46,6 +57,19 @@
   EXPECT_EQ(log, (std::vector<std::string>{"start mesh", "start proxy", "stop proxy", "stop mesh"}));
 }
 
+// A service that an earlier row of the table uses would otherwise stop before that one has drained.
+TEST(kernel, optional_dependencies_that_are_registered_run_until_the_drain_has_ended) {
+  std::vector<std::string> log;
+  kernel k;
+  ASSERT_TRUE(k.add(std::make_unique<recording_service>("proxy", std::vector<std::string_view>{}, &log,
+                                                        std::vector<std::string_view>{"directory", "quarantine"})));
+  ASSERT_TRUE(k.add(std::make_unique<recording_service>("directory", std::vector<std::string_view>{}, &log)));
+  ASSERT_TRUE(k.start());
+  boost::asio::co_spawn(k.io(), k.stop(), boost::asio::detached);
+  k.io().run();
+  EXPECT_EQ(log, (std::vector<std::string>{"start directory", "start proxy", "stop proxy", "stop directory"}));
+}
+
 // A missing dependency must fail the start with a remedy instead of a null pointer dereference later.
 TEST(kernel, missing_dependency_fails_the_start_and_names_the_setting) {
   std::vector<std::string> log;
@@ -153,5 +177,30 @@
   EXPECT_EQ(runs, 3);
 }
 
+// Time limits fired before data that had arrived in time was read, because another handler had taken long.
+TEST(timer_service, data_that_arrives_before_a_deadline_is_read_before_the_callback) {
+  kernel k;
+  boost::asio::ip::tcp::acceptor acceptor(k.executor(), {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::ip::tcp::socket sender(k.executor());
+  sender.connect(acceptor.local_endpoint());
+  boost::asio::ip::tcp::socket receiver = acceptor.accept();
+  std::vector<std::string> order;
+  receiver.async_wait(boost::asio::socket_base::wait_read, [&](auto) { order.emplace_back("data"); });
+  const subscription earlier = k.timers().after(20ms, [] {});
+  const subscription limit = k.timers().after(60ms, [&] { order.emplace_back("limit"); });
+  // The second handler and the timer of 20 ms become due while the first one runs; the limit of 60 ms passes in the
+  // second one.
+  const time_point begin = timer_service::now();
+  boost::asio::steady_timer first(k.io(), begin + 5ms);
+  first.async_wait([&](auto) { std::this_thread::sleep_until(begin + 30ms); });
+  boost::asio::steady_timer second(k.io(), begin + 10ms);
+  second.async_wait([&](auto) {
+    boost::asio::write(sender, boost::asio::buffer("x", 1));
+    std::this_thread::sleep_until(begin + 80ms);
+  });
+  k.io().run();
+  EXPECT_EQ(order, (std::vector<std::string>{"data", "limit"}));
+}
+
 }  // namespace
 }  // namespace heatherdeck
