--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -132,7 +132,10 @@
   } else {
     text += fmt::format("roles: [node]\ncaller_listen: {}\nupstream_listen: {}\n", address(name, caller_port),
                         address(name, announce_port));
-    if (options_.stop_grace != 0ms) text += fmt::format("stop_grace_ms: {}\n", options_.stop_grace.count());
+    if (options_.stop_grace != 0ms) {
+      text += fmt::format("stop_grace_ms: {}\nstop_notice_ms: {}\n", options_.stop_grace.count(),
+                          options_.stop_notice.count());
+    }
   }
   return text + control_hosts_yaml_;
 }
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -44,6 +44,7 @@
   unsigned upstreams = 0;                        ///< upstreams of the service certdesk, on the hosts of the first nodes
   unsigned sections = 3;                         ///< additional sections in the document
   std::chrono::milliseconds stop_grace{0};       ///< stop_grace_ms of the nodes
+  std::chrono::milliseconds stop_notice{0};      ///< stop_notice_ms of the nodes, with stop_grace
   std::string further_sections;                  ///< of the document, indented by two spaces
   std::vector<std::string> upstream_flags = {};  ///< further flags of the upstreams
 };
--- a/testing/stop_soak_test.cc
+++ b/testing/stop_soak_test.cc
@@ -350,6 +350,7 @@
                         .nodes = nodes,
                         .upstreams = nodes,
                         .stop_grace = stop_grace,
+                        .stop_notice = callers_know_after,
                         .further_sections = soak_routes,
                         .upstream_flags = {"--log_runs"}});
   });
