Second attempts of lost calls wait for the report of the crash

Cause: the node of a crashed upstream answers for the lost calls at once and reports the crash after its check, so the first node chose the next upstream before it knew of the suspicion. The second attempt crashed it, and its neighbours ran beside it again.

Change: an attempt of a request that may have run waits 5 ms before its upstream is chosen.

--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -86,6 +86,7 @@
   std::chrono::milliseconds elapsed_before_attempt{0};  ///< part of `age`, as inferred by traffic
   std::uint32_t attempt = 0;                            ///< 0 for the first attempt
   std::vector<std::string> tried_targets;               ///< targets of earlier failed attempts
+  bool may_have_run = false;   ///< an earlier attempt may have run, for example at an upstream that has crashed
   std::string pinned_service;  ///< later attempts: service of a split route that the first attempt chose
   request_fingerprint fingerprint;
   bool body_unread = false;  ///< the fingerprint lacks the body, which has not been read
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -176,6 +176,7 @@
   }
   attributes.attempt = core_.attempts();
   attributes.tried_targets = tried_targets_;
+  attributes.may_have_run = core_.may_have_run();
   attributes.pinned_service = pinned_service_;
   attributes.fingerprint = fingerprint();
   attributes.body_unread =
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -200,6 +200,8 @@
 
   attempt_state state() const { return state_; }
   std::uint32_t attempts() const { return attempts_; }
+  /// @return whether an attempt may have run.
+  bool may_have_run() const { return may_have_executed_; }
   bool idempotent() const { return idempotent_; }
   std::optional<time_point> deadline() const { return deadline_; }
 
--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -233,6 +233,7 @@
     request_attributes a = attributes(*r);
     a.attempt = r->attempts;
     a.tried_targets = r->tried;
+    a.may_have_run = r->resends > 0;
     const std::size_t host = r->host;
     pick(host, a, [this, r](const pick_result& answer) {
       const auto* choice = std::get_if<upstream_choice>(&answer);
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -195,6 +195,30 @@
   EXPECT_EQ(targets.size(), 3U) << "suspected requests must be spread over the upstreams";
 }
 
+// The failure of a lost call outruns the report of the crash, and the second attempt crashed the next upstream.
+TEST_F(quarantine_test, second_attempt_of_a_lost_call_waits_for_the_reports_of_the_crash) {
+  set_one_upstream(2);
+  request_attributes second = request(crashing);
+  second.attempt = 1;
+  second.may_have_run = true;
+  second.deadline = 500ms;
+  request_attributes other = second;
+  other.fingerprint = {2, 0};
+  EXPECT_FALSE(core.pick(now, second, 7));
+  EXPECT_FALSE(core.pick(now, other, 8));
+  EXPECT_TRUE(core.take_answers(now).empty());
+  core.set_quarantine(listed({{crashing, request_standing::quarantined}}));
+  const auto due = core.next_answer_time(now);
+  ASSERT_TRUE(due);
+  EXPECT_LE(*due - now, 20ms);
+  const auto answers = core.take_answers(*due);
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(std::get<refusal>(answers[0].second).reason, refusal_reason::quarantined);
+  const auto& choice = std::get<upstream_choice>(answers[1].second);
+  EXPECT_EQ(choice.timeout, 500ms - std::chrono::ceil<milliseconds>(*due - now));
+  EXPECT_FALSE(core.next_answer_time(*due));
+}
+
 TEST_F(quarantine_test, calls_of_an_upstream_that_is_leaving_are_no_sign_of_a_crash) {
   set_one_upstream(4);
   const upstream_choice first = chosen(request(crashing));
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -30,6 +30,10 @@
          outcome == call_outcome::connection_failed;
 }
 
+// The node of a crashed upstream answers for the lost calls at once, and reports the crash after its check, so the
+// report reaches the first node later than the failure.
+constexpr duration crash_report_wait = std::chrono::milliseconds(5);
+
 }  // namespace
 
 traffic_core::traffic_core(traffic_identity identity)
@@ -82,6 +86,28 @@
 std::optional<pick_result> traffic_core::pick(time_point now, const request_attributes& attributes,
                                               std::uint64_t waiter_id) {
   ++counters_.picks;
+  if (attributes.may_have_run && waiter_id != 0) {
+    held_.emplace(waiter_id, held_attempt{attributes, now});
+    return std::nullopt;
+  }
+  return pick_upstream_for(now, attributes, waiter_id);
+}
+
+void traffic_core::pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+  while (!held_.empty() && held_.begin()->second.arrived + crash_report_wait <= now) {
+    const auto held = held_.extract(held_.begin());
+    request_attributes attributes = held.mapped().attributes;
+    const auto waited = std::chrono::ceil<milliseconds>(now - held.mapped().arrived);
+    attributes.age += waited;
+    if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
+    if (auto answer = pick_upstream_for(now, attributes, held.key())) {
+      answers.emplace_back(held.key(), std::move(*answer));
+    }
+  }
+}
+
+std::optional<pick_result> traffic_core::pick_upstream_for(time_point now, const request_attributes& attributes,
+                                                           std::uint64_t waiter_id) {
   if (!document_) return refuse(refusal_reason::no_document);
   if (attributes.deadline && attributes.deadline->count() <= 0) return refuse(refusal_reason::deadline);
   if (attributes.from_peer) return pick_for_peer(now, attributes, waiter_id);
@@ -236,6 +262,7 @@
     return true;
   });
   refuse_quarantined_waiters(answers);
+  pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
     const bool draining = u->endpoint.state == upstream_state::draining;
@@ -271,6 +298,7 @@
 
 std::optional<time_point> traffic_core::next_answer_time(time_point now) const {
   std::optional<time_point> next;
+  if (!held_.empty()) next = held_.begin()->second.arrived + crash_report_wait;
   for (const auto& [key, u] : upstreams_) {
     const std::optional<time_point> start = u->admission.next_start(now);
     if (start && (!next || *start < *next)) next = start;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -82,7 +82,8 @@
   ///   function that changes state.
   std::vector<std::pair<std::uint64_t, pick_result>> take_answers(time_point now);
 
-  /// @return when to call take_answers besides: the rate limit of an upstream lets a waiting request start then.
+  /// @return when to call take_answers besides: the rate limit of an upstream lets a waiting request start then, or a
+  ///   later attempt has waited for the reports of a crash.
   std::optional<time_point> next_answer_time(time_point now) const;
 
   /// Releases the slot of a pick and updates statistics and limits from the result.
@@ -178,6 +179,15 @@
     bool limited = false;  ///< counted by the service's concurrency limiter
   };
 
+  /// A later attempt that waits for the reports of the crash that may have ended the earlier one.
+  struct held_attempt {
+    request_attributes attributes;
+    time_point arrived{};
+  };
+
+  std::optional<pick_result> pick_upstream_for(time_point now, const request_attributes& attributes,
+                                               std::uint64_t waiter_id);
+  void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   std::optional<pick_result> pick_for_peer(time_point now, const request_attributes& attributes,
                                            std::uint64_t waiter_id);
   std::optional<pick_result> pick_by_route(time_point now, const request_attributes& attributes, const route_rule& rule,
@@ -229,6 +239,7 @@
   std::unordered_map<std::uint64_t, pending_call> pending_;                    ///< by pick id
   std::unordered_map<std::string, retry_age_estimator> retry_age_estimators_;  ///< by route
   std::map<std::uint64_t, queued_attempt> waiting_;                            ///< by waiter id
+  std::map<std::uint64_t, held_attempt> held_;                                 ///< by waiter id, the oldest first
   std::uint64_t next_pick_id_ = 1;
   balancer balancer_;
   random_source random_;
