--- a/testing/consensus.cmake
+++ b/testing/consensus.cmake
@@ -1,5 +1,5 @@
 hd_test(raft_schedule_test hd_consensus)
-target_sources(raft_schedule_test PRIVATE raft_simulation.cc)
+target_sources(raft_schedule_test PRIVATE raft_simulation.cc raft_simulation_faults.cc)
 hd_test(raft_core_test hd_consensus)
 hd_test(log_store_test hd_consensus)
 hd_test(consensus_service_test hd_consensus)
--- a/testing/raft_simulation.h
+++ b/testing/raft_simulation.h
@@ -127,6 +127,8 @@
   static milliseconds leaderless_time_after_power_loss(const plan& p);
 
  private:
+  static constexpr std::size_t max_replacements = 4;  ///< hosts that replace others, in one run
+
   /// How a host goes down. Writes that were not synced may remain: after a kill in the page cache, after a power loss
   /// on the disk.
   enum class outage { kill, power_loss, lost_disk };
