Review, case 1: a late announcement brings back a target that has left

Cause: announcement_core remembers a deregistered target with the order of the last announcement that had arrived, so one that was sent before the deregistration and arrives after it counts as new. Nothing outside of review/ is changed.

--- /dev/null
+++ b/review/cases.cc
@@ -0,0 +1,153 @@
+// The cases of the review that are scripts. `cases NAME FOLDER` plays one, writes FOLDER/record.txt and exits with 1 if
+// the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+#include "stand_ins.h"
+
+namespace review {
+namespace {
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int not_run = 2;
+
+// The bounds of the site pwani-deck.
+constexpr milliseconds announcement_period{1500};
+constexpr std::int64_t drain_ms = 2000;
+constexpr std::int64_t stable_window_ms = 3000;
+
+bool trouble() {
+  const char* wanted = std::getenv("TROUBLE");
+  return wanted == nullptr || std::strcmp(wanted, "0") != 0;
+}
+
+int could_not_run(record& log, const std::string& why) {
+  log.line("not run: " + why);
+  std::fprintf(stderr, "not run: %s\n", why.c_str());
+  return not_run;
+}
+
+int verdict(record& log, bool rule_broken, const std::string& what) {
+  log.line((rule_broken ? "broken: " : "held: ") + what);
+  std::printf("%s: %s\n", rule_broken ? "broken" : "held", what.c_str());
+  return rule_broken ? broken : held;
+}
+
+target_options target_of(const deployment& mesh, int node, const std::string& id, const std::string& service) {
+  return {.id = id,
+          .service = service,
+          .address = mesh.target_address(node),
+          .control = mesh.announce_address(node),
+          .zone = "dar-kivukoni",
+          .work_ms = 300};
+}
+
+// Waits until the clients of a node get answers from the target.
+bool wait_for_runs(target& wanted, std::size_t count, milliseconds limit) {
+  const std::int64_t end_at = now_ms() + limit.count();
+  while (now_ms() < end_at && wanted.runs().size() < count) sleep_ms(20);
+  return wanted.runs().size() >= count;
+}
+
+std::size_t runs_after(target& of, std::int64_t from) {
+  std::size_t count = 0;
+  for (const run& one : of.runs()) count += one.at > from ? 1 : 0;
+  return count;
+}
+
+// A target that never reports `draining` deregisters; the announcement that it sent just before arrives
+// `late_by_ms` after it was sent. With `restart`, the node next to the target is killed after the acknowledgement and
+// started again. The target serves for `served_after_leaving_ms` more and exits.
+int late_announcement(record& log, bool restart) {
+  constexpr std::int64_t late_by_ms = 2500;
+  constexpr std::int64_t served_after_leaving_ms = 7000;
+  constexpr std::int64_t observed_after_exit_ms = 1500;
+  deployment mesh(log, {.nodes = {{"front"}, {"desk"}, {"desk"}}});
+  mesh.start_all();
+  target front(log, target_of(mesh, 0, "i-front", "front"));
+  target leaving(log, target_of(mesh, 1, "i-leaving", "desk"));
+  target staying(log, target_of(mesh, 2, "i-staying", "desk"));
+  for (target* one : {&front, &leaving, &staying}) one->start_announcing(announcement_period);
+  const std::string text = configuration_text(
+      "00000001", {{.prefix = "/book/", .kind = "unsafe", .service = "desk", .timeout_ms = 1000}}, {"front", "desk"});
+  if (mesh.put_configuration("00000000", text, milliseconds(20'000)) != 200)
+    return could_not_run(log, "the configuration was not acknowledged");
+  for (int node = 0; node < 3; ++node) {
+    if (!mesh.wait_ready(node, milliseconds(20'000))) return could_not_run(log, "a node is not ready");
+  }
+  clients callers(log, "c", mesh.outbound(0), "POST", "/book/", 24, milliseconds(300));
+  if (!wait_for_runs(leaving, 20, milliseconds(15'000)) || !wait_for_runs(staying, 20, milliseconds(15'000)))
+    return could_not_run(log, "a target gets no requests");
+  sleep_ms(stable_window_ms);
+  leaving.stop_announcing();
+
+  // The last announcement is sent, and held up on its way.
+  const std::uint64_t sequence = leaving.take_sequence();
+  const std::int64_t sent_at = now_ms();
+  log.line("announcement i-leaving ready sequence " + std::to_string(sequence) + " is sent");
+  if (!trouble()) leaving.announce("ready", sequence);
+  std::thread held_up([&] {
+    sleep_until_ms(sent_at + late_by_ms);
+    if (trouble()) leaving.announce("ready", sequence);
+  });
+  sleep_ms(300);
+  int acknowledged = 0;
+  for (int attempt = 0; attempt < 5 && acknowledged != 200; ++attempt) acknowledged = leaving.deregister();
+  const std::int64_t acknowledged_at = now_ms();
+  std::int64_t in_touch_from = 0;
+  if (restart && trouble() && acknowledged == 200) {
+    sleep_ms(200);
+    mesh.kill_node(1);
+    sleep_ms(300);
+    mesh.start_node(1);
+    in_touch_from = now_ms() + stable_window_ms;
+  }
+  sleep_until_ms(acknowledged_at + served_after_leaving_ms);
+  const std::int64_t exit_at = now_ms();
+  leaving.exit();
+  sleep_ms(observed_after_exit_ms);
+  held_up.join();
+  callers.stop();
+  if (acknowledged != 200) return could_not_run(log, "the deregistration was not acknowledged");
+  const std::size_t late = runs_after(leaving, std::max(acknowledged_at + drain_ms, in_touch_from));
+  std::size_t lost = 0;
+  for (const run& one : leaving.runs()) {
+    for (const answer& a : callers.answers()) {
+      if (a.request_id == one.request_id && a.ended_at >= exit_at && a.status != 200) ++lost;
+    }
+  }
+  return verdict(log, late > 0,
+                 std::to_string(late) + " requests reached the target later than drainMs after the acknowledgement, " +
+                     std::to_string(lost) + " of them were lost at its exit; " +
+                     std::to_string(runs_after(staying, acknowledged_at)) + " reached the other one");
+}
+
+int late_announcement_alone(record& log) { return late_announcement(log, false); }
+int late_announcement_after_restart(record& log) { return late_announcement(log, true); }
+
+struct case_row {
+  const char* name;
+  int (*play)(record&);
+};
+constexpr case_row case_table[] = {
+    {"late-announcement", late_announcement_alone},
+    {"late-announcement-restart", late_announcement_after_restart},
+};
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  if (argc == 3) {
+    for (const auto& row : review::case_table) {
+      if (std::strcmp(row.name, argv[1]) != 0) continue;
+      review::record log(std::string(argv[2]) + "/record.txt");
+      return row.play(log);
+    }
+  }
+  std::fprintf(stderr, "usage: cases NAME FOLDER\n");
+  return review::not_run;
+}
