--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-g++ -std=c++20 -O1 -Wall -Wextra -Werror -pthread stand_ins.cc cases.cc -o bin/cases
+g++ -std=c++20 -O1 -Wall -Wextra -Werror -Wno-missing-field-initializers -pthread stand_ins.cc cases.cc -o bin/cases
--- a/review/cases.cc
+++ b/review/cases.cc
@@ -128,6 +128,98 @@
 int late_announcement_alone(record& log) { return late_announcement(log, false); }
 int late_announcement_after_restart(record& log) { return late_announcement(log, true); }
 
+// The operator sends a configuration in which the routes and services are missing. Without trouble it is whole.
+int incomplete_configuration(record& log) {
+  constexpr std::int64_t observed_ms = 4000;
+  deployment mesh(log, {.nodes = {{"front"}, {"desk"}}});
+  mesh.start_all();
+  target front(log, target_of(mesh, 0, "i-front", "front"));
+  target desk(log, target_of(mesh, 1, "i-desk", "desk"));
+  for (target* one : {&front, &desk}) one->start_announcing(announcement_period);
+  const std::vector<route_options> routes = {{.prefix = "/read/", .service = "desk"}};
+  const std::vector<std::string> services = {"front", "desk"};
+  if (mesh.put_configuration("00000000", configuration_text("00000001", routes, services), milliseconds(20'000)) != 200)
+    return could_not_run(log, "the configuration was not acknowledged");
+  for (int node = 0; node < 2; ++node) {
+    if (!mesh.wait_ready(node, milliseconds(20'000))) return could_not_run(log, "a node is not ready");
+  }
+  clients callers(log, "c", mesh.outbound(0), "GET", "/read/", 4, milliseconds(200));
+  if (!wait_for_runs(desk, 20, milliseconds(15'000))) return could_not_run(log, "the target gets no requests");
+  const std::string whole = configuration_text("00000002", routes, services);
+  const std::string incomplete = R"({"version":"00000002"})";
+  const std::string& sent = trouble() ? incomplete : whole;
+  log.line("the operator puts " + sent);
+  const int status = mesh.put_configuration("00000001", sent, milliseconds(20'000));
+  const std::int64_t answered_at = now_ms();
+  const std::string read = mesh.order("GET", "/v1/configuration", {}, {}).body;
+  log.line("the operator reads " + read);
+  sleep_ms(observed_ms);
+  callers.stop();
+  std::size_t served = 0;
+  std::size_t not_found = 0;
+  for (const answer& a : callers.answers()) {
+    if (a.sent_at < answered_at) continue;
+    served += a.status == 200 ? 1 : 0;
+    not_found += a.status == 404 ? 1 : 0;
+  }
+  if (status == 0) return could_not_run(log, "the change has no clear answer");
+  if (!trouble() && status != 200) return could_not_run(log, "the whole configuration was not acknowledged");
+  return verdict(log, trouble() && status == 200,
+                 "the change got " + std::to_string(status) + "; of the requests sent after it " +
+                     std::to_string(served) + " were served and " + std::to_string(not_found) + " got 404");
+}
+
+// One of two targets sends further bytes after 2 in 100 of its answers, late: a rejection as `fleetbench wire` prints
+// it, without an id. Clients book.
+int extra_rejection(record& log) {
+  constexpr std::int64_t observed_ms = 20'000;
+  constexpr int answers_per_extra = 50;
+  deployment mesh(log, {.nodes = {{"front"}, {"desk"}, {"desk"}}});
+  mesh.start_all();
+  target front(log, target_of(mesh, 0, "i-front", "front"));
+  target_options faulty = target_of(mesh, 1, "i-faulty", "desk");
+  faulty.work_ms = 100;
+  if (trouble()) faulty.extra_after_answers = answers_per_extra;
+  faulty.extra_bytes = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  target_options sound = target_of(mesh, 2, "i-sound", "desk");
+  sound.work_ms = 100;
+  target first(log, faulty);
+  target second(log, sound);
+  for (target* one : {&front, &first, &second}) one->start_announcing(announcement_period);
+  const std::string text = configuration_text(
+      "00000001", {{.prefix = "/book/", .kind = "unsafe", .service = "desk", .timeout_ms = 1000}}, {"front", "desk"});
+  if (mesh.put_configuration("00000000", text, milliseconds(20'000)) != 200)
+    return could_not_run(log, "the configuration was not acknowledged");
+  for (int node = 0; node < 3; ++node) {
+    if (!mesh.wait_ready(node, milliseconds(20'000))) return could_not_run(log, "a node is not ready");
+  }
+  clients callers(log, "c", mesh.outbound(0), "POST", "/book/", 16, milliseconds(150));
+  if (!wait_for_runs(first, 20, milliseconds(15'000)) || !wait_for_runs(second, 20, milliseconds(15'000)))
+    return could_not_run(log, "a target gets no requests");
+  sleep_ms(observed_ms);
+  callers.stop();
+  std::map<std::string, int> runs;
+  for (target* one : {&first, &second}) {
+    for (const run& r : one->runs()) ++runs[r.request_id];
+  }
+  std::size_t twice = 0;
+  for (const auto& [id, count] : runs) {
+    if (count < 2) continue;
+    ++twice;
+    log.line("twice " + id);
+  }
+  std::size_t refused = 0;
+  for (const answer& a : callers.answers()) {
+    const bool promise = a.status == 503 || a.status == 429 || a.status == 408 || a.status == 421;
+    if (!promise || !runs.contains(a.request_id)) continue;
+    ++refused;
+    log.line("refused " + a.request_id + " with " + std::to_string(a.status) + ", though it has run");
+  }
+  return verdict(log, twice + refused > 0,
+                 std::to_string(twice) + " of " + std::to_string(runs.size()) + " bookings ran twice, and " +
+                     std::to_string(refused) + " were answered as not run though they had run");
+}
+
 struct case_row {
   const char* name;
   int (*play)(record&);
@@ -135,6 +227,8 @@
 constexpr case_row case_table[] = {
     {"late-announcement", late_announcement_alone},
     {"late-announcement-restart", late_announcement_after_restart},
+    {"incomplete-configuration", incomplete_configuration},
+    {"extra-rejection", extra_rejection},
 };
 
 }  // namespace
--- a/review/stand_ins.cc
+++ b/review/stand_ins.cc
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <filesystem>
 #include <random>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -251,10 +252,15 @@
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   http_message request;
+  bool extra_due = false;
   while (!stopping_) {
     if (!wait_for(descriptor, POLLIN, steady::now() + milliseconds(50))) continue;
     if (!from.read_request(request, milliseconds(5000))) return;
     const std::string id = request.header("x-request-id");
+    if (std::exchange(extra_due, false)) {
+      log_.line("extra " + options_.id + " further bytes of an earlier answer, before the answer to " + id);
+      if (!from.write(options_.extra_bytes)) return;
+    }
     const std::string expected = request.header("x-expect-instance");
     std::string head;
     std::string body;
@@ -284,6 +290,7 @@
     }
     head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (!from.write(head + body)) return;
+    extra_due = options_.extra_after_answers > 0 && ++answers_ % options_.extra_after_answers == 0;
   }
 }
 
--- a/review/stand_ins.h
+++ b/review/stand_ins.h
@@ -111,6 +111,10 @@
   std::string zone;
   int slots = 17;
   int work_ms = 20;
+  /// A faulty target: after each of this many answers it sends further bytes, late, where the next answer on that
+  /// connection is expected. 0: none.
+  int extra_after_answers = 0;
+  std::string extra_bytes;
 };
 
 /// A sound target: echoes the request's id, seals its answers, answers 421 for another instance, and announces itself.
@@ -145,6 +149,7 @@
   std::atomic<bool> announcing_{false};
   std::atomic<int> connections_{0};
   std::atomic<int> running_{0};
+  std::atomic<int> answers_{0};
   int listener_ = -1;
   std::mutex mutex_;
   std::vector<run> runs_;
