Announcements: a target that has left does not come back in the same start

Cause: announcement_core::remove remembered the target with the order of the last announcement that had arrived. One that was sent before the deregistration and had not arrived yet has a higher sequence and counted as news. Evidence: the node logs upstream_announced with ready at the arrival of that announcement; no request reaches the target between the end of drainMs and that moment.

Change: a removed target is remembered with its start and any sequence, so only a later start brings it back. One that gives no start time stays away for the duration of a lease, on the same path. Announcements that are ignored are logged as announcement_outdated. This works whatever the sequence of the late announcement is, since a target says nothing after its deregistration in one start.

--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -20,6 +20,9 @@
   return {error_kind::bad_message, std::move(text), std::move(remedy), std::string(where)};
 }
 
+// Above every sequence number: announcements of one start are outdated whatever their number.
+constexpr std::uint64_t any_sequence = std::numeric_limits<std::uint64_t>::max();
+
 // For an upstream that does not announce how many connections it accepts.
 constexpr std::uint32_t default_connections = 100;
 
@@ -200,7 +203,7 @@
     return fail(make_error("service '" + announced.endpoint.service + "' is not the service of this host",
                            "announce service '" + service_ + "'", "service"));
   }
-  if (arrived_late(announced)) return changes{};
+  if (arrived_late(now, announced)) return changes{.outdated = true};
   const auto found = targets_.find(target);
   if (found == targets_.end() && targets_.size() >= max_announced_targets) {
     return fail(error_kind::limit, "more than 16 targets are announced on this host",
@@ -231,13 +234,23 @@
   return result;
 }
 
+// An announcement that gives no order cannot be judged. One without a start time may come from a new start, so after
+// the target has left it is outdated for the duration of a lease only.
+bool announcement_core::is_outdated(time_point now, const removed_target& removed,
+                                    const announcement_order& order) const {
+  if (order == announcement_order{}) return false;
+  if (removed.left && order.start_time_ms == 0) return now < removed.removed_at + lease_duration_;
+  if (!removed.left && order.sequence == 0) return order.start_time_ms < removed.last.start_time_ms;
+  return order <= removed.last;
+}
+
 // True when the target has announced something newer, has been removed or fallen silent since, or has been succeeded at
 // its address by a target that started later.
-bool announcement_core::arrived_late(const announcement& announced) const {
+bool announcement_core::arrived_late(time_point now, const announcement& announced) const {
   const std::string& target = announced.endpoint.target;
   const announcement_order& order = announced.order;
-  const bool was_removed = std::any_of(removed_targets_.begin(), removed_targets_.end(), [&](const auto& e) {
-    return e.first == target && order.sequence != 0 && order <= e.second;
+  const bool was_removed = std::any_of(removed_targets_.begin(), removed_targets_.end(), [&](const auto& removed) {
+    return removed.name == target && is_outdated(now, removed, order);
   });
   return was_removed || std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
            const announcement& known = entry.second.announced;
@@ -247,10 +260,11 @@
          });
 }
 
-result<announcement_core::changes> announcement_core::remove(std::string_view target, std::uint64_t unix_ms) {
+result<announcement_core::changes> announcement_core::remove(time_point now, std::string_view target,
+                                                             std::uint64_t unix_ms) {
   const auto found = target.empty() && targets_.size() == 1 ? targets_.begin() : targets_.find(target);
   if (found == targets_.end() && !target.empty()) {
-    remember_removed(std::string(target), {unix_ms, std::numeric_limits<std::uint64_t>::max()});
+    remember_removed({std::string(target), {unix_ms, any_sequence}, now, true});
     return changes{};
   }
   if (found == targets_.end()) {
@@ -260,13 +274,16 @@
   changes result;
   result.endpoints.push_back(found->second.announced.endpoint);
   result.endpoints.back().state = upstream_state::gone;
-  remember_removed(found->first, found->second.announced.order);
+  // Announcements that were sent before this request may still arrive, with sequence numbers that are not known here.
+  announcement_order last = found->second.announced.order;
+  if (last.start_time_ms != 0) last.sequence = any_sequence;
+  remember_removed({found->first, last, now, true});
   targets_.erase(found);
   return result;
 }
 
-void announcement_core::remember_removed(std::string target, announcement_order last) {
-  removed_targets_.emplace_back(std::move(target), last);
+void announcement_core::remember_removed(removed_target removed) {
+  removed_targets_.push_back(std::move(removed));
   if (removed_targets_.size() > max_removed_targets) removed_targets_.pop_front();
 }
 
@@ -276,7 +293,7 @@
     if (entry.second.expires_at > now) return false;
     result.endpoints.push_back(entry.second.announced.endpoint);
     result.endpoints.back().state = upstream_state::gone;
-    remember_removed(entry.first, entry.second.announced.order);
+    remember_removed({entry.first, entry.second.announced.order, now, false});
     return true;
   });
   return result;
--- a/node/announcement_core.h
+++ b/node/announcement_core.h
@@ -18,6 +18,10 @@
 /// `warmup_left_ms`, for how many more milliseconds the upstream is slow after its start; `born`, the time of its start
 /// in milliseconds, and `sequence`, which rises with each announcement since that start. An announcement with a lower
 /// (born, sequence) than an earlier one of the same target arrived out of order and is ignored.
+///
+/// A removed target has left for good. The highest sequence of its announcements that are still on their way is not
+/// known, so all with the same `born` are ignored: only a later start brings it back. A target that does not give
+/// `born` stays away for the duration of a lease, since its new start cannot be told from a late announcement.
 #pragma once
 
 #include <deque>
@@ -69,6 +73,7 @@
   struct changes {
     std::vector<endpoint_record> endpoints;  ///< changed ones; state `gone` when the lease has expired or was removed
     std::vector<local_load> loads;
+    bool outdated = false;  ///< the announcement arrived out of order and was ignored
   };
 
   /// @param period expected time between two announcements of a target.
@@ -79,16 +84,17 @@
   /// @return how long an announcement is valid.
   duration lease_duration() const { return lease_duration_; }
 
-  /// Records an announcement and renews the lease of its target. One that arrives out of order changes nothing.
+  /// Records an announcement and renews the lease of its target. One that arrives out of order is ignored.
   /// @return the changes; `limit` when too many targets are announced, `bad_message` for a service that is not allowed.
   result<changes> put(time_point now, const announcement& announced);
 
   /// Ends a lease at once. A named target that is not known has announced itself to an earlier process of this host; it
   /// has left all the same, and announcements of it that are still on their way must not bring it back.
+  /// @param now the present time.
   /// @param target the target's name; may be empty when exactly one target is announced.
   /// @param unix_ms the time of day in milliseconds; a target that starts later under the same name is a new one.
   /// @return the changes; `not_found` when no target is named and there is not exactly one.
-  result<changes> remove(std::string_view target, std::uint64_t unix_ms = 0);
+  result<changes> remove(time_point now, std::string_view target, std::uint64_t unix_ms = 0);
 
   /// Records that a target has stated in a response that it is leaving. It counts as draining, whatever it announces,
   /// until it is gone or announces a later start.
@@ -107,17 +113,23 @@
     time_point expires_at;
     bool leaving = false;  ///< it has stated so in a response
   };
-  /// The last targets that were removed or fell silent are remembered, so that a late announcement does not add one
-  /// again.
+  /// A target that was removed or fell silent; remembered, so that a late announcement does not add it again.
+  struct removed_target {
+    std::string name;
+    announcement_order last;  ///< announcements up to this one are outdated
+    time_point removed_at;
+    bool left = false;  ///< it was removed; otherwise it fell silent
+  };
   static constexpr std::size_t max_removed_targets = 64;
 
-  void remember_removed(std::string target, announcement_order last);
-  bool arrived_late(const announcement& announced) const;
+  void remember_removed(removed_target removed);
+  bool is_outdated(time_point now, const removed_target& removed, const announcement_order& order) const;
+  bool arrived_late(time_point now, const announcement& announced) const;
 
   duration lease_duration_;
   std::string service_;
   std::map<std::string, lease_entry, std::less<>> targets_;
-  std::deque<std::pair<std::string, announcement_order>> removed_targets_;
+  std::deque<removed_target> removed_targets_;
 };
 
 }  // namespace heatherdeck
--- a/node/announcement_service.cc
+++ b/node/announcement_service.cc
@@ -79,6 +79,14 @@
 
 namespace {
 
+void log_outdated(const announcement& announced) {
+  log_event(log_level::info, "announcement_outdated",
+            {{"target", announced.endpoint.target},
+             {"state", to_name(announced.endpoint.state)},
+             {"born", announced.order.start_time_ms},
+             {"sequence", announced.order.sequence}});
+}
+
 std::uint64_t unix_time_ms() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
@@ -121,12 +129,15 @@
 void announcement_service::state::handle(const put_announcement& request) {
   request.answer(apply_changes(capture([&]() -> result<announcement_core::changes> {
     BOOST_LEAF_AUTO(announced, parse_announcement(request.body, request.target));
-    return core.put(timer_service::now(), announced);
+    BOOST_LEAF_AUTO(changes, core.put(timer_service::now(), announced));
+    if (changes.outdated) log_outdated(announced);
+    return changes;
   })));
 }
 
 void announcement_service::state::handle(const remove_announcement& request) {
-  request.answer(apply_changes(capture([&] { return core.remove(request.target, unix_time_ms()); })));
+  request.answer(
+      apply_changes(capture([&] { return core.remove(timer_service::now(), request.target, unix_time_ms()); })));
 }
 
 void announcement_service::state::handle(const upstream_leaving& stated) {
--- a/testing/announcement_test.cc
+++ b/testing/announcement_test.cc
@@ -66,7 +66,7 @@
   changes = core.put(now, make_announcement("i-1", "ready", 100, 3));
   ASSERT_TRUE(changes);
   EXPECT_TRUE(changes->endpoints.empty());
-  ASSERT_TRUE(core.remove("i-1"));
+  ASSERT_TRUE(core.remove(now, "i-1"));
   changes = core.put(now, make_announcement("i-1", "ready", 100, 4));
   ASSERT_TRUE(changes);
   EXPECT_TRUE(changes->endpoints.empty());
@@ -76,12 +76,44 @@
   EXPECT_EQ(changes->endpoints.size(), 1U);
 }
 
+// A target that had deregistered was used again for a whole lease, because an announcement from before its
+// deregistration arrived after it and its sequence was the highest so far.
+TEST(announcement, announcement_sent_before_a_deregistration_does_not_bring_the_target_back) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 4)));
+  ASSERT_TRUE(core.remove(now, "i-1"));
+  for (const std::uint64_t sequence : {5, 6, 1000}) {
+    const auto changes = core.put(now + 2500ms, make_announcement("i-1", "ready", 100, sequence));
+    ASSERT_TRUE(changes);
+    EXPECT_TRUE(changes->endpoints.empty()) << sequence;
+  }
+  const auto changes = core.put(now + 3s, make_announcement("i-1", "ready", 200, 1));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U) << "a new start under the same name";
+}
+
+// The same for a target that does not state its start time: a late announcement cannot be told from one of a new start,
+// so the target stays away for a lease and can be announced again afterwards.
+TEST(announcement, target_without_a_start_time_stays_away_for_a_lease_after_its_deregistration) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 0, 4)));
+  ASSERT_TRUE(core.remove(now, "i-1"));
+  auto changes = core.put(now + 2500ms, make_announcement("i-1", "ready", 0, 5));
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->endpoints.empty()) << "it may have been sent before the deregistration";
+  changes = core.put(now + 6s, make_announcement("i-1", "ready", 0, 1));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U) << "it has started again";
+}
+
 // The process of this host was restarted, so it did not know the target that left. Its refusal left the target without
 // an acknowledgement, and an announcement that was still on its way brought the target back.
 TEST(announcement, target_that_leaves_after_a_restart_of_this_process_stays_away) {
   announcement_core restarted;
   const time_point now{1h};
-  const auto removed = restarted.remove("i-1", 500);
+  const auto removed = restarted.remove(now, "i-1", 500);
   ASSERT_TRUE(removed);
   EXPECT_TRUE(removed->endpoints.empty());
   auto changes = restarted.put(now, make_announcement("i-1", "ready", 100, 4));
@@ -121,6 +153,17 @@
   EXPECT_EQ(changes->endpoints.size(), 1U);
 }
 
+// The same for one that gives its start and no sequence, whose announcements cannot be told apart.
+TEST(announcement, silent_target_without_a_sequence_comes_back) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 0)));
+  EXPECT_EQ(core.tick(now + 6s).endpoints.size(), 1U);
+  const auto changes = core.put(now + 7s, make_announcement("i-1", "ready", 100, 0));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->endpoints.size(), 1U);
+}
+
 TEST(announcement, service_other_than_the_configured_one_is_rejected) {
   announcement_core core(500ms, "stock");
   EXPECT_FALSE(core.put(time_point{1h}, make_announcement("i-1", "ready", 100, 4)));
@@ -190,13 +233,13 @@
 TEST(announcement, remove_needs_a_target_only_if_several_are_announced) {
   announcement_core core;
   announcement announced = *capture([] { return parse_announcement(valid_text); });
-  EXPECT_EQ(capture([&] { return core.remove(""); }).failure().kind, error_kind::not_found);
+  EXPECT_EQ(capture([&] { return core.remove(time_point{}, ""); }).failure().kind, error_kind::not_found);
   (void)capture([&] { return core.put(time_point{}, announced); });
   announced.endpoint.target = "certdesk-4";
   (void)capture([&] { return core.put(time_point{}, announced); });
-  EXPECT_FALSE(capture([&] { return core.remove(""); }));
-  EXPECT_EQ(capture([&] { return core.remove("certdesk-4"); })->endpoints[0].state, upstream_state::gone);
-  EXPECT_TRUE(capture([&] { return core.remove(""); }));
+  EXPECT_FALSE(capture([&] { return core.remove(time_point{}, ""); }));
+  EXPECT_EQ(capture([&] { return core.remove(time_point{}, "certdesk-4"); })->endpoints[0].state, upstream_state::gone);
+  EXPECT_TRUE(capture([&] { return core.remove(time_point{}, ""); }));
 }
 
 /// Replaces the service "directory"; its mailbox has room for one message only.
