Directory: other members keep the departures of targets for a later process of the host

Cause: what a process acknowledges was kept in its memory only, and hosts of upstreams have no disk. The new process takes the late announcement for that of a target that it has not met. Evidence: its log has no line about the target between started and upstream_announced with ready, and no request reaches the target before that.

Change: member records carry the departures of the last minute (targets that drain or have left, with the announcement up to which all are outdated). A departure is acknowledged when two of four members that are probed with the record, the seeds first, have answered; otherwise the answer is 503 after 0.7 s. A process that starts gets the departures that earlier processes of its host have published in the answers to its first probes, and removes a target that a late announcement has brought back before. This works because an acknowledged departure is outside of the process before the acknowledgement leaves it, at the members that the next process asks first.

--- a/model/directory_messages.h
+++ b/model/directory_messages.h
@@ -66,6 +66,25 @@
   bool operator==(const endpoint_record&) const = default;
 };
 
+/// Orders the announcements of one target, so that those that arrive out of order can be ignored.
+struct announcement_order {
+  std::uint64_t start_time_ms = 0;  ///< start time of the target in milliseconds; 0: not given
+  std::uint64_t sequence = 0;       ///< rises since this start; 0: not given
+
+  // clang-tidy mistakes the zero in the compiler's rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const announcement_order&) const = default;
+};
+
+/// A target that drains or has left. Announcements of it up to `last` are outdated, also for a later process of its
+/// host.
+struct target_departure {
+  std::string target;
+  announcement_order last;
+
+  bool operator==(const target_departure&) const = default;
+};
+
 /// One process of the mesh. Of two records of a member, the one with the higher (incarnation, sequence) is newer and
 /// replaces the other.
 struct member_record {
@@ -79,6 +98,7 @@
   member_state state = member_state::alive;
   bool draining = false;  ///< the process is shutting down and accepts no new requests
   std::vector<endpoint_record> endpoints;
+  std::vector<target_departure> departures;  ///< recent ones on this host, the oldest first
 
   bool operator==(const member_record&) const = default;
 };
@@ -91,11 +111,26 @@
   endpoint_record endpoint;
 };
 
+/// Sent by `announcements` when a target on this host drains or has left. Answered once other members have recorded it,
+/// with the number of those that have confirmed it; 0 when this process is the only one of the mesh.
+struct keep_departure {
+  target_departure departure;
+  reply<std::size_t> answer;  ///< may be empty
+};
+
+/// Sent by `directory` to `announcements`: departures that an earlier process of this host has recorded.
+struct departures_adopted {
+  std::vector<target_departure> departures;
+};
+
 /// Sent by `traffic` to `announcements` when the upstream on this host states in a response that it is leaving.
 struct upstream_leaving {
   std::string target;
 };
 
+/// What other services tell `announcements`.
+using announcement_notice = std::variant<upstream_leaving, departures_adopted>;
+
 /// Sent by `proxy` when the process begins its graceful shutdown; sets `member_record::draining`.
 struct announce_draining {};
 
@@ -118,8 +153,8 @@
 /// Periodic timer of the directory.
 struct directory_tick {};
 
-using directory_message = std::variant<directory_tick, local_endpoint_changed, announce_draining, get_members,
-                                       set_seeds, send_quarantine_update>;
+using directory_message = std::variant<directory_tick, local_endpoint_changed, keep_departure, announce_draining,
+                                       get_members, set_seeds, send_quarantine_update>;
 
 /// Posted by `directory` to `traffic` and other subscribers after every change; an alternative of `traffic_message`,
 /// `subscriber_message` and `consensus_message`.
--- a/model/gossip_messages.h
+++ b/model/gossip_messages.h
@@ -76,6 +76,8 @@
   std::vector<member_record_version> statuses;  ///< records: suspected members; suspicion: the suspected record
   bool recent = false;                          ///< records: changed recently; the receiver spreads them further
   quarantine_update quarantine;                 ///< quarantine only
+  /// answer: departures that an earlier process of the probing member has recorded and the present one has not
+  std::vector<target_departure> departures;
 };
 
 }  // namespace heatherdeck
--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -214,6 +214,12 @@
                  announced.order.start_time_ms <= found->second.announced.order.start_time_ms;
   if (next.leaving) next.announced.endpoint.state = upstream_state::draining;
   changes result;
+  if (announced.endpoint.state == upstream_state::draining) {
+    const bool drained_before = found != targets_.end() && found->second.draining_since != announcement_order{} &&
+                                found->second.draining_since.start_time_ms == announced.order.start_time_ms;
+    next.draining_since = drained_before ? found->second.draining_since : announced.order;
+    add_departure(target, next.draining_since, result);
+  }
   if (found == targets_.end() || !(found->second.announced.endpoint == next.announced.endpoint)) {
     result.endpoints.push_back(next.announced.endpoint);
   }
@@ -222,6 +228,11 @@
   return result;
 }
 
+// Announcements that give no order are accepted at any time, so a departure without one would have no effect.
+void announcement_core::add_departure(const std::string& target, const announcement_order& last, changes& result) {
+  if (last != announcement_order{}) result.departures.push_back({target, last});
+}
+
 announcement_core::changes announcement_core::mark_leaving(std::string_view target) {
   changes result;
   const auto found = targets_.find(target);
@@ -265,7 +276,9 @@
   const auto found = target.empty() && targets_.size() == 1 ? targets_.begin() : targets_.find(target);
   if (found == targets_.end() && !target.empty()) {
     remember_removed({std::string(target), {unix_ms, any_sequence}, now, true});
-    return changes{};
+    changes result;
+    add_departure(std::string(target), {unix_ms, any_sequence}, result);
+    return result;
   }
   if (found == targets_.end()) {
     return fail(error_kind::not_found, "the target is not announced on this host",
@@ -278,13 +291,28 @@
   announcement_order last = found->second.announced.order;
   if (last.start_time_ms != 0) last.sequence = any_sequence;
   remember_removed({found->first, last, now, true});
+  add_departure(found->first, last, result);
   targets_.erase(found);
   return result;
 }
 
-void announcement_core::remember_removed(removed_target removed) {
+announcement_core::changes announcement_core::adopt(time_point now, const std::vector<target_departure>& departures) {
+  changes result;
+  for (const target_departure& departure : departures) {
+    const removed_target& removed = remember_removed({departure.target, departure.last, now, true});
+    const auto found = targets_.find(departure.target);
+    if (found == targets_.end() || !is_outdated(now, removed, found->second.announced.order)) continue;
+    result.endpoints.push_back(found->second.announced.endpoint);
+    result.endpoints.back().state = upstream_state::gone;
+    targets_.erase(found);
+  }
+  return result;
+}
+
+const announcement_core::removed_target& announcement_core::remember_removed(removed_target removed) {
   removed_targets_.push_back(std::move(removed));
   if (removed_targets_.size() > max_removed_targets) removed_targets_.pop_front();
+  return removed_targets_.back();
 }
 
 announcement_core::changes announcement_core::tick(time_point now) {
@@ -294,6 +322,9 @@
     result.endpoints.push_back(entry.second.announced.endpoint);
     result.endpoints.back().state = upstream_state::gone;
     remember_removed({entry.first, entry.second.announced.order, now, false});
+    // A silent target may come back; without a sequence it could not be told from one that does not.
+    if (entry.second.announced.order.sequence != 0 && entry.second.announced.order.start_time_ms != 0)
+      add_departure(entry.first, entry.second.announced.order, result);
     return true;
   });
   return result;
--- a/node/announcement_core.h
+++ b/node/announcement_core.h
@@ -45,16 +45,6 @@
 inline constexpr std::size_t max_announced_targets = 16;
 inline constexpr std::size_t max_announcement_bytes = 4096;
 
-/// Orders the announcements of one target, so that those that arrive out of order can be ignored.
-struct announcement_order {
-  std::uint64_t start_time_ms = 0;  ///< start time of the target in milliseconds; 0: not given
-  std::uint64_t sequence = 0;       ///< rises since this start; 0: not given
-
-  // clang-tidy mistakes the zero in the compiler's rewritten comparisons for a null pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  auto operator<=>(const announcement_order&) const = default;
-};
-
 struct announcement {
   endpoint_record endpoint;
   load_report load;
@@ -74,6 +64,8 @@
     std::vector<endpoint_record> endpoints;  ///< changed ones; state `gone` when the lease has expired or was removed
     std::vector<local_load> loads;
     bool outdated = false;  ///< the announcement arrived out of order and was ignored
+    /// Targets that drain or have left: what other hosts must know before the upstream gets its acknowledgement.
+    std::vector<target_departure> departures;
   };
 
   /// @param period expected time between two announcements of a target.
@@ -101,6 +93,11 @@
   /// @return the changes.
   changes mark_leaving(std::string_view target);
 
+  /// Takes over the departures that an earlier process of this host has recorded: announcements of these targets that
+  /// are still on their way must not bring them back, and those that have done so already are removed.
+  /// @return the changes.
+  changes adopt(time_point now, const std::vector<target_departure>& departures);
+
   /// Ends the leases that have expired.
   changes tick(time_point now);
 
@@ -111,7 +108,8 @@
   struct lease_entry {
     announcement announced;
     time_point expires_at;
-    bool leaving = false;  ///< it has stated so in a response
+    bool leaving = false;                 ///< it has stated so in a response
+    announcement_order draining_since{};  ///< the first announcement with the present state `draining`
   };
   /// A target that was removed or fell silent; remembered, so that a late announcement does not add it again.
   struct removed_target {
@@ -122,7 +120,8 @@
   };
   static constexpr std::size_t max_removed_targets = 64;
 
-  void remember_removed(removed_target removed);
+  static void add_departure(const std::string& target, const announcement_order& last, changes& result);
+  const removed_target& remember_removed(removed_target removed);
   bool is_outdated(time_point now, const removed_target& removed, const announcement_order& order) const;
   bool arrived_late(time_point now, const announcement& announced) const;
 
--- a/node/announcement_service.cc
+++ b/node/announcement_service.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "kernel/log.h"
+#include "kernel/overloaded.h"
 #include "model/service_names.h"
 #include "node/announcement_core.h"
 #include "node/pool_messages.h"
@@ -21,21 +22,28 @@
 // An eighth of the default lease (2 s): the expiry of a lease is noticed at most this much later.
 constexpr duration tick_period = milliseconds(250);
 constexpr std::size_t inbox_capacity = 256;
-constexpr std::size_t leaving_capacity = 16;
+constexpr std::size_t notice_capacity = 16;
 constexpr duration response_timeout = std::chrono::seconds(1);
+// Leaves time to send the response within the second for which an upstream waits.
+constexpr duration departure_timeout = milliseconds(700);
 constexpr std::string_view announcement_path = "/v1/announcement";
 
 struct announcement_tick {};
+struct announcement_response {
+  http_response response;
+  std::vector<target_departure> departures;  ///< to be known to other hosts before the response is sent
+};
 struct put_announcement {
   std::string target;  ///< from the path; empty: the body names it
   std::string body;
-  reply<http_response> answer;
+  reply<announcement_response> answer;
 };
 struct remove_announcement {
   std::string target;
-  reply<http_response> answer;
+  reply<announcement_response> answer;
 };
-using announcement_message = std::variant<announcement_tick, put_announcement, remove_announcement, upstream_leaving>;
+using announcement_message =
+    std::variant<announcement_tick, put_announcement, remove_announcement, announcement_notice>;
 
 }  // namespace
 
@@ -44,29 +52,30 @@
       : timers(&k.timers()),
         executor(k.executor()),
         inbox(executor, inbox_capacity),
-        leaving(executor, leaving_capacity),
+        notices(executor, notice_capacity),
         core(s.announcement_period, s.caller_service) {}
 
   struct route {
     std::string_view method;
-    announcement_message (*make)(std::string target, http_request& request, reply<http_response> answer);
+    announcement_message (*make)(std::string target, http_request& request, reply<announcement_response> answer);
   };
   static const route routes[];
 
   awaitable<http_response> serve(http_request request);
+  awaitable<outcome<void>> keep(target_departure departure);
   void handle(const announcement_tick&);
   void handle(const put_announcement& request);
   void handle(const remove_announcement& request);
-  void handle(const upstream_leaving& stated);
-  http_response apply_changes(const outcome<announcement_core::changes>& changes);
+  void handle(const announcement_notice& notice);
+  announcement_response apply_changes(const outcome<announcement_core::changes>& changes);
   void post_pending();
   static awaitable<void> run(std::shared_ptr<state> self);
-  static awaitable<void> forward_leaving(std::shared_ptr<state> self);
+  static awaitable<void> forward_notices(std::shared_ptr<state> self);
 
   timer_service* timers;
   executor_type executor;
   mailbox<announcement_message> inbox;
-  mailbox<upstream_leaving> leaving;  ///< published, because other services do not know the HTTP messages
+  mailbox<announcement_notice> notices;  ///< published, because other services do not know the HTTP messages
   announcement_core core;
   std::map<std::string, endpoint_record> pending_endpoints;
   address<directory_message> directory;
@@ -96,11 +105,11 @@
 
 const announcement_service::state::route announcement_service::state::routes[] = {
     {"PUT",
-     [](std::string target, http_request& request, reply<http_response> answer) -> announcement_message {
+     [](std::string target, http_request& request, reply<announcement_response> answer) -> announcement_message {
        return put_announcement{std::move(target), std::move(request.body), std::move(answer)};
      }},
     {"DELETE",
-     [](std::string target, http_request& request, reply<http_response> answer) -> announcement_message {
+     [](std::string target, http_request& request, reply<announcement_response> answer) -> announcement_message {
        return remove_announcement{target.empty() ? request.query["target"] : std::move(target), std::move(answer)};
      }},
 };
@@ -112,18 +121,38 @@
       is_announcement_path ? request.path.substr(std::min(request.path.size(), announcement_path.size() + 1)) : "";
   for (const route& r : routes) {
     if (request.method != r.method || !is_announcement_path) continue;
-    auto make = [&](reply<http_response> answer) { return r.make(target, request, std::move(answer)); };
-    auto pending_response = ask<http_response>(*timers, executor, inbox.address(), response_timeout, std::move(make));
-    auto answer = co_await std::move(pending_response);
+    auto make = [&](reply<announcement_response> answer) { return r.make(target, request, std::move(answer)); };
+    auto asking = ask<announcement_response>(*timers, executor, inbox.address(), response_timeout, std::move(make));
+    auto answer = co_await std::move(asking);
     if (!answer) co_return error_response(answer.failure());
-    co_return std::move(*answer);
+    for (const target_departure& departure : answer->departures) {
+      auto keeping = keep(departure);
+      const outcome<void> kept = co_await std::move(keeping);
+      if (!kept) co_return error_response(kept.failure());
+    }
+    co_return std::move(answer->response);
   }
   co_return error_response({error_kind::not_found, request.method + " " + request.path + " is not a call of this API",
                             "use PUT or DELETE /v1/announcement", request.path});
 }
 
+// A process of this host that is started again knows a departure only from other hosts, so the upstream gets its
+// acknowledgement when they have it.
+awaitable<outcome<void>> announcement_service::state::keep(target_departure departure) {
+  if (!directory) co_return outcome<void>();
+  auto make = [&](reply<std::size_t> answer) { return keep_departure{departure, std::move(answer)}; };
+  auto asking = ask<std::size_t>(*timers, executor, directory, departure_timeout, std::move(make));
+  const outcome<std::size_t> copies = co_await std::move(asking);
+  if (copies) co_return outcome<void>();
+  co_return error{error_kind::unavailable, "the target is not used any more, but other hosts have not confirmed it yet",
+                  "send the request again", departure.target};
+}
+
 void announcement_service::state::handle(const announcement_tick&) {
-  (void)apply_changes(core.tick(timer_service::now()));
+  const announcement_response expired = apply_changes(core.tick(timer_service::now()));
+  for (const target_departure& departure : expired.departures) {
+    if (directory) directory.post(keep_departure{departure, {}});
+  }
 }
 
 void announcement_service::state::handle(const put_announcement& request) {
@@ -140,15 +169,19 @@
       apply_changes(capture([&] { return core.remove(timer_service::now(), request.target, unix_time_ms()); })));
 }
 
-void announcement_service::state::handle(const upstream_leaving& stated) {
-  (void)apply_changes(core.mark_leaving(stated.target));
+void announcement_service::state::handle(const announcement_notice& notice) {
+  (void)apply_changes(std::visit(
+      overloaded_handlers{
+          [&](const upstream_leaving& stated) { return core.mark_leaving(stated.target); },
+          [&](const departures_adopted& adopted) { return core.adopt(timer_service::now(), adopted.departures); }},
+      notice));
 }
 
-http_response announcement_service::state::apply_changes(const outcome<announcement_core::changes>& changes) {
+announcement_response announcement_service::state::apply_changes(const outcome<announcement_core::changes>& changes) {
   if (!changes) {
     ++refused_count;
     log_error("announcement_refused", changes.failure());
-    return error_response(changes.failure());
+    return {error_response(changes.failure()), {}};
   }
   for (const endpoint_record& endpoint : changes->endpoints) {
     pending_endpoints[endpoint.target] = endpoint;
@@ -163,7 +196,7 @@
   }
   post_pending();
   const auto lease = std::chrono::duration_cast<milliseconds>(core.lease_duration());
-  return json_response(200, boost::json::object{{"lease_ms", lease.count()}});
+  return {json_response(200, boost::json::object{{"lease_ms", lease.count()}}), changes->departures};
 }
 
 void announcement_service::state::post_pending() {
@@ -181,12 +214,12 @@
   }
 }
 
-awaitable<void> announcement_service::state::forward_leaving(std::shared_ptr<state> self) {
+awaitable<void> announcement_service::state::forward_notices(std::shared_ptr<state> self) {
   while (true) {
-    auto receiving = self->leaving.receive();
-    auto stated = co_await std::move(receiving);
-    if (!stated) co_return;
-    announcement_message message = std::move(*stated);
+    auto receiving = self->notices.receive();
+    auto notice = co_await std::move(receiving);
+    if (!notice) co_return;
+    announcement_message message = std::move(*notice);
     auto sending = self->inbox.address().send(std::move(message));
     (void)co_await std::move(sending);
   }
@@ -204,7 +237,7 @@
 
 void announcement_service::publish(kernel& k) {
   state_ = std::make_shared<state>(k, settings_);
-  k.publish(name(), state_->leaving.address());
+  k.publish(name(), state_->notices.address());
 }
 
 result<void> announcement_service::start(kernel& k) {
@@ -226,7 +259,7 @@
   };
   BOOST_LEAF_ASSIGN(state_->listener, http_listener::make(k, settings_.upstream_listen, std::move(serve)));
   boost::asio::co_spawn(k.executor(), state::run(state_), boost::asio::detached);
-  boost::asio::co_spawn(k.executor(), state::forward_leaving(state_), boost::asio::detached);
+  boost::asio::co_spawn(k.executor(), state::forward_notices(state_), boost::asio::detached);
   const address<announcement_message> inbox = state_->inbox.address();
   state_->tick = k.timers().every(tick_period, [inbox] { inbox.post(announcement_tick{}); });
   return {};
@@ -237,7 +270,7 @@
   state_->tick.cancel();
   state_->listener.reset();
   state_->inbox.close();
-  state_->leaving.close();
+  state_->notices.close();
 }
 
 std::uint16_t announcement_service::port() const { return state_->listener ? state_->listener->port() : 0; }
--- a/node/directory_core.cc
+++ b/node/directory_core.cc
@@ -21,6 +21,10 @@
 constexpr std::size_t gossip_fanout = 3;
 constexpr std::size_t indirect_probe_fanout = 2;
 constexpr std::size_t leave_fanout = 8;
+// A departure is confirmed by two members, so that it outlasts this process and one more; four are asked, since
+// datagrams may be lost.
+constexpr std::size_t departure_copies = 2;
+constexpr std::size_t departure_fanout = 4;
 // Every tenth probe goes to a removed member or unreachable seed, so that the sides of a partition find each other
 // again after it has healed.
 constexpr std::uint64_t probes_per_lost_probe = 10;
@@ -45,6 +49,8 @@
   for (const endpoint_record& e : record.endpoints) {
     size += fixed + e.service.size() + e.upstream_version.size() + e.target.size() + e.address.size();
   }
+  constexpr std::size_t departure_fixed = 28;
+  for (const target_departure& d : record.departures) size += departure_fixed + d.target.size();
   return size;
 }
 
@@ -94,6 +100,7 @@
 directory_output directory_core::tick(time_point now) {
   directory_output out;
   if (left_) return out;
+  out.decided_departures = departures_.expire(now);
   handle_probe_timeouts(now, out);
   remove_expired_suspects(now, out);
   propagate_recent(out);
@@ -118,6 +125,11 @@
 
 void directory_core::publish_self(time_point now, directory_output& out) {
   ++self_.sequence;
+  self_.departures = departures_.own(now);
+  while (!self_.departures.empty() && max_encoded_size(self_) > max_payload_bytes) {
+    departures_.drop_oldest_own();
+    self_.departures = departures_.own(now);
+  }
   table_.put(now, std::make_shared<member_record>(self_));
   mark_recent(self_.node_id);
   out.view_changed = true;
@@ -135,6 +147,48 @@
   return out;
 }
 
+// The members that a later process of this host contacts first: the seeds, then any others.
+std::vector<std::string> directory_core::pick_departure_keepers() {
+  std::vector<std::string> addresses;
+  std::vector<std::string> others;
+  for (const auto& [id, record] : table_.members()) {
+    if (id == self_.node_id || record->state != member_state::alive) continue;
+    const bool is_seed = std::find(seeds_.begin(), seeds_.end(), record->mesh_address) != seeds_.end();
+    (is_seed ? addresses : others).push_back(record->mesh_address);
+  }
+  std::shuffle(others.begin(), others.end(), random_);
+  addresses.insert(addresses.end(), others.begin(), others.end());
+  if (addresses.size() > departure_fanout) addresses.resize(departure_fanout);
+  return addresses;
+}
+
+directory_output directory_core::keep_departure(time_point now, const target_departure& departure,
+                                                std::uint64_t request) {
+  directory_output out;
+  if (left_) {
+    out.decided_departures.push_back({request, 0, false});
+    return out;
+  }
+  if (departures_.add_own(now, departure)) publish_self(now, out);
+  const bool only_member = seeds_.empty() && table_.members().size() == 1 && table_.removed().empty();
+  if (only_member || departures_.is_kept(departure)) {
+    out.decided_departures.push_back({request, only_member ? 0 : departure_copies, true});
+    return out;
+  }
+  const std::vector<std::string> keepers = pick_departure_keepers();
+  departures_.await_copies(now, request, departure, std::clamp<std::size_t>(keepers.size(), 1, departure_copies));
+  for (const std::string& address : keepers) send_probe(now, address, {}, out).departure_request = request;
+  return out;
+}
+
+void directory_core::adopt_departures(time_point now, const std::vector<target_departure>& departures,
+                                      directory_output& out) {
+  const std::vector<target_departure> adopted = departures_.adopt(now, departures);
+  if (adopted.empty()) return;
+  out.adopted_departures.insert(out.adopted_departures.end(), adopted.begin(), adopted.end());
+  publish_self(now, out);
+}
+
 directory_output directory_core::set_draining(time_point now) {
   directory_output out;
   if (left_ || self_.draining) return out;
@@ -169,9 +223,11 @@
 bool directory_core::apply_record(time_point now, const member_record_ptr& record, bool propagate,
                                   directory_output& out) {
   if (record->node_id == self_.node_id) {
+    if (record->incarnation != self_.incarnation) adopt_departures(now, record->departures, out);
     if (supersedes(*record, self_)) refute_suspicion(now, version_of(*record, record->state), out);
     return false;
   }
+  departures_.put(now, *record);
   if (table_.put(now, record) != record_change::newer) return false;
   if (record->state == member_state::suspect) {
     suspected_.emplace(record->node_id, now);
@@ -225,10 +281,13 @@
   answer.nonce = m.nonce;
   answer.summary = table_.summary();
   if (m.summary != 0 && m.summary != answer.summary) answer.buckets = table_.bucket_summaries(table_.bucket_count());
+  if (const member_record_ptr sender = table_.find(m.from))
+    answer.departures = departures_.of_earlier_process(now, m.from, sender->incarnation);
   out.datagrams.push_back({address, std::move(answer)});
 }
 
-void directory_core::on_answer(time_point, const std::string& address, const gossip_message& m, directory_output& out) {
+void directory_core::on_answer(time_point now, const std::string& address, const gossip_message& m,
+                               directory_output& out) {
   const auto relay = relays_.find(m.nonce);
   if (relay != relays_.end()) {
     gossip_message forwarded = make_message(gossip_kind::answer);
@@ -237,7 +296,12 @@
     relays_.erase(relay);
     return;
   }
-  if (probes_.erase(m.nonce) == 0) return;
+  const auto answered = probes_.find(m.nonce);
+  if (answered == probes_.end()) return;
+  const std::uint64_t departure_request = answered->second.departure_request;
+  probes_.erase(answered);
+  if (departure_request != 0) out.decided_departures = departures_.count_copy(departure_request);
+  adopt_departures(now, m.departures, out);
   if (m.summary == table_.summary()) joined_ = joined_ || table_.members().size() > 1;
   if (!m.buckets.empty()) request_buckets(address, m.buckets, out);
 }
@@ -376,14 +440,16 @@
   if (const member_record_ptr member = pick_probe_target()) send_probe(now, member->mesh_address, member->node_id, out);
 }
 
-void directory_core::send_probe(time_point now, const std::string& address, const std::string& node_id,
-                                directory_output& out) {
+directory_core::probe_state& directory_core::send_probe(time_point now, const std::string& address,
+                                                        const std::string& node_id, directory_output& out) {
   gossip_message probe = make_message(gossip_kind::probe);
   probe.nonce = static_cast<std::uint32_t>(random_());
   probe.summary = table_.summary();
   if (!joined_ || node_id.empty()) probe.records = {std::make_shared<member_record>(self_)};
-  probes_[probe.nonce] = {node_id, address, now, node_id.empty()};
+  probe_state& sent = probes_[probe.nonce];
+  sent = {node_id, address, now, node_id.empty()};
   out.datagrams.push_back({address, std::move(probe)});
+  return sent;
 }
 
 void directory_core::handle_probe_timeouts(time_point now, directory_output& out) {
--- a/node/directory_core.h
+++ b/node/directory_core.h
@@ -10,6 +10,7 @@
 ///     send(core.tick(now));                            // every directory_period
 ///     send(core.receive(now, "10.0.0.4:7001", message));
 ///     send(core.set_endpoint(now, endpoint));
+///     send(core.keep_departure(now, departure, request));
 ///
 /// - Dissemination: recently changed records go to 3 random members every 200 ms, for about log2(n) rounds; each copy
 ///   that is received from another member takes one round off.
@@ -18,6 +19,10 @@
 /// - Failure detection: a member that does not acknowledge a probe within 1 s, sent directly or through two other
 ///   members, becomes suspect (about 2 s after its process ended) and is removed 4 s later. A suspected member that is
 ///   still running refutes the suspicion by publishing its record with a higher sequence.
+/// - Departures: a target on this host that drains or has left is published in the own record, and the record is sent
+/// in
+///   probes to a few members, the seeds first, whose answers confirm it. A process that is started again gets the
+///   departures of the earlier one in the answers to its probes.
 /// - Rejoin: every tenth probe (every probe while no other member is known) goes to a removed member or a seed that is
 ///   not a member, if there is one, so that the two sides of a healed partition find each other again.
 #pragma once
@@ -27,6 +32,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "node/departure_table.h"
 #include "node/directory_table.h"
 
 namespace heatherdeck {
@@ -48,6 +54,8 @@
 struct directory_output {
   std::vector<outgoing_gossip> datagrams;
   bool view_changed = false;  ///< `view()` now returns something else than before the call
+  std::vector<departure_table::decided_request> decided_departures;
+  std::vector<target_departure> adopted_departures;  ///< recorded by an earlier process of this host
 };
 
 class directory_core {
@@ -67,6 +75,10 @@
   /// Publishes a change of an upstream on this host; an endpoint whose state is `gone` is removed from the record.
   directory_output set_endpoint(time_point now, const endpoint_record& endpoint);
 
+  /// Publishes that a target on this host drains or has left, and asks other members to confirm that they know.
+  /// @param request returned in `decided_departures` of this or a later output, once it is decided.
+  directory_output keep_departure(time_point now, const target_departure& departure, std::uint64_t request);
+
   /// Replaces the seeds; the new mesh addresses are probed like the configured ones from now on.
   void set_seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
 
@@ -91,7 +103,8 @@
     std::string node_id;  ///< empty for a seed whose id is not known
     std::string address;
     time_point sent;
-    bool relayed = false;  ///< indirect probes have been sent, or are not wanted
+    bool relayed = false;                 ///< indirect probes have been sent, or are not wanted
+    std::uint64_t departure_request = 0;  ///< confirmed by the answer; 0: none
   };
   struct relay_state {
     std::string requester_address;  ///< mesh address of the member that asked for the indirect probe
@@ -103,6 +116,8 @@
   bool apply_record(time_point now, const member_record_ptr& record, bool propagate, directory_output& out);
   void suspect(time_point now, const member_record_version& status, bool propagate, directory_output& out);
   void refute_suspicion(time_point now, const member_record_version& status, directory_output& out);
+  void adopt_departures(time_point now, const std::vector<target_departure>& departures, directory_output& out);
+  std::vector<std::string> pick_departure_keepers();
   void notify_suspected_sender(const std::string& address, const std::string& node_id, directory_output& out);
 
   void on_probe(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
@@ -114,7 +129,8 @@
   void ignore(time_point now, const std::string& address, const gossip_message& m, directory_output& out);
 
   void probe(time_point now, directory_output& out);
-  void send_probe(time_point now, const std::string& address, const std::string& node_id, directory_output& out);
+  probe_state& send_probe(time_point now, const std::string& address, const std::string& node_id,
+                          directory_output& out);
   void handle_probe_timeouts(time_point now, directory_output& out);
   void remove_expired_suspects(time_point now, directory_output& out);
   void propagate_recent(directory_output& out);
@@ -134,6 +150,7 @@
   std::vector<std::string> seeds_;
   std::mt19937_64 random_;
   directory_table table_;
+  departure_table departures_;
   std::unordered_map<std::string, int> recent_;            ///< node id to remaining rounds of dissemination
   std::unordered_map<std::uint32_t, probe_state> probes_;  ///< own probes without an acknowledgement yet, by nonce
   std::unordered_map<std::uint32_t, relay_state> relays_;  ///< probes made for other members, by nonce
--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -5,6 +5,7 @@
 #include "node/directory_service.h"
 
 #include <chrono>
+#include <map>
 #include <random>
 #include <set>
 
@@ -74,6 +75,9 @@
     if (kernel_.has(to_name(service_name::quarantine))) {
       BOOST_LEAF_ASSIGN(quarantine_, kernel_.find<quarantine_message>(to_name(service_name::quarantine)));
     }
+    if (kernel_.has(to_name(service_name::announcements))) {
+      BOOST_LEAF_ASSIGN(announcements_, kernel_.find<announcement_notice>(to_name(service_name::announcements)));
+    }
     if (kernel_.has(to_name(service_name::mesh))) {
       BOOST_LEAF_ASSIGN(mesh_, kernel_.find<mesh_message>(to_name(service_name::mesh)));
     }
@@ -130,6 +134,7 @@
       std::visit(
           overloaded_handlers{[&](directory_tick&) { apply_output(core_.tick(now)); },
                               [&](local_endpoint_changed& m) { apply_output(core_.set_endpoint(now, m.endpoint)); },
+                              [&](keep_departure& m) { keep(std::move(m)); },
                               [&](announce_draining&) { apply_output(core_.set_draining(now)); },
                               [&](set_seeds& m) { core_.set_seeds(std::move(m.addresses)); },
                               [&](get_members& m) { m.answer(core_.view()); },
@@ -166,8 +171,46 @@
     socket_->send(outgoing.to, encode(message));
   }
 
+  void keep(keep_departure asked) {
+    const std::uint64_t request = ++last_departure_request_;
+    pending_departures_[request] = std::move(asked);
+    apply_output(core_.keep_departure(timer_service::now(), pending_departures_[request].departure, request));
+  }
+
+  void answer(const departure_table::decided_request& decided) {
+    const auto asked = pending_departures_.find(decided.request);
+    if (asked == pending_departures_.end()) return;
+    const target_departure& departure = asked->second.departure;
+    log_event(decided.kept ? log_level::info : log_level::warning,
+              decided.kept ? "departure_kept" : "departure_not_kept",
+              {{"target", departure.target}, {"born", departure.last.start_time_ms}, {"copies", decided.copies}});
+    if (decided.kept) {
+      asked->second.answer(decided.copies);
+    } else {
+      asked->second.answer(error{error_kind::unavailable,
+                                 "too few other hosts have confirmed that the target is leaving",
+                                 "send the request again",
+                                 {}});
+    }
+    pending_departures_.erase(asked);
+  }
+
+  // Departures that "announcements" cannot take because its mailbox is full are posted again at the next change or
+  // tick.
+  void post_adopted(const std::vector<target_departure>& adopted) {
+    for (const target_departure& departure : adopted) {
+      log_event(log_level::info, "departure_adopted",
+                {{"target", departure.target}, {"born", departure.last.start_time_ms}});
+      unposted_departures_.push_back(departure);
+    }
+    if (unposted_departures_.empty()) return;
+    if (!announcements_ || announcements_.post(departures_adopted{unposted_departures_})) unposted_departures_.clear();
+  }
+
   void apply_output(const directory_output& out) {
     for (const outgoing_gossip& item : out.datagrams) socket_->send(item.to, encode(item.message));
+    for (const departure_table::decided_request& decided : out.decided_departures) answer(decided);
+    post_adopted(out.adopted_departures);
     if (!out.view_changed || view_pending_) return;
     const duration since = timer_service::now() - last_view_at_;
     if (since >= min_view_interval) return post_view();
@@ -208,6 +251,10 @@
   address<subscriber_message> subscriber_;
   address<quarantine_message> quarantine_;
   address<mesh_message> mesh_;
+  address<announcement_notice> announcements_;
+  std::map<std::uint64_t, keep_departure> pending_departures_;  ///< by the number that the core got
+  std::uint64_t last_departure_request_ = 0;
+  std::vector<target_departure> unposted_departures_;
   subscription tick_;
   subscription view_timer_;
   time_point last_view_at_{};
--- a/testing/announcement_test.cc
+++ b/testing/announcement_test.cc
@@ -142,6 +142,43 @@
   EXPECT_EQ(core.tick(now + 12s).endpoints.size(), 0U);
 }
 
+// What other hosts are told must cover every announcement that was sent before the target began to drain or left, and
+// must not change with each announcement while it drains.
+TEST(announcement, departures_name_the_last_outdated_announcement) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  EXPECT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 4))->departures.empty());
+  const std::vector<target_departure> draining{{"i-1", {100, 6}}};
+  EXPECT_EQ(core.put(now, make_announcement("i-1", "draining", 100, 6))->departures, draining);
+  EXPECT_EQ(core.put(now, make_announcement("i-1", "draining", 100, 7))->departures, draining);
+  EXPECT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 8))->departures.empty());
+  const std::vector<target_departure> draining_again{{"i-1", {100, 9}}};
+  EXPECT_EQ(core.put(now, make_announcement("i-1", "draining", 100, 9))->departures, draining_again);
+  const auto removed = core.remove(now, "i-1");
+  ASSERT_EQ(removed->departures.size(), 1U);
+  EXPECT_GT(removed->departures[0].last, (announcement_order{100, 1'000'000}));
+  EXPECT_LT(removed->departures[0].last, (announcement_order{101, 0}));
+}
+
+// A process that was started again must refuse what its predecessor would have refused, and nothing else.
+TEST(announcement, adopted_departures_hold_for_outdated_announcements_only) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  ASSERT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 5)));
+  announcement other = make_announcement("i-2", "ready", 200, 5);
+  other.endpoint.address = "10.1.0.38:8146";
+  ASSERT_TRUE(core.put(now, other));
+  const auto adopted = core.adopt(now, {{"i-1", {100, 6}}, {"i-2", {200, 4}}, {"i-3", {300, 9}}});
+  ASSERT_EQ(adopted.endpoints.size(), 1U);
+  EXPECT_EQ(adopted.endpoints[0].target, "i-1");
+  EXPECT_EQ(adopted.endpoints[0].state, upstream_state::gone);
+  EXPECT_TRUE(core.put(now, make_announcement("i-1", "ready", 100, 6))->outdated);
+  EXPECT_FALSE(core.put(now, make_announcement("i-1", "ready", 100, 7))->outdated) << "it drains no more";
+  EXPECT_FALSE(core.put(now, other)->outdated);
+  EXPECT_TRUE(core.put(now, make_announcement("i-3", "ready", 300, 9))->outdated);
+  EXPECT_FALSE(core.put(now, make_announcement("i-3", "ready", 301, 1))->outdated);
+}
+
 // A target that was only silent announces itself again with a higher sequence and is used again at once.
 TEST(announcement, silent_target_comes_back) {
   announcement_core core(1500ms);
--- a/testing/codec_test.cc
+++ b/testing/codec_test.cc
@@ -2,6 +2,7 @@
 #include "wire/codec.h"
 
 #include <functional>
+#include <limits>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -46,7 +47,8 @@
            5,
            member_state::suspect,
            true,
-           {endpoint}},
+           {endpoint},
+           {{"certdesk-2", {1764835199000, 7}}}},
           {"c1", "dar-2", "dar", "10.0.0.9:7001", process_role::control, 8, 1, member_state::alive, false, {}}};
 }
 
@@ -69,6 +71,7 @@
   for (const member_record& record : sample_members()) {
     message.records.push_back(std::make_shared<member_record>(record));
   }
+  message.departures = {{"certdesk-1", {1764835198000, std::numeric_limits<std::uint64_t>::max()}}};
   return message;
 }
 
--- a/testing/directory_network.h
+++ b/testing/directory_network.h
@@ -26,6 +26,8 @@
     std::uint64_t run_id = 0;  ///< rises with each start and stop, so that events of an earlier run are ignored
     /// Highest (incarnation, sequence) seen, by node id, to detect versions that decrease.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> highest_versions;
+    std::vector<departure_table::decided_request> decided_departures;
+    std::vector<target_departure> adopted_departures;
   };
 
   explicit directory_network(std::uint64_t seed) : random_(seed) {}
@@ -46,6 +48,8 @@
     p.self = self;
     ++p.run_id;
     p.highest_versions.clear();
+    p.decided_departures.clear();
+    p.adopted_departures.clear();
     p.core = std::make_unique<directory_core>(directory_options{self, seeds, random_()});
     send(self.mesh_address, p.core->start(now));
     schedule_tick(self.mesh_address, directory_period * (random_() % 1000) / 1000);
@@ -132,6 +136,8 @@
   void send(const std::string& from, directory_output out) {
     process& sender = processes_[from];
     if (out.view_changed) count_version_regressions(sender);
+    for (const auto& decided : out.decided_departures) sender.decided_departures.push_back(decided);
+    for (const auto& adopted : out.adopted_departures) sender.adopted_departures.push_back(adopted);
     for (outgoing_gossip& item : out.datagrams) {
       const std::size_t size = encode(item.message).size() + datagram_mac_bytes;
       ++datagrams;
--- a/testing/single_member_directory.h
+++ b/testing/single_member_directory.h
@@ -1,6 +1,6 @@
 /// @file
 /// A directory with one member, this process, which has at most one endpoint: it returns each `local_endpoint_changed`
-/// to the traffic service.
+/// to the traffic service, and confirms departures.
 ///
 ///     ASSERT_TRUE(k.add(std::make_unique<single_member_directory>()));
 #pragma once
@@ -37,6 +37,7 @@
     for (;;) {
       auto message = co_await inbox_->receive();
       if (!message) co_return;
+      if (const auto* asked = std::get_if<keep_departure>(&*message)) asked->answer(0);
       const auto* changed = std::get_if<local_endpoint_changed>(&*message);
       if (changed == nullptr) continue;
       member_record own{.node_id = "n1", .availability_zone = "dar-1", .region = "dar"};
--- a/testing/wire.cmake
+++ b/testing/wire.cmake
@@ -3,6 +3,7 @@
 hd_test(mesh_test hd_wire)
 hd_test(directory_core_test hd_node)
 hd_test(directory_service_test hd_node)
+hd_test(departure_test hd_node)
 
 # The sources of the fuzz targets are compiled and linted in every build, so that they stay up to date.
 add_library(fuzz_sources OBJECT fuzz/decode_fuzz.cc fuzz/h2_session_fuzz.cc)
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -53,7 +53,7 @@
   }
   ticks_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(traffic_tick{}); });
   if (k.has(to_name(service_name::announcements))) {
-    BOOST_LEAF_ASSIGN(announcements_, k.find<upstream_leaving>(to_name(service_name::announcements)));
+    BOOST_LEAF_ASSIGN(announcements_, k.find<announcement_notice>(to_name(service_name::announcements)));
   }
   if (k.has(to_name(service_name::quarantine))) {
     BOOST_LEAF_ASSIGN(quarantine_, k.find<quarantine_message>(to_name(service_name::quarantine)));
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -48,7 +48,7 @@
   std::uint64_t next_waiter_id_ = 1;
   std::unique_ptr<mailbox<traffic_message>> inbox_;
   address<subscriber_message> subscriber_;
-  address<upstream_leaving> announcements_;
+  address<announcement_notice> announcements_;
   address<quarantine_message> quarantine_;
   subscription ticks_;
   subscription answer_timer_;
--- a/wire/codec_directory.cc
+++ b/wire/codec_directory.cc
@@ -28,6 +28,18 @@
 
 }  // namespace
 
+void write(const target_departure& from, pb::TargetDeparture& to) {
+  to.set_target(from.target);
+  to.set_start_time_ms(from.last.start_time_ms);
+  to.set_sequence(from.last.sequence);
+}
+
+void read(const pb::TargetDeparture& from, target_departure& to, decode_context& context) {
+  to.target = from.target();
+  to.last = {from.start_time_ms(), from.sequence()};
+  if (to.target.empty()) context.set_error("a departure names no target");
+}
+
 void write(const member_record& from, pb::MemberRecord& to) {
   to.set_node_id(from.node_id);
   to.set_availability_zone(from.availability_zone);
@@ -39,6 +51,7 @@
   to.set_state(enum_number(from.state));
   to.set_draining(from.draining);
   for (const endpoint_record& item : from.endpoints) write(item, *to.add_endpoints());
+  for (const target_departure& item : from.departures) write(item, *to.add_departures());
 }
 
 void read(const pb::MemberRecord& from, member_record& to, decode_context& context) {
@@ -56,6 +69,7 @@
     read(item, endpoint, context);
     to.endpoints.push_back(std::move(endpoint));
   }
+  for (const auto& item : from.departures()) read(item, to.departures.emplace_back(), context);
   if (to.node_id.empty()) context.set_error("a member record has no node_id");
 }
 
--- a/wire/codec_gossip.cc
+++ b/wire/codec_gossip.cc
@@ -73,6 +73,7 @@
   }
   write(from.quarantine, to);
   to.set_recent(from.recent);
+  for (const target_departure& item : from.departures) write(item, *to.add_departures());
 }
 
 void read(const pb::Gossip& from, gossip_message& to, decode_context& context) {
@@ -100,6 +101,7 @@
   }
   read(from, to.quarantine, context);
   to.recent = from.recent();
+  for (const auto& item : from.departures()) read(item, to.departures.emplace_back(), context);
 }
 
 }  // namespace heatherdeck::codec
--- a/wire/codec_parts.h
+++ b/wire/codec_parts.h
@@ -85,6 +85,7 @@
 void write(const document_delta& from, pb::DocumentDelta& to);
 void write(const log_entry& from, pb::LogEntry& to);
 void write(const evidence_report& from, pb::EvidenceReport& to);
+void write(const target_departure& from, pb::TargetDeparture& to);
 void write(const member_record& from, pb::MemberRecord& to);
 void write(const std::vector<member_record>& from, pb::MemberList& to);
 void write(const raft_message& from, pb::RaftMessage& to);
@@ -104,6 +105,7 @@
 void read(const pb::DocumentDelta& from, document_delta& to, decode_context& context);
 void read(const pb::LogEntry& from, log_entry& to, decode_context& context);
 void read(const pb::EvidenceReport& from, evidence_report& to, decode_context& context);
+void read(const pb::TargetDeparture& from, target_departure& to, decode_context& context);
 void read(const pb::MemberRecord& from, member_record& to, decode_context& context);
 void read(const pb::MemberList& from, std::vector<member_record>& to, decode_context& context);
 void read(const pb::RaftMessage& from, raft_message& to, decode_context& context);
