Exchange: the buffered part of a request body in a class of its own

What is read for the fingerprint before the first attempt is kept in the same buffer beyond its limit, since no attempt has sent any of it, so the second buffer is gone.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -16,6 +16,7 @@
 #include "node/local_upstream.h"
 #include "node/mesh_upstream.h"
 #include "node/scoped_pick.h"
+#include "node/upload_buffer.h"
 #include "wire/wake_signal.h"
 
 namespace heatherdeck {
@@ -101,10 +102,7 @@
   duration latency_{};
   std::vector<std::string> tried_targets_;
   std::string pinned_service_;
-  std::string replay_buffer_;
-  std::size_t replay_offset_ = 0;
-  std::string unsent_;  // of a body beyond the replay buffer that was read before the attempt
-  bool replayable_ = true;
+  upload_buffer upload_;
   bool upload_done_ = false;
   bool attempt_ended_ = false;  // the attempt has a result: `send_request` must not write any more
   // Removed when the response is complete; the exchange is destroyed early only when the process ends.
@@ -196,9 +194,9 @@
   const auto signal = std::make_shared<wake_signal>(executor);
   const auto timer = deadline_timer::make(*context_->timers, [signal] { signal->set(); });
   timer->set(core_.deadline().value_or(timer_service::now() + context_->idle_timeout));
-  std::string read;
   outcome<void> result = error{error_kind::timeout, "the caller has sent no more of the body", {}, {}};
-  auto read_all = [this, &read, &result]() -> awaitable<void> {
+  upload_.keep_all(true);  // no attempt has sent any of it yet
+  auto read_all = [this, &result]() -> awaitable<void> {
     while (!caller_->body_done() && !body_hash_.full()) {
       auto reading = next_body_data();
       auto data = co_await std::move(reading);
@@ -206,7 +204,6 @@
         result = data.failure();
         co_return;
       }
-      read += *data;
     }
     result = outcome<void>();
   };
@@ -214,7 +211,6 @@
   auto waiting = signal->wait();
   auto first = std::move(reading) || std::move(waiting);
   (void)co_await std::move(first);
-  if (!replayable_) unsent_ = std::move(read);  // otherwise the attempt sends the replay buffer
   if (!result && result.failure().kind == error_kind::timeout && core_.deadline()) co_return outcome<void>();
   co_return std::move(result);
 }
@@ -298,24 +294,12 @@
 
 // Returns the next part of the request body: first the data buffered by an earlier attempt, then data from the caller.
 awaitable<outcome<std::string>> exchange::next_body_data() {
-  if (!unsent_.empty()) co_return std::exchange(unsent_, {});
-  if (replay_offset_ < replay_buffer_.size()) {
-    std::string data = replay_buffer_.substr(replay_offset_);
-    replay_offset_ = replay_buffer_.size();
-    co_return std::move(data);
-  }
+  if (upload_.has_unsent()) co_return upload_.take_unsent();
   auto reading = caller_->read_body();
   auto data = co_await std::move(reading);
   if (!data) co_return data.failure();
   body_hash_.update(*data);
-  if (replayable_ && replay_buffer_.size() + data->size() <= stream_buffer_bytes) {
-    replay_buffer_ += *data;
-    replay_offset_ = replay_buffer_.size();
-  } else if (!data->empty()) {
-    replayable_ = false;
-    std::string().swap(replay_buffer_);
-    replay_offset_ = 0;
-  }
+  upload_.add(*data);
   co_return std::move(data);
 }
 
@@ -334,7 +318,8 @@
     co_return error{error_kind::unreachable, "the deadline has passed before the request was forwarded", {}, {}};
   request_head forwarded_head = head_;
   forwarded_head.age = age();
-  const silence_action on_silence = core_.may_repeat(replayable_) ? silence_action::fail : silence_action::wait;
+  const silence_action on_silence =
+      core_.may_repeat(upload_.replayable()) ? silence_action::fail : silence_action::wait;
   auto opening = open_mesh_upstream(context_, choice, forwarded_head, limits, timeout, on_silence);
   auto opened = co_await std::move(opening);
   const auto failed = opened ? attempt_failure::closed : failure_of(opened.failure().kind);
@@ -346,11 +331,11 @@
   bool last = head_.body == body_framing::none;
   bool write_failed = false;
   std::string data;
-  if (!last && (!unsent_.empty() || replay_offset_ < replay_buffer_.size() || caller_->body_buffered())) {
+  if (!last && (upload_.has_unsent() || caller_->body_buffered())) {
     auto first = co_await next_body_data();
     if (!first) co_return end_attempt({attempt_end::caller_body_invalid});
     data = std::move(*first);
-    last = caller_->body_done() && replay_offset_ == replay_buffer_.size();
+    last = caller_->body_done() && !upload_.has_unsent();
   }
   while (!attempt_ended_) {
     if (!core_.may_send(timer_service::now()) && core_.state() == attempt_state::not_sent) {
@@ -369,7 +354,7 @@
       co_return end_attempt({invalid ? attempt_end::caller_body_invalid : attempt_end::caller_disconnected});
     }
     data = std::move(*next);
-    last = caller_->body_done() && (replay_offset_ == replay_buffer_.size() || !replayable_);
+    last = caller_->body_done() && !upload_.has_unsent();
     record_progress();
   }
   // After a failed write a response may still arrive; `handle_response` ends the attempt.
@@ -407,7 +392,7 @@
   latency_ = now - sent_at_;
   report_statement(head->statement);
   const auto refused = from_name<refusal_reason>(head->refused_reason);
-  const bool other_may_serve = replayable_ && !(refused && holds_everywhere(*refused));
+  const bool other_may_serve = upload_.replayable() && !(refused && holds_everywhere(*refused));
   exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, other_may_serve);
   if (decision.action == next_action::retry) {
     tried_targets_.push_back(pick_.choice().target);
@@ -459,7 +444,8 @@
   sent_at_ = timer_service::now();
   attempt_ended_ = false;
   upload_done_ = false;
-  replay_offset_ = 0;
+  upload_.rewind();
+  upload_.keep_all(false);
   auto opening = open_link();
   auto opened = co_await std::move(opening);
   if (!opened) co_return attempt_result{attempt_end::failed, failure_of(opened.failure().kind)};
@@ -539,11 +525,10 @@
     const attempt_failure failure = caller_failed                        ? attempt_failure::cancelled
                                     : result.end == attempt_end::timeout ? attempt_failure::timeout
                                                                          : result.failure;
-    const bool replayable = replayable_;
     const bool lost = pick_.choice().local && core_.state() != attempt_state::not_sent &&
                       (failure == attempt_failure::closed || failure == attempt_failure::reset);
     if (lost) log_lost_call(failure);
-    exchange_decision decision = core_.decide_after_failure(failure, timer_service::now(), replayable);
+    exchange_decision decision = core_.decide_after_failure(failure, timer_service::now(), upload_.replayable());
     pick_.finish({decision.reported_outcome,
                   timer_service::now() - sent_at_,
                   {},
