departure_test: names of the fixture's members as the linter asks

Cause: clang-tidy refuses the names of four protected members. Change: names without an underscore; the host of the simulation is named restarted_host.

--- a/testing/departure_test.cc
+++ b/testing/departure_test.cc
@@ -20,7 +20,7 @@
 constexpr std::uint64_t first_seed = 300;
 constexpr std::uint64_t seed_count = 40;
 constexpr std::size_t member_count = 22;
-const std::string host = "10.n1010";
+const std::string restarted_host = "10.n1010";
 const target_departure departure{"i-1", {100, 7}};
 
 /// Starts members in three regions; the first three are the seeds.
@@ -38,22 +38,22 @@
 
 /// Lets the host record the departure. @return whether other members have confirmed it.
 bool keep(directory_network& net) {
-  net.apply(host, [&](directory_core& core) { return core.keep_departure(net.now, departure, 1); });
-  const auto& decided = net.processes()[host].decided_departures;
+  net.apply(restarted_host, [&](directory_core& core) { return core.keep_departure(net.now, departure, 1); });
+  const auto& decided = net.processes()[restarted_host].decided_departures;
   net.time_until([&] { return !decided.empty(); }, 2s);
   return !decided.empty() && decided.front().kept;
 }
 
 void start_again(directory_network& net) {
   net.run_for(300ms);
-  member_record self = net.processes()[host].self;
+  member_record self = net.processes()[restarted_host].self;
   self.incarnation += 1000;
   self.endpoints.clear();
   net.start(self);
 }
 
 bool has_adopted(directory_network& net) {
-  const auto& adopted = net.processes()[host].adopted_departures;
+  const auto& adopted = net.processes()[restarted_host].adopted_departures;
   return std::find(adopted.begin(), adopted.end(), departure) != adopted.end();
 }
 
@@ -67,7 +67,7 @@
     net.loss_ratio = 0.05;
     if (!keep(net)) continue;
     ++kept_count;
-    net.stop(host);
+    net.stop(restarted_host);
     net.stop("10.n1000");
     start_again(net);
     EXPECT_LT(net.time_until([&] { return has_adopted(net); }, 5s), 2s) << "seed " << seed;
@@ -84,7 +84,7 @@
   add_members(net);
   ASSERT_TRUE(keep(net));
   for (int restart = 0; restart < 3; ++restart) {
-    net.stop(host);
+    net.stop(restarted_host);
     start_again(net);
     net.time_until([&] { return has_adopted(net); }, 5s);
     EXPECT_TRUE(has_adopted(net)) << restart;
@@ -97,12 +97,12 @@
   directory_network net(first_seed);
   add_members(net);
   net.partitioned = [](const member_record& a, const member_record& b) {
-    return (a.mesh_address == host) != (b.mesh_address == host);
+    return (a.mesh_address == restarted_host) != (b.mesh_address == restarted_host);
   };
   EXPECT_FALSE(keep(net));
-  EXPECT_EQ(net.processes()[host].decided_departures.size(), 1U);
+  EXPECT_EQ(net.processes()[restarted_host].decided_departures.size(), 1U);
   net.partitioned = nullptr;
-  net.processes()[host].decided_departures.clear();
+  net.processes()[restarted_host].decided_departures.clear();
   EXPECT_TRUE(keep(net)) << "the same request is confirmed after the partition";
 }
 
@@ -112,7 +112,7 @@
   add_members(net);
   ASSERT_TRUE(keep(net));
   net.run_for(departure_retention);
-  net.apply(host, [&](directory_core& core) { return core.set_draining(net.now); });
+  net.apply(restarted_host, [&](directory_core& core) { return core.set_draining(net.now); });
   net.run_for(30s);
   for (const auto& [address, process] : net.processes()) {
     const member_record_ptr record = process.core->table().find("n1010");
@@ -162,31 +162,31 @@
 class departure_service : public testing::Test {
  protected:
   void SetUp() override {
-    seed_address_ = free_address();
-    host_address_ = free_address();
-    others_.push_back(std::make_unique<node_process>("n0", seed_address_, seed_address_));
+    seed_address = free_address();
+    host_address = free_address();
+    others.push_back(std::make_unique<node_process>("n0", seed_address, seed_address));
     for (int i = 1; i < 3; ++i) {
-      others_.push_back(std::make_unique<node_process>("n" + std::to_string(i), free_address(), seed_address_));
+      others.push_back(std::make_unique<node_process>("n" + std::to_string(i), free_address(), seed_address));
     }
     start_host();
   }
 
   void start_host() {
-    host_ = std::make_unique<node_process>("n3", host_address_, seed_address_);
+    host = std::make_unique<node_process>("n3", host_address, seed_address);
     EXPECT_TRUE(run_until([&] {
-      return host_->members() == 4 &&
-             std::all_of(others_.begin(), others_.end(), [](const auto& p) { return p->members() == 4; });
+      return host->members() == 4 &&
+             std::all_of(others.begin(), others.end(), [](const auto& p) { return p->members() == 4; });
     }));
   }
 
   /// Ends the process without a message, as a kill does.
-  void kill_host() { host_.reset(); }
+  void kill_host() { host.reset(); }
 
   bool run_until(const std::function<bool()>& done, duration within = 10s) {
     const time_point limit = timer_service::now() + within;
     while (!done() && timer_service::now() < limit) {
-      for (const auto& p : others_) p->k.io().run_one_for(1ms);
-      if (host_) host_->k.io().run_one_for(1ms);
+      for (const auto& p : others) p->k.io().run_one_for(1ms);
+      if (host) host->k.io().run_one_for(1ms);
     }
     return done();
   }
@@ -196,11 +196,11 @@
     unsigned status = 0;
     bool done = false;
     boost::asio::co_spawn(
-        host_->k.io(),
+        host->k.io(),
         [&]() -> awaitable<void> {
           const http_request request{.method = method, .path = "/v1/announcement/i-1", .body = body};
-          const std::string address = "127.0.0.1:" + std::to_string(host_->announcements->port());
-          const auto response = co_await http_call(host_->k.timers(), host_->k.executor(), address, request, 5s);
+          const std::string address = "127.0.0.1:" + std::to_string(host->announcements->port());
+          const auto response = co_await http_call(host->k.timers(), host->k.executor(), address, request, 5s);
           status = response ? response->status : 0;
           done = true;
         },
@@ -214,24 +214,24 @@
                            R"(","born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) + "}");
   }
 
-  std::string seed_address_;
-  std::string host_address_;
-  std::vector<std::unique_ptr<node_process>> others_;
-  std::unique_ptr<node_process> host_;
+  std::string seed_address;
+  std::string host_address;
+  std::vector<std::unique_ptr<node_process>> others;
+  std::unique_ptr<node_process> host;
 };
 
 // A process that was started again used a target whose deregistration its predecessor had acknowledged, because the
 // target's last announcement arrived late.
 TEST_F(departure_service, target_that_has_left_is_not_used_by_a_process_that_is_started_again) {
   ASSERT_EQ(announce("ready", 4), 200U);
-  EXPECT_EQ(host_->targets(), 1U);
+  EXPECT_EQ(host->targets(), 1U);
   ASSERT_EQ(call("DELETE", {}), 200U);
   kill_host();
   start_host();
   EXPECT_EQ(announce("ready", 5), 200U);
-  EXPECT_EQ(host_->targets(), 0U) << "sent before the deregistration";
+  EXPECT_EQ(host->targets(), 0U) << "sent before the deregistration";
   EXPECT_EQ(announce("ready", 1, 200), 200U);
-  EXPECT_EQ(host_->targets(), 1U) << "a new start under the same name";
+  EXPECT_EQ(host->targets(), 1U) << "a new start under the same name";
 }
 
 // The same for a target that had only reported that it drains.
@@ -242,9 +242,9 @@
   kill_host();
   start_host();
   EXPECT_EQ(announce("ready", 5), 200U);
-  EXPECT_EQ(host_->targets(), 0U) << "sent before the target began to drain";
+  EXPECT_EQ(host->targets(), 0U) << "sent before the target began to drain";
   EXPECT_EQ(announce("draining", 8), 200U);
-  EXPECT_EQ(host_->targets(), 1U);
+  EXPECT_EQ(host->targets(), 1U);
 }
 
 // The late announcement may arrive before the new process has heard from the others.
@@ -252,20 +252,20 @@
   ASSERT_EQ(announce("ready", 4), 200U);
   ASSERT_EQ(call("DELETE", {}), 200U);
   kill_host();
-  host_ = std::make_unique<node_process>("n3", host_address_, seed_address_);
+  host = std::make_unique<node_process>("n3", host_address, seed_address);
   const std::string body =
       R"({"service":"certdesk","version":"v1","address":"127.0.0.1:9","slots":4,"state":"ready","born":100,"sequence":5})";
   EXPECT_EQ(call("PUT", body), 200U);
   // Sooner than the lease of 6 s would end.
-  EXPECT_TRUE(run_until([&] { return host_->members() == 4 && host_->targets() == 0; }, 3s));
+  EXPECT_TRUE(run_until([&] { return host->members() == 4 && host->targets() == 0; }, 3s));
 }
 
 // An acknowledgement that no other host has confirmed would be forgotten with this process.
 TEST_F(departure_service, departure_that_nobody_confirms_is_not_acknowledged) {
   ASSERT_EQ(announce("ready", 4), 200U);
-  others_.clear();
+  others.clear();
   EXPECT_EQ(call("DELETE", {}), 503U);
-  EXPECT_EQ(host_->targets(), 0U) << "the target is not used any more all the same";
+  EXPECT_EQ(host->targets(), 0U) << "the target is not used any more all the same";
 }
 
 }  // namespace
