Mesh calls: an upload that cannot be sent again waits for a slow node

Whether a node that does not respond may be given up is decided when the stream is opened, while the body can still be sent again; a body that outgrows the buffer later makes the decision wrong.

Change: when the buffer is dropped, the exchange tells the link, and the stream waits from then on.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -303,6 +303,7 @@
   if (!data) co_return data.failure();
   body_hash_.update(*data);
   upload_.add(*data);
+  if (!upload_.replayable() && link_) link_->wait_on_silence();
   co_return std::move(data);
 }
 
--- a/node/links.h
+++ b/node/links.h
@@ -65,6 +65,10 @@
   /// @param last true for the final part, which may be empty.
   virtual awaitable<outcome<void>> send(std::string data, bool last) = 0;
 
+  /// Called when the request cannot be sent to another upstream any more: a peer that does not respond for a while is
+  /// not given up before the deadline. By default nothing, since only peers are watched.
+  virtual void wait_on_silence() {}
+
   /// Waits for the head of the final response; interim (1xx) responses are skipped.
   virtual awaitable<outcome<response_head>> read_head() = 0;
 
--- a/node/mesh_upstream.cc
+++ b/node/mesh_upstream.cc
@@ -22,6 +22,8 @@
     co_return co_await std::move(writing);
   }
 
+  void wait_on_silence() override { stream_->wait_on_silence(); }
+
   awaitable<outcome<response_head>> read_head() override {
     auto reading = stream_->read_headers();
     auto fields = co_await std::move(reading);
--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -217,6 +217,25 @@
   });
 }
 
+// An upload of an idempotent request was given up with 502 when the second node was slow, as if it could be sent again,
+// although more of it had been forwarded than is buffered.
+TEST(proxy_peer, upload_that_has_outgrown_its_buffer_survives_a_slow_second_node) {
+  second_node second([](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    (void)co_await read_whole_request(stream);
+    block_event_loop(longer_than_a_ping_check);
+    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  proxy_harness first(echo_upstream, 60s, true);
+  route_to(first, second);
+  first.run([&]() -> awaitable<void> {
+    auto response =
+        co_await first.call("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + std::string(100'000, 'x'));
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), "ok");
+  });
+}
+
 // Its caller saw the connection closed within the answer.
 TEST(proxy_peer, answer_that_has_begun_survives_a_slow_second_node) {
   second_node second([](tcp_socket s) -> awaitable<void> {
--- a/wire/h2_stream.cc
+++ b/wire/h2_stream.cc
@@ -174,6 +174,8 @@
 
 bool h2_stream::closed() const { return state_->failure.has_value() || state_->closed; }
 
+void h2_stream::wait_on_silence() { state_->on_silence = silence_action::wait; }
+
 bool h2_stream::may_have_been_sent() const { return state_->may_have_been_sent; }
 
 }  // namespace heatherdeck
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -104,6 +104,9 @@
   /// Sends RST_STREAM with an HTTP/2 error code (8 is CANCEL, 7 is REFUSED_STREAM); both directions end immediately.
   void reset(std::uint32_t code);
 
+  /// From now on the stream stays open while its peer does not respond (`silence_action::wait`).
+  void wait_on_silence();
+
   /// @return true once any byte of the request may have been sent; until then it is safe to send it elsewhere.
   bool may_have_been_sent() const;
 
--- a/wire/h2_stream_state.h
+++ b/wire/h2_stream_state.h
@@ -83,7 +83,7 @@
   std::size_t consumed = 0;  ///< body bytes read by the holder, not yet returned to the peer's window
   bool queued = false;       ///< this stream is in the outbox
 
-  silence_action on_silence = silence_action::fail;  ///< set before the stream is opened
+  silence_action on_silence = silence_action::fail;  ///< from the holder: set before the stream is opened, or later
 
   // Set by the connection's task.
   bool may_have_been_sent = false;
