--- a/node/announcement_service.h
+++ b/node/announcement_service.h
@@ -8,8 +8,12 @@
 ///
 /// DELETE needs no NAME when only one target is announced.
 ///
-/// A successful response is {"lease_ms": N}. Listens on `upstream_listen`. Posts endpoints to "directory", load to
-/// "traffic" and connection limits to "pool", as far as these run in the process.
+/// A successful response is {"lease_ms": N}. That a target drains or has left is acknowledged once other members have
+/// confirmed to "directory" that they know it, so that it holds for a later process of this host too; without a
+/// confirmation the response is 503 after 0.7 s, and the upstream sends the request again.
+///
+/// Listens on `upstream_listen`. Posts endpoints to "directory", load to "traffic" and connection limits to "pool", as
+/// far as these run in the process. Gets `announcement_notice` from "traffic" and "directory".
 #pragma once
 
 #include <memory>
--- a/node/directory_service.h
+++ b/node/directory_service.h
@@ -3,7 +3,8 @@
 ///
 /// It runs on nodes and control hosts. After a change it posts the list of all members to "traffic", "consensus" and
 /// "subscriber", as far as they run in the same process, at most every 50 ms. Others request the list with
-/// `get_members`. When a mesh address leaves the list, "mesh" is asked to close its idle connections to it.
+/// `get_members`. When a mesh address leaves the list, "mesh" is asked to close its idle connections to it. Departures
+/// that an earlier process of this host has recorded are posted to "announcements".
 ///
 ///     BOOST_LEAF_AUTO(directory, k.find<directory_message>(to_name(service_name::directory)));
 ///     directory.post(local_endpoint_changed{endpoint});
