--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -199,15 +199,18 @@
 
 constexpr duration longer_than_a_ping_check = 3s;
 
+// Responds to one request after its node has been stopped for a while.
+awaitable<void> pausing_upstream(tcp_socket socket) {
+  h1_stream stream(std::move(socket));
+  (void)co_await read_whole_request(stream);
+  block_event_loop(longer_than_a_ping_check);
+  co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
 // A node that was slow for more than 1 s lost every call on its connections; those that cannot be sent again got 504
 // although their upstream answered them.
 TEST(proxy_peer, call_that_cannot_be_sent_again_survives_a_slow_second_node) {
-  second_node second([](tcp_socket s) -> awaitable<void> {
-    h1_stream stream(std::move(s));
-    (void)co_await read_whole_request(stream);
-    block_event_loop(longer_than_a_ping_check);
-    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  });
+  second_node second(pausing_upstream);
   proxy_harness first(echo_upstream, 60s, true);
   route_to(first, second);
   first.run([&]() -> awaitable<void> {
@@ -220,12 +223,7 @@
 // An upload of an idempotent request was given up with 502 when the second node was slow, as if it could be sent again,
 // although more of it had been forwarded than is buffered.
 TEST(proxy_peer, upload_that_has_outgrown_its_buffer_survives_a_slow_second_node) {
-  second_node second([](tcp_socket s) -> awaitable<void> {
-    h1_stream stream(std::move(s));
-    (void)co_await read_whole_request(stream);
-    block_event_loop(longer_than_a_ping_check);
-    co_await proxy_harness::send(stream, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  });
+  second_node second(pausing_upstream);
   proxy_harness first(echo_upstream, 60s, true);
   route_to(first, second);
   first.run([&]() -> awaitable<void> {
