Log lines for the evidence of "not executed"

attempt_not_executed names what a node believes when it repeats an attempt elsewhere or reports it as not executed; upstream_rejection says of an upstream's rejection whether it bears an id, whether its connection was used before and whether it has rejected the same request there before. No decision changes.

--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -85,6 +85,7 @@
   request_attributes attributes() const;
   request_fingerprint fingerprint() const;
   void log_lost_call(attempt_failure failure) const;
+  void log_not_executed(attempt_failure evidence) const;
   milliseconds age() const;
   duration bounded_timeout(duration limit) const;
 
@@ -160,6 +161,18 @@
              {"age_ms", age().count()}});
 }
 
+// What this node believes of an attempt that it repeats elsewhere or reports as not executed.
+void exchange::log_not_executed(attempt_failure evidence) const {
+  log_event(log_level::info, "attempt_not_executed",
+            {{"request", head_.request_id},
+             {"evidence", to_name(evidence)},
+             {"attempt", core_.attempts()},
+             {"target", pick_.choice().target},
+             {"local", pick_.choice().local},
+             {"from_peer", head_.limits.from_peer},
+             {"age_ms", age().count()}});
+}
+
 call_ending exchange::ending_of(const response_head& response) const {
   const bool from_upstream = pick_.choice().local && response.execution == execution_status::none;
   return from_upstream ? call_ending::answered : call_ending::unknown;
@@ -403,6 +416,7 @@
   const auto refused = from_name<refusal_reason>(head->refused_reason);
   const bool other_may_serve = upload_.replayable() && !(refused && holds_everywhere(*refused));
   exchange_decision decision = core_.decide_after_response(head->status, head->execution, now, other_may_serve);
+  if (head->execution == execution_status::not_executed) log_not_executed(attempt_failure::peer_not_executed);
   if (decision.action == next_action::retry) {
     tried_targets_.push_back(pick_.choice().target);
     // The choice may take as long as the wait for a slot. What `send_request` has asked the caller for meanwhile is
@@ -546,6 +560,7 @@
     const bool lost = pick_.choice().local && core_.state() != attempt_state::not_sent &&
                       (failure == attempt_failure::closed || failure == attempt_failure::reset);
     if (lost) log_lost_call(failure);
+    if (proves_not_executed(failure)) log_not_executed(failure);
     exchange_decision decision = core_.decide_after_failure(failure, timer_service::now(), upload_.replayable());
     pick_.finish({decision.reported_outcome,
                   timer_service::now() - sent_at_,
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -53,6 +53,8 @@
 
 }  // namespace
 
+bool proves_not_executed(attempt_failure failure) { return row_of(failure).proves_not_executed; }
+
 unsigned status_of(refusal_reason reason) {
   const auto* found = std::find_if(refusal_rows.begin(), refusal_rows.end(),
                                    [reason](const refusal_row& row) { return row.reason == reason; });
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -84,6 +84,9 @@
   });
 };
 
+/// @return whether the failure proves that no upstream has executed the request, even if bytes of it were sent.
+bool proves_not_executed(attempt_failure failure);
+
 /// What the exchange does after an attempt.
 enum class next_action {
   retry,    ///< choose an upstream again and resend the request
--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "kernel/log.h"
 #include "node/upstream_connection.h"
 
 namespace heatherdeck {
@@ -39,6 +40,11 @@
   });
 }
 
+bool carries_request_id(const response_head& head, const http_dialect& dialect) {
+  return std::any_of(head.headers.begin(), head.headers.end(),
+                     [&](const auto& field) { return field.first == dialect.request_id; });
+}
+
 // Reads the fields by which the dialect relates a response to its request: execution, id, required field and load.
 // @return `bad_message` if the response does not belong to the request.
 outcome<void> read_execution_fields(response_head& head, const std::string& request_id, const http_dialect& dialect) {
@@ -137,7 +143,12 @@
         response_head head = read_fields(*reader_);
         const bool stray = connection_->reused && !is_head_request_ && stray_responses_ < max_stray_responses &&
                            names_other_request(head, request_id_, *dialect_);
-        if (!stray) co_return parse_response_head(*reader_, std::move(head), is_head_request_, request_id_, *dialect_);
+        if (!stray) {
+          const bool has_id = carries_request_id(head, *dialect_);
+          auto parsed = parse_response_head(*reader_, std::move(head), is_head_request_, request_id_, *dialect_);
+          if (parsed && parsed->execution == execution_status::not_executed) record_rejection(*parsed, has_id);
+          co_return std::move(parsed);
+        }
         ++stray_responses_;
         const outcome<void> discarded = co_await discard_body();
         if (!discarded) co_return discarded.failure();
@@ -180,6 +191,17 @@
     co_return outcome<void>();
   }
 
+  void record_rejection(const response_head& head, bool has_id) {
+    log_event(log_level::info, "upstream_rejection",
+              {{"request", request_id_},
+               {"status", head.status},
+               {"has_request_id", has_id},
+               {"connection_reused", connection_->reused},
+               {"rejected_before", connection_->has_rejected(request_id_)},
+               {"late_responses", stray_responses_}});
+    connection_->add_rejected_id(request_id_);
+  }
+
   void new_reader() {
     reader_ = std::make_unique<h1_reader<false>>(connection_->stream);
     if (is_head_request_) reader_->skip_body();
--- a/node/upstream_connection.h
+++ b/node/upstream_connection.h
@@ -7,8 +7,10 @@
 ///     return_to_pool(std::move(connection));
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "node/h1_stream.h"
 #include "node/pool_messages.h"
@@ -27,6 +29,13 @@
   time_point idle_since{};  ///< last return to the pool
   bool reused = false;      ///< has carried an exchange before
 
+  /// Records that the upstream has rejected a request on this connection.
+  void add_rejected_id(std::string request_id) { rejected_ids_.push_back(std::move(request_id)); }
+  /// @return whether the upstream has rejected the request on this connection before.
+  bool has_rejected(const std::string& request_id) const {
+    return std::find(rejected_ids_.begin(), rejected_ids_.end(), request_id) != rejected_ids_.end();
+  }
+
   /// Called by the pool when it hands out the connection. An empty address ends the current lease, which notifies the
   /// pool that the connection is closed.
   void set_lease(address<pool_message> pool) {
@@ -39,6 +48,7 @@
 
   std::string address_;
   address<pool_message> pool_;
+  std::vector<std::string> rejected_ids_;
 };
 
 /// Returns an open connection to the pool after a complete exchange.
