Pool: a rejected request comes back on another connection

Callers got 503 for bookings that ran, and bookings ran twice, when an upstream sent a late copy of a rejection. Cause: the copy bears the id of the rejected request. After the first node had chosen the same upstream again, its node sent the request on the connection that it had used before, and took the copy for the answer to the second attempt. An id identifies an answer only if it is sent once on a connection.

A connection remembers the ids of the requests that were rejected on it, and the pool does not hand it out for them; with 32 of them it is closed instead of reused. The late copy then arrives on a connection that carries other requests or none, where its id tells that it belongs to neither.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -1,7 +1,8 @@
 // The request head is buffered until the first part of the body, so a small request takes one system call. Invariant:
 // `may_have_been_sent` becomes true before the first write, and false again only if that write failed before the kernel
-// accepted a byte. A late copy of an earlier response on a reused connection is discarded. A connection returns to the
-// pool only if request and response are complete and its buffer is empty.
+// accepted a byte. A late copy of an earlier response on a reused connection is discarded; the request id tells,
+// because a rejected request never comes to the same connection again. A connection returns to the pool only if request
+// and response are complete and its buffer is empty.
 #include "node/local_upstream.h"
 
 #include <algorithm>
@@ -169,7 +170,8 @@
 
   void release() override {
     const bool reusable = stray_responses_ == 0 && request_done_ && response_done() &&
-                          connection_->stream.buffer.size() == 0 && reader_->parser().keep_alive();
+                          !connection_->rejected_ids_full() && connection_->stream.buffer.size() == 0 &&
+                          reader_->parser().keep_alive();
     if (reusable) {
       return_to_pool(std::move(connection_));
     } else {
@@ -197,7 +199,6 @@
                {"status", head.status},
                {"has_request_id", has_id},
                {"connection_reused", connection_->reused},
-               {"rejected_before", connection_->has_rejected(request_id_)},
                {"late_responses", stray_responses_}});
     connection_->add_rejected_id(request_id_);
   }
@@ -227,8 +228,12 @@
   std::string text = serialize_h1_request(head, choice.upstream_address, limits, choice.target, *context->dialect);
   const bool chunked = head.body == body_framing::streamed;
   const bool is_head_request = head.method == "HEAD";
-  auto make = [&choice, timeout](reply<upstream_connection_ptr> answer) {
-    return acquire_connection{choice.upstream_address, !choice.idempotent, timeout, std::move(answer)};
+  auto make = [&choice, &head, timeout](reply<upstream_connection_ptr> answer) {
+    return acquire_connection{.upstream_address = choice.upstream_address,
+                              .non_idempotent = !choice.idempotent,
+                              .timeout = timeout,
+                              .answer = std::move(answer),
+                              .request_id = head.request_id};
   };
   // The pool applies the timeout itself; the extra second only matters if the pool has stopped.
   auto asking = ask<upstream_connection_ptr>(*context->timers, context->executor, context->pool,
--- a/node/pool_messages.h
+++ b/node/pool_messages.h
@@ -28,7 +28,8 @@
   bool non_idempotent = true;    ///< excludes connections that were idle for too long to be safe
   duration timeout{};            ///< for establishing a connection
   reply<upstream_connection_ptr> answer;
-  bool fresh = false;  ///< only a new connection will do
+  bool fresh = false;      ///< only a new connection will do
+  std::string request_id;  ///< excludes connections on which the upstream has rejected this request
 };
 
 /// Returns a connection, or reports that it was closed.
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -4,6 +4,7 @@
 // it is open and has no unread data), and one per idle connection in the sweep every second.
 #include "node/pool_service.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -58,7 +59,7 @@
   void handle(acquire_connection request);
   void handle(release_connection returned);
   void handle(const set_connection_limit& change);
-  upstream_connection_ptr take_idle(target_connections& target, bool non_idempotent);
+  upstream_connection_ptr take_idle(target_connections& target, const acquire_connection& request);
   void connect(acquire_connection request);
   // Handles messages until the mailbox closes; the task keeps the state alive.
   static awaitable<void> run(std::shared_ptr<state> self);
@@ -76,22 +77,24 @@
   });
 }
 
-upstream_connection_ptr pool_service::state::take_idle(target_connections& target, bool non_idempotent) {
+upstream_connection_ptr pool_service::state::take_idle(target_connections& target, const acquire_connection& request) {
   const time_point now = timer_service::now();
-  while (!target.idle.empty()) {
+  const auto usable = [&request](const upstream_connection_ptr& c) { return !c->has_rejected(request.request_id); };
+  while (true) {
     // The most recently used connection is at the back; if it is too old for this request, all others are.
-    if (non_idempotent && now - target.idle.back()->idle_since > max_idle_for_non_idempotent) return nullptr;
-    upstream_connection_ptr connection = std::move(target.idle.back());
-    target.idle.pop_back();
+    const auto found = std::find_if(target.idle.rbegin(), target.idle.rend(), usable);
+    if (found == target.idle.rend()) return nullptr;
+    if (request.non_idempotent && now - (*found)->idle_since > max_idle_for_non_idempotent) return nullptr;
+    upstream_connection_ptr connection = std::move(*found);
+    target.idle.erase(std::next(found).base());
     if (connection->stream.open_and_idle()) return connection;
     ++stale;
   }
-  return nullptr;
 }
 
 void pool_service::state::handle(acquire_connection request) {
   target_connections& target = targets[request.upstream_address];
-  if (upstream_connection_ptr connection = request.fresh ? nullptr : take_idle(target, request.non_idempotent)) {
+  if (upstream_connection_ptr connection = request.fresh ? nullptr : take_idle(target, request)) {
     ++target.in_use;
     ++reuses;
     connection->reused = true;
--- a/node/upstream_connection.h
+++ b/node/upstream_connection.h
@@ -17,6 +17,9 @@
 
 namespace heatherdeck {
 
+/// Rejected requests that are remembered for one connection, which is closed when it has as many.
+inline constexpr std::size_t max_rejected_ids = 32;
+
 class upstream_connection {
  public:
   upstream_connection(tcp_socket socket, std::string upstream_address)
@@ -29,12 +32,15 @@
   time_point idle_since{};  ///< last return to the pool
   bool reused = false;      ///< has carried an exchange before
 
-  /// Records that the upstream has rejected a request on this connection.
+  /// Records that the upstream has rejected a request on this connection. The request must not be sent on it again: a
+  /// late copy of the rejection could not be told from the response to the later attempt.
   void add_rejected_id(std::string request_id) { rejected_ids_.push_back(std::move(request_id)); }
-  /// @return whether the upstream has rejected the request on this connection before.
+  /// @return whether the upstream has rejected the request on this connection.
   bool has_rejected(const std::string& request_id) const {
     return std::find(rejected_ids_.begin(), rejected_ids_.end(), request_id) != rejected_ids_.end();
   }
+  /// @return whether the connection must not be reused, because no further rejection could be remembered.
+  bool rejected_ids_full() const { return rejected_ids_.size() >= max_rejected_ids; }
 
   /// Called by the pool when it hands out the connection. An empty address ends the current lease, which notifies the
   /// pool that the connection is closed.
--- a/testing/late_rejection_test.cc
+++ b/testing/late_rejection_test.cc
@@ -2,6 +2,7 @@
 // repeats a request that runs, or tells its caller that it has not run.
 #include <atomic>
 
+#include "node/upstream_connection.h"
 #include "platform/dialect.h"
 #include "testing/second_node.h"
 
@@ -74,5 +75,35 @@
   EXPECT_EQ(upstream.runs, 1);
 }
 
+// Without a limit, an upstream that rejects everything would make the memory of its connections grow.
+TEST(late_rejection, connection_is_replaced_after_many_rejections) {
+  proxy_harness h(
+      [](tcp_socket s) -> awaitable<void> {
+        h1_stream stream(std::move(s));
+        for (;;) {
+          h1_reader<true> request(stream);
+          if (co_await request.read_head()) co_return;
+          std::string text = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nX-Request-Id: ";
+          text.append(request.message()["X-Request-Id"]).append("\r\n\r\n");
+          co_await proxy_harness::send(stream, std::move(text));
+        }
+      },
+      60s, false, platform());
+  const auto pick_first = h.traffic->pick;
+  h.traffic->pick = [&](const request_attributes& attributes) -> pick_result {
+    if (attributes.attempt > 0) return refusal{refusal_reason::overloaded};
+    return pick_first(attributes);
+  };
+  h.run([&]() -> awaitable<void> {
+    for (std::size_t i = 0; i < 2 * max_rejected_ids; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      const auto response =
+          co_await h.call("POST /book HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+      EXPECT_EQ(response.result_int(), 503U);
+    }
+  });
+  EXPECT_EQ(h.upstream_connections, 2U);
+}
+
 }  // namespace
 }  // namespace heatherdeck
