h2_session: handle no stream that a waiting GOAWAY reports as not processed

Callers could see a request run twice: the last stream id of a GOAWAY is taken when the frame is queued, but the frame may wait behind more than 128 KiB of response headers, and streams that arrived meanwhile were handled. The peer takes them as not processed and sends them elsewhere. Such streams are no longer handed to the request handler; nghttp2 closes them when the GOAWAY is sent, as the peer is told.

--- a/wire/h2_session.cc
+++ b/wire/h2_session.cc
@@ -2,8 +2,9 @@
 // streams (h2_stream_state).
 // Invariants: the connection's flow-control window is replenished when bytes arrive, so that a slow reader blocks only
 // its own stream; a stream's window is replenished when its holder has read, so a stream never buffers more than its
-// window. A stream is marked as possibly sent before its first byte can reach the socket. Cost: received body bytes are
-// copied once, sent ones once (into the write buffer of the connection).
+// window. A stream is marked as possibly sent before its first byte can reach the socket. No stream is handled that a
+// queued GOAWAY will report as not processed. Cost: received body bytes are copied once, sent ones once (into the write
+// buffer of the connection).
 #include "wire/h2_session.h"
 
 #include <algorithm>
@@ -167,6 +168,8 @@
     if (block.empty()) return;
     header_list fields = std::move(block.mapped().fields);
     if (frame.headers.cat == NGHTTP2_HCAT_REQUEST) {
+      // The GOAWAY may wait behind other output. nghttp2 closes the stream when it is sent.
+      if (session.last_accepted_id_ && id > *session.last_accepted_id_) return;
       auto stream = std::make_shared<h2_stream_state>(session.executor_, session.outbox_, kind_of(fields),
                                                       /*opened_by_peer=*/true);
       if (stream->kind == stream_kind::call) stream->on_silence = silence_action::wait;
@@ -358,8 +361,8 @@
 }
 
 void h2_session::refuse_new_streams() {
-  nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(session_),
-                        NGHTTP2_NO_ERROR, nullptr, 0);
+  last_accepted_id_ = nghttp2_session_get_last_proc_stream_id(session_);
+  nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, *last_accepted_id_, NGHTTP2_NO_ERROR, nullptr, 0);
 }
 
 void h2_session::send_ping() { nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr); }
--- a/wire/h2_session.h
+++ b/wire/h2_session.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -56,7 +57,7 @@
   /// @return `internal` if nghttp2 fails; the caller must then close the connection.
   result<void> collect(std::string& out);
 
-  /// Queues a GOAWAY: streams that the peer opens from now on are not processed.
+  /// Queues a GOAWAY: streams that arrive from now on are not processed, also before it is sent.
   void refuse_new_streams();
   void send_ping();
 
@@ -102,6 +103,7 @@
   std::string* out_ = nullptr;  ///< set while `collect` runs
   std::unordered_map<std::int32_t, std::shared_ptr<h2_stream_state>> streams_;
   std::unordered_map<std::int32_t, header_block> blocks_;
+  std::optional<std::int32_t> last_accepted_id_;  ///< last stream id of the GOAWAY that was queued
   bool received_goaway_ = false;
   std::uint64_t ping_acks_ = 0;
 };
