caller_session: no status that promises "not executed" without proof

In the platform's dialect 408, 421, 429 and 503 promise that the request has not run. Callers got them without that proof when another node relayed them with hd-outcome unknown or none, as a node with the native dialect does with an upstream's own 503, and when the attempt after such a response was refused (last_status_). Nothing in the exchange rules that out for all paths, so the session now checks each response where it leaves: without hd-outcome not-run such a status becomes 502, without the upstream's seal.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -86,6 +86,17 @@
   return head;
 }
 
+// The one place through which every response to a caller passes. A status that the caller takes as "not executed" goes
+// out only with that proof; it is an upstream's own if another node speaks a dialect without such statuses.
+void replace_unproved_status(response_head& head, const http_dialect& dialect) {
+  const bool promises = dialect.statuses_imply_not_executed && http_dialect::implies_not_executed(head.status);
+  if (!promises || head.execution == execution_status::not_executed) return;
+  constexpr unsigned bad_gateway = 502;
+  head.status = bad_gateway;
+  // The field vouches for the upstream's own status.
+  std::erase_if(head.headers, [&](const auto& field) { return field.first == dialect.required_on_success; });
+}
+
 class h1_caller : public caller_link {
  public:
   /// @param draining the session's flag; may become true while the exchange runs.
@@ -117,6 +128,7 @@
 
   awaitable<outcome<void>> send_head(response_head head, bool end, bool body_follows) override {
     response_started_ = true;
+    replace_unproved_status(head, *dialect_);
     chunked_ = head.body == body_framing::streamed && !http_1_0_;
     const bool until_close = head.body == body_framing::streamed && http_1_0_;
     if (until_close && !end) reset_on_close(true);
