--- a/testing/mesh_test.cc
+++ b/testing/mesh_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "model/service_names.h"
+#include "wire/h2_connection.h"
 #include "wire/mesh_handshake.h"
 #include "wire/mesh_service.h"
 #include "wire/wake_signal.h"
@@ -116,6 +117,40 @@
   });
 }
 
+// A call whose opener has given up while the connection was made may be repeated elsewhere, so it must never be sent.
+TEST(mesh, stream_that_is_opened_after_its_requester_has_given_up_is_never_sent) {
+  process a("a");
+  tcp::acceptor slow(a.k.executor(), {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string to = "127.0.0.1:" + std::to_string(slow.local_endpoint().port());
+  std::vector<std::string> arrived;
+  h2_connection connection;
+  wake_signal handled(a.k.executor());
+  run({&a}, [&]() -> awaitable<void> {
+    const auto open = [&](const char* id, duration timeout) {
+      return open_mesh_stream(a.k.timers(), a.k.executor(), a.mesh_address, to, stream_kind::call,
+                              {{"hd-request-id", id}}, true, timeout);
+    };
+    const auto given_up = co_await open("late", 50ms);
+    EXPECT_EQ(given_up.failure().kind, error_kind::timeout);
+    tcp::socket accepted(a.k.executor());
+    co_await slow.async_accept(accepted, boost::asio::use_awaitable);
+    const auto peer = co_await handshake_as_server(accepted, a.k.timers(), "secret", "b");
+    EXPECT_TRUE(peer);
+    h2_connection_options options;
+    options.side = h2_side::server;
+    options.on_request = [&](const std::shared_ptr<h2_stream_state>&, const header_list& headers) {
+      arrived.push_back(headers.back().second);
+      handled.set();
+    };
+    connection = h2_connection::start(std::move(accepted), a.k.timers(), std::move(options));
+    const auto opened = co_await open("next", 5s);
+    EXPECT_TRUE(opened);
+    co_await handled.wait();
+    connection.close();
+  });
+  EXPECT_EQ(arrived, std::vector<std::string>{"next"});
+}
+
 TEST(mesh, unreachable_address_means_that_nothing_was_sent) {
   process a("a");
   run({&a}, [&]() -> awaitable<void> {
--- a/testing/node_proxy.cmake
+++ b/testing/node_proxy.cmake
@@ -1,5 +1,6 @@
 hd_test(proxy_test hd_node)
 hd_test(exchange_core_test hd_node)
+hd_test(local_upstream_test hd_node)
 hd_test(announcement_test hd_node)
 hd_test(leaving_upstream_test hd_node hd_traffic)
 hd_test(proxy_fault_test hd_node)
