--- a/testing/platform.cmake
+++ b/testing/platform.cmake
@@ -1,6 +1,7 @@
 hd_test(dialect_test hd_platform)
 hd_test(late_rejection_test hd_platform)
 hd_test(not_executed_test hd_platform)
+hd_test(order_resend_test hd_platform hd_control)
 hd_test(operator_calls_test hd_platform hd_control)
 target_compile_definitions(operator_calls_test PRIVATE HD_GOLDEN_FOLDER="${CMAKE_CURRENT_SOURCE_DIR}/golden/platform")
 hd_test(operator_stop_test hd_platform hd_control)
