--- a/control/configuration.cc
+++ b/control/configuration.cc
@@ -39,6 +39,8 @@
 };
 constexpr member_row member_rows[] = {{"services", "services"}, {"limits", "callers"}};
 
+constexpr std::string_view required_members[] = {"version", "routes", "services", "limits"};
+
 bool is_configuration_section(std::string_view section_name) {
   const auto same = [&](const member_row& row) { return row.section == section_name; };
   return section_name == label_name || section_name.starts_with(routes_prefix) ||
@@ -77,6 +79,11 @@
   const json::value parsed = json::parse({text.data(), text.size()}, ec, {}, options);
   const auto* whole = ec ? nullptr : parsed.if_object();
   if (whole == nullptr) return refuse("the text is not one JSON object: " + ec.message(), "send the whole text");
+  // A member that is missing would remove all that it held before.
+  for (const std::string_view required : required_members) {
+    if (!whole->contains({required.data(), required.size()}))
+      return refuse("the member '" + std::string(required) + "' is missing", "send the whole configuration");
+  }
   configuration out;
   for (const auto& member : *whole) {
     const std::string_view name(member.key().data(), member.key().size());
@@ -97,7 +104,7 @@
                     "use version, routes, services and limits");
     }
   }
-  if (out.label == 0) return refuse("the member 'version' is missing or 0", "send a version above the current one");
+  if (out.label == 0) return refuse("the member 'version' is 0", "send a version above the current one");
   out.sections[std::string(label_name)] = fmt::format("\"{:08x}\"", out.label);
   return out;
 }
--- a/testing/configuration_test.cc
+++ b/testing/configuration_test.cc
@@ -3,6 +3,7 @@
 #include "control/configuration.h"
 
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <gtest/gtest.h>
 
 #include "model/document_compiler.h"
@@ -107,6 +108,15 @@
   }
 }
 
+// A text that held its version only was acknowledged, and removed every route.
+TEST(configuration, text_without_a_member_is_refused) {
+  for (const char* member : {"version", "routes", "services", "limits"}) {
+    boost::json::object incomplete = boost::json::parse(first_text).as_object();
+    ASSERT_EQ(incomplete.erase(member), 1U);
+    EXPECT_FALSE(read(boost::json::serialize(incomplete))) << member;
+  }
+}
+
 const route_rule* match(const route_table& routes, const std::string& path) {
   return routes.match({.host = "A.example:80", .path = path, .method = "GET"});
 }
