proxy_peer_test: the deadline is long enough for the request to reach the upstream

Cause: the deadline of 100 ms passed before the request had reached the second node's upstream, so there was no connection to close.

The deadline is 1 s, the arrival is checked, and the limits on the time after the deadline are unchanged.

--- a/testing/proxy_peer_test.cc
+++ b/testing/proxy_peer_test.cc
@@ -138,23 +138,29 @@
 // If the deadline passes while the second node waits for its upstream, the caller gets hd-outcome "unknown" and the
 // request is cancelled.
 TEST(proxy_peer, deadline_is_enforced_over_two_nodes) {
+  std::atomic<bool> started = false;
   std::atomic<bool> closed = false;
   second_node second([&](tcp_socket s) -> awaitable<void> {
     h1_stream stream(std::move(s));
     (void)co_await read_whole_request(stream);
+    started = true;
     char byte = 0;
     auto [ec, size] = co_await stream.socket.async_read_some(boost::asio::buffer(&byte, 1), use_tuple);
     closed = bool(ec);
   });
   proxy_harness first(echo_upstream, 60s, true);
   route_to(first, second);
+  // On a busy machine the mesh connection alone can take more than 100 ms.
+  constexpr milliseconds deadline = 1s;
   first.run([&]() -> awaitable<void> {
     const time_point start = timer_service::now();
     auto response =
-        co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nhd-deadline-ms: 100\r\nContent-Length: 1\r\n\r\nx");
+        co_await first.call("POST / HTTP/1.1\r\nHost: a\r\nhd-deadline-ms: " + std::to_string(deadline.count()) +
+                            "\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_TRUE(started) << "the request did not reach the upstream within its deadline";
     EXPECT_EQ(response.result_int(), 504U);
     EXPECT_EQ(response["hd-outcome"], "unknown");
-    EXPECT_LT(timer_service::now() - start, 2s);
+    EXPECT_LT(timer_service::now() - start, deadline + 1900ms);
     EXPECT_TRUE(co_await eventually(first.k, [&] { return closed.load(); }));
   });
 }
