Upstream connection: an answer without an id fails at once, unless it is a rejection

Only a rejection is discarded now; anything else without an id ends the attempt, as before, and a safe request is sent again at once.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -1,8 +1,8 @@
 // The request head is buffered until the first part of the body, so a small request takes one system call. Invariant:
 // `may_have_been_sent` becomes true before the first write, and false again only if that write failed before the kernel
 // accepted a byte. On a reused connection a response without the request's id, such as a late copy of an earlier one,
-// is discarded. The id tells, because a rejected request never comes to the same connection again. A connection returns
-// to the pool only if request and response are complete and its buffer is empty.
+// is discarded. The id tells, because a rejected request never comes to the same connection again. A connection
+// returns to the pool only if request and response are complete and its buffer is empty.
 #include "node/local_upstream.h"
 
 #include <algorithm>
@@ -46,6 +46,15 @@
   return found;
 }
 
+constexpr unsigned misdirected_request = 421;
+
+bool states_not_executed(const response_head& head, const http_dialect& dialect) {
+  if (dialect.statuses_imply_not_executed && head.status == misdirected_request) return true;
+  return !dialect.not_executed.empty() && std::any_of(head.headers.begin(), head.headers.end(), [&](const auto& field) {
+    return field.first == dialect.not_executed;
+  });
+}
+
 // Reads the fields by which the dialect relates a response to its request: execution, id, required field and load.
 // @param first_on_connection the connection has carried no other request, so the response can be about no other.
 // @return `bad_message` if the response does not belong to the request.
@@ -61,7 +70,6 @@
     if (!dialect.leaving.empty() && name == dialect.leaving) head.statement.leaving = value == "1";
   }
   // 421: another target than the expected one has responded, so for the caller the expected one is unavailable.
-  constexpr unsigned misdirected_request = 421;
   if (dialect.statuses_imply_not_executed && head.status == misdirected_request) {
     head.execution = execution_status::not_executed;
     head.status = 503;
@@ -146,12 +154,10 @@
       if (reader_->message().result_int() >= 200) {
         response_head head = read_fields(*reader_);
         const response_id id = response_id_of(head, request_id_, *dialect_);
-        const bool stray = connection_->reused && !is_head_request_ && stray_responses_ < max_stray_responses &&
-                           id != response_id::own;
-        if (!stray) {
+        if (!can_be_discarded(head, id)) {
           auto parsed =
               parse_response_head(*reader_, std::move(head), is_head_request_, id, !connection_->reused, *dialect_);
-          if (parsed && parsed->execution == execution_status::not_executed) record_rejection(*parsed, id);
+          if (parsed) record_response(*parsed, id);
           co_return std::move(parsed);
         }
         ++stray_responses_;
@@ -197,14 +203,23 @@
     co_return outcome<void>();
   }
 
-  void record_rejection(const response_head& head, response_id id) {
+  // A response to no request or to an earlier one. Without a request id only a
+  // rejection is discarded: anything else may be a defective answer, after which nothing more comes.
+  bool can_be_discarded(const response_head& head, response_id id) const {
+    if (!connection_->reused || is_head_request_ || stray_responses_ >= max_stray_responses) return false;
+    return id == response_id::other || (id == response_id::missing && states_not_executed(head, *dialect_));
+  }
+
+  void record_response(const response_head& head, response_id id) {
+    const bool rejected = head.execution == execution_status::not_executed;
+    if (!rejected) return;
+    connection_->add_rejected_id(request_id_);
     log_event(log_level::info, "upstream_rejection",
               {{"request", request_id_},
                {"status", head.status},
                {"has_request_id", id == response_id::own},
                {"connection_reused", connection_->reused},
                {"late_responses", stray_responses_}});
-    connection_->add_rejected_id(request_id_);
   }
 
   void new_reader() {
--- a/testing/platform.cmake
+++ b/testing/platform.cmake
@@ -1,5 +1,6 @@
 hd_test(dialect_test hd_platform)
 hd_test(late_rejection_test hd_platform)
+hd_test(stray_response_test hd_platform)
 hd_test(not_executed_test hd_platform)
 hd_test(order_resend_test hd_platform hd_control)
 hd_test(operator_calls_test hd_platform hd_control)
--- /dev/null
+++ b/testing/stray_response_test.cc
@@ -0,0 +1,66 @@
+// Responses that belong to no request, or to an earlier one, on connections to upstreams that echo the request's id.
+#include <atomic>
+
+#include "platform/dialect.h"
+#include "testing/second_node.h"
+
+namespace heatherdeck {
+namespace {
+
+using namespace std::chrono_literals;
+
+const http_dialect& platform() { return dialect_of(dialect_name::platform); }
+
+std::string request_of(const std::string& method, const std::string& id, int deadline_ms = 3000) {
+  return method + " /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id +
+         "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string response_of(const std::string& id, const std::string& status = "200 OK", const std::string& body = "ok") {
+  return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + id +
+         "\r\nX-Response-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Serves each request with `reply(id, number of the request on its connection, number of the connection)`; the
+/// connection ends at an empty reply.
+struct scripted_upstream {
+  std::function<std::string(const std::string& id, int request, int connection)> reply;
+  std::atomic<int> connections = 0;
+  std::atomic<int> requests = 0;
+
+  upstream_script script() {
+    return [this](tcp_socket s) -> awaitable<void> {
+      h1_stream stream(std::move(s));
+      const int connection = ++connections;
+      for (int request = 1;; ++request) {
+        h1_reader<true> reader(stream);
+        if (co_await reader.read_head()) co_return;
+        ++requests;
+        std::string text = reply(std::string(reader.message()["X-Request-Id"]), request, connection);
+        if (text.empty()) co_return;
+        co_await proxy_harness::send(stream, std::move(text));
+      }
+    };
+  }
+};
+
+// A safe request, which may be sent again at once, was held until its deadline.
+TEST(stray_response, answer_without_an_id_on_a_reused_connection_does_not_hold_a_safe_request) {
+  scripted_upstream upstream;
+  upstream.reply = [](const std::string& id, int request, int connection) {
+    const bool faulty = connection == 1 && request == 2;
+    return faulty ? std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") : response_of(id);
+  };
+  proxy_harness h(upstream.script(), 60s, false, platform());
+  h.choice.attempts = 2;
+  h.run([&]() -> awaitable<void> {
+    (void)co_await h.call(request_of("GET", "r1"));
+    const time_point sent_at = timer_service::now();
+    const auto response = co_await h.call(request_of("GET", "r2"));
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_LT(timer_service::now() - sent_at, 1s);
+  });
+}
+
+}  // namespace
+}  // namespace heatherdeck
