Upstream connection: a late response without a length ends the attempt

Callers of safe requests could wait until their deadline when an upstream sent a second, late answer without a length. It ends only with the connection, so discarding it took the answer that followed with it. The attempt ends at once now; a safe request is sent again.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -203,10 +203,11 @@
     co_return outcome<void>();
   }
 
-  // A response to no request or to an earlier one. Without a request id only a
+  // A response to no request, or to an earlier one, that ends before the next one begins. Without a request id only a
   // rejection is discarded: anything else may be a defective answer, after which nothing more comes.
   bool can_be_discarded(const response_head& head, response_id id) const {
     if (!connection_->reused || is_head_request_ || stray_responses_ >= max_stray_responses) return false;
+    if (reader_->parser().need_eof()) return false;
     return id == response_id::other || (id == response_id::missing && states_not_executed(head, *dialect_));
   }
 
--- a/testing/stray_response_test.cc
+++ b/testing/stray_response_test.cc
@@ -62,5 +62,26 @@
   });
 }
 
+// Additional bytes without a length take the response that follows them with them.
+TEST(stray_response, additional_head_without_a_length_does_not_hold_a_safe_request) {
+  for (const char* field : {"", "X-Request-Id: r1\r\n"}) {
+    SCOPED_TRACE(field);
+    scripted_upstream upstream;
+    upstream.reply = [&](const std::string& id, int request, int connection) {
+      const bool faulty = connection == 1 && request == 2;
+      return (faulty ? std::string("HTTP/1.1 200 OK\r\n") + field + "\r\n" : std::string()) + response_of(id);
+    };
+    proxy_harness h(upstream.script(), 60s, false, platform());
+    h.choice.attempts = 2;
+    h.run([&]() -> awaitable<void> {
+      (void)co_await h.call(request_of("GET", "r1"));
+      const time_point sent_at = timer_service::now();
+      const auto response = co_await h.call(request_of("GET", "r2"));
+      EXPECT_EQ(response.result_int(), 200U);
+      EXPECT_LT(timer_service::now() - sent_at, 1s);
+    });
+  }
+}
+
 }  // namespace
 }  // namespace heatherdeck
