Upstream connection: the load in a 421 is not the expected target's

A response 421 comes from another target at a reused address. Its statements were dropped, its load was not, so that the expected target was taken for as busy as the other one.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -74,6 +74,7 @@
     head.execution = execution_status::not_executed;
     head.status = 503;
     head.statement = {};
+    head.load.reset();
   }
   if (head.execution == execution_status::not_executed) {
     if (id == response_id::missing && !first_on_connection)
--- a/testing/stray_response_test.cc
+++ b/testing/stray_response_test.cc
@@ -102,5 +102,17 @@
   });
 }
 
+// A 421 comes from another target, whose load was recorded for the expected one.
+TEST(stray_response, load_in_a_response_of_another_target_is_dropped) {
+  scripted_upstream upstream;
+  upstream.reply = [](const std::string& id, int, int) {
+    return "HTTP/1.1 421 Misdirected\r\nX-Request-Id: " + id + "\r\nX-Server-Load: 7,3,9\r\nContent-Length: 0\r\n\r\n";
+  };
+  proxy_harness h(upstream.script(), 60s, false, platform());
+  h.run([&]() -> awaitable<void> { (void)co_await h.call(request_of("POST", "r1")); });
+  ASSERT_FALSE(h.traffic->finished.empty());
+  for (const finish_call& call : h.traffic->finished) EXPECT_FALSE(call.load.has_value());
+}
+
 }  // namespace
 }  // namespace heatherdeck
