Pool: a failed request comes back on another connection

Callers could get the copy of an earlier failure as the answer to the second attempt of a safe request, which succeeded. It is the cause of "a rejected request comes back on another connection": a copy bears the id of its request, also when that request is under way again on the same connection. Requests that an upstream has answered with 5xx may be sent again as well, so a connection remembers them too.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -1,7 +1,7 @@
 // The request head is buffered until the first part of the body, so a small request takes one system call. Invariant:
 // `may_have_been_sent` becomes true before the first write, and false again only if that write failed before the kernel
 // accepted a byte. On a reused connection a response without the request's id, such as a late copy of an earlier one,
-// is discarded. The id tells, because a rejected request never comes to the same connection again. A connection
+// is discarded. The id tells, because an unsuccessful request never comes to the same connection again. A connection
 // returns to the pool only if request and response are complete and its buffer is empty.
 #include "node/local_upstream.h"
 
@@ -182,7 +182,7 @@
   void release() override {
     // A late copy of the response to HEAD looks as if a body followed.
     const bool reusable = stray_responses_ == 0 && !is_head_request_ && request_done_ && response_done() &&
-                          !connection_->rejected_ids_full() && connection_->stream.buffer.size() == 0 &&
+                          !connection_->unsuccessful_ids_full() && connection_->stream.buffer.size() == 0 &&
                           reader_->parser().keep_alive();
     if (reusable) {
       return_to_pool(std::move(connection_));
@@ -215,8 +215,9 @@
 
   void record_response(const response_head& head, response_id id) {
     const bool rejected = head.execution == execution_status::not_executed;
+    if (dialect_->responses_echo_request_id && (rejected || head.status >= 500))
+      connection_->add_unsuccessful_id(request_id_);
     if (!rejected) return;
-    connection_->add_rejected_id(request_id_);
     log_event(log_level::info, "upstream_rejection",
               {{"request", request_id_},
                {"status", head.status},
--- a/node/pool_messages.h
+++ b/node/pool_messages.h
@@ -21,15 +21,15 @@
 struct pool_tick {};
 
 /// Requests a connection. Errors: `refused` (the upstream does not run), `timeout`, `overloaded` (all connections to
-/// the target are in use), `unreachable` (any other failure, which says nothing about whether the upstream runs). After
-/// an error nothing has been sent to the upstream.
+/// the target are in use), `unreachable` (any other failure, which says nothing
+/// about whether the upstream runs). After an error nothing has been sent to the upstream.
 struct acquire_connection {
   std::string upstream_address;  ///< "ip:port"
   bool non_idempotent = true;    ///< excludes connections that were idle for too long to be safe
   duration timeout{};            ///< for establishing a connection
   reply<upstream_connection_ptr> answer;
   bool fresh = false;      ///< only a new connection will do
-  std::string request_id;  ///< excludes connections on which the upstream has rejected this request
+  std::string request_id;  ///< excludes connections on which the upstream has rejected or failed this request
 };
 
 /// Returns a connection, or reports that it was closed.
--- a/node/pool_service.cc
+++ b/node/pool_service.cc
@@ -79,7 +79,7 @@
 
 upstream_connection_ptr pool_service::state::take_idle(target_connections& target, const acquire_connection& request) {
   const time_point now = timer_service::now();
-  const auto usable = [&request](const upstream_connection_ptr& c) { return !c->has_rejected(request.request_id); };
+  const auto usable = [&request](const upstream_connection_ptr& c) { return !c->was_unsuccessful(request.request_id); };
   while (true) {
     // The most recently used connection is at the back; if it is too old for this request, all others are.
     const auto found = std::find_if(target.idle.rbegin(), target.idle.rend(), usable);
--- a/node/upstream_connection.h
+++ b/node/upstream_connection.h
@@ -17,8 +17,8 @@
 
 namespace heatherdeck {
 
-/// Rejected requests that are remembered for one connection, which is closed when it has as many.
-inline constexpr std::size_t max_rejected_ids = 32;
+/// Unsuccessful requests that are remembered for one connection, which is closed when it has as many.
+inline constexpr std::size_t max_unsuccessful_ids = 32;
 
 class upstream_connection {
  public:
@@ -32,15 +32,16 @@
   time_point idle_since{};  ///< last return to the pool
   bool reused = false;      ///< has carried an exchange before
 
-  /// Records that the upstream has rejected a request on this connection. The request must not be sent on it again: a
-  /// late copy of the rejection could not be told from the response to the later attempt.
-  void add_rejected_id(std::string request_id) { rejected_ids_.push_back(std::move(request_id)); }
-  /// @return whether the upstream has rejected the request on this connection.
-  bool has_rejected(const std::string& request_id) const {
-    return std::find(rejected_ids_.begin(), rejected_ids_.end(), request_id) != rejected_ids_.end();
+  /// Records that the upstream has rejected or failed a request on this connection, so that it may be sent again. It
+  /// must not be sent on this connection: a late copy of the response could not be told from the one to the later
+  /// attempt.
+  void add_unsuccessful_id(std::string request_id) { unsuccessful_ids_.push_back(std::move(request_id)); }
+  /// @return whether the upstream has rejected or failed the request on this connection.
+  bool was_unsuccessful(const std::string& request_id) const {
+    return std::find(unsuccessful_ids_.begin(), unsuccessful_ids_.end(), request_id) != unsuccessful_ids_.end();
   }
-  /// @return whether the connection must not be reused, because no further rejection could be remembered.
-  bool rejected_ids_full() const { return rejected_ids_.size() >= max_rejected_ids; }
+  /// @return whether the connection must not be reused, because no further request could be remembered.
+  bool unsuccessful_ids_full() const { return unsuccessful_ids_.size() >= max_unsuccessful_ids; }
 
   /// Called by the pool when it hands out the connection. An empty address ends the current lease, which notifies the
   /// pool that the connection is closed.
@@ -54,7 +55,7 @@
 
   std::string address_;
   address<pool_message> pool_;
-  std::vector<std::string> rejected_ids_;
+  std::vector<std::string> unsuccessful_ids_;
 };
 
 /// Returns an open connection to the pool after a complete exchange.
--- a/testing/late_rejection_test.cc
+++ b/testing/late_rejection_test.cc
@@ -155,7 +155,7 @@
     return pick_first(attributes);
   };
   h.run([&]() -> awaitable<void> {
-    for (std::size_t i = 0; i < 2 * max_rejected_ids; ++i) {
+    for (std::size_t i = 0; i < 2 * max_unsuccessful_ids; ++i) {
       const auto response = co_await h.call(booking_of("r" + std::to_string(i)));
       EXPECT_EQ(response.result_int(), 503U);
     }
--- a/testing/stray_response_test.cc
+++ b/testing/stray_response_test.cc
@@ -83,6 +83,24 @@
   }
 }
 
+// The copy of a failure was taken for the response to the second attempt of a safe request, which succeeded.
+TEST(stray_response, copy_of_a_failure_is_not_the_response_to_the_next_attempt) {
+  scripted_upstream upstream;
+  upstream.reply = [&](const std::string& id, int request, int) {
+    if (upstream.requests == 1) return response_of(id, "504 Late", "");
+    return (request == 2 ? response_of(id, "504 Late", "") : std::string()) + response_of(id);
+  };
+  second_node second(upstream.script(), platform());
+  proxy_harness first(echo_upstream, 60s, true, platform());
+  route_to(first, second);
+  first.choice.attempts = 2;
+  first.run([&]() -> awaitable<void> {
+    const auto response = co_await first.call(request_of("GET", "r1"));
+    EXPECT_EQ(response.result_int(), 200U);
+  });
+  EXPECT_EQ(upstream.requests, 2);
+}
+
 // The copy declares a length but has no body, so its "body" was taken from the next response.
 TEST(stray_response, copy_of_the_response_to_head_does_not_swallow_the_next_response) {
   scripted_upstream upstream;
