proxy_fault_test: what arrives after the last response of a connection never runs

Callers send again what crosses a 408, or what stands behind a request with which the node closes the connection. Requests that are sent behind an idle close, an unfinished head, a malformed request or the unread body of a rejected one reach no upstream.

--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -271,6 +271,45 @@
   });
 }
 
+// Callers send again what crosses a 408 or stands behind a request whose connection is closed, so it must never run.
+TEST(proxy_fault, what_arrives_after_the_last_response_of_a_connection_never_runs) {
+  const std::string late = "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  struct closing_case {
+    const char* what;
+    std::string sent_first;
+    std::string sent_after_response;
+    unsigned status;
+  };
+  const closing_case cases[] = {
+      {"idle connection", "", late, 408},
+      {"head that does not end", "GET / HTTP/1.1\r\nHo", "st: a\r\n\r\n" + late, 408},
+      {"request behind a malformed one", "GET / HTTP/1.1\r\nbad\r\n\r\n" + late, late, 400},
+      {"request in the unread body of a rejected one",
+       "PUT /rejected HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + late, late, 503},
+  };
+  for (const closing_case& c : cases) {
+    SCOPED_TRACE(c.what);
+    proxy_harness h(echo_upstream, 200ms);
+    h.traffic->pick = [&h](const request_attributes& attributes) -> pick_result {
+      if (attributes.path == "/rejected") return refusal{refusal_reason::overloaded};
+      return h.choice;
+    };
+    h.run([&]() -> awaitable<void> {
+      auto caller = co_await h.connect();
+      co_await h.send(*caller, c.sent_first);
+      auto response = co_await h.read_response(*caller);
+      EXPECT_EQ(response.result_int(), c.status);
+      EXPECT_FALSE(response.keep_alive());
+      EXPECT_EQ(response["hd-outcome"], "not-run");
+      co_await h.send(*caller, c.sent_after_response);
+      auto next = co_await h.read_response(*caller);
+      EXPECT_EQ(next.result_int(), 0U);
+    });
+    EXPECT_EQ(h.upstream_connections, 0U);
+    for (const request_attributes& request : h.traffic->requests) EXPECT_EQ(request.path, "/rejected");
+  }
+}
+
 // The end of an early response was lost when the caller went on with its body for more than 1 s before it read it.
 TEST(proxy_fault, early_response_reaches_a_caller_that_sends_its_body_first) {
   constexpr std::size_t size = 200'000;
