Tests: streams beyond the limit never leave, upstreams cannot claim "not run"

h2_session_test opens one stream more than a connection carries: it alone fails as not processed, and never arrives. proxy_fault_test has an upstream that runs a booking and answers with hd-outcome, hd-refused and X-Not-Executed: the booking is not repeated and the claim is not passed on.

--- a/testing/h2_session_test.cc
+++ b/testing/h2_session_test.cc
@@ -192,6 +192,17 @@
   EXPECT_TRUE(pair.runs.empty());
 }
 
+// A call beyond the limit of a connection is repeated elsewhere.
+TEST(h2_session, stream_beyond_the_limit_is_never_sent) {
+  session_pair pair;
+  for (std::uint32_t i = 0; i <= max_h2_streams; ++i) pair.open();
+  pair.exchange_all();
+  EXPECT_TRUE(pair.not_processed(max_h2_streams));
+  EXPECT_EQ(pair.count_not_processed(), 1U);
+  EXPECT_EQ(pair.runs.size(), max_h2_streams);
+  pair.expect_statements_hold();
+}
+
 // A connection error, for example of a defective peer: the GOAWAY of nghttp2 must name every stream that was handled.
 TEST(h2_session, goaway_after_a_connection_error_names_every_handled_stream) {
   for (std::size_t valid = 0; valid <= 3; ++valid) {
--- a/testing/proxy_fault_test.cc
+++ b/testing/proxy_fault_test.cc
@@ -271,6 +271,27 @@
   });
 }
 
+// An upstream may pass on the header fields of a call of its own, which say nothing about the request that it runs.
+TEST(proxy_fault, upstream_cannot_claim_that_a_request_was_not_executed) {
+  int runs = 0;
+  proxy_harness h([&](tcp_socket s) -> awaitable<void> {
+    h1_stream stream(std::move(s));
+    while (co_await read_whole_request(stream)) {
+      ++runs;
+      co_await proxy_harness::send(stream,
+                                   "HTTP/1.1 503 No\r\nhd-outcome: not-run\r\nhd-refused: draining\r\n"
+                                   "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  h.run([&]() -> awaitable<void> {
+    const auto response = co_await h.call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(response.result_int(), 503U);
+    EXPECT_EQ(response.count("hd-outcome"), 0U);
+    EXPECT_EQ(response.count("hd-refused"), 0U);
+  });
+  EXPECT_EQ(runs, 1);
+}
+
 // Callers send again what crosses a 408 or stands behind a request whose connection is closed, so it must never run.
 TEST(proxy_fault, what_arrives_after_the_last_response_of_a_connection_never_runs) {
   const std::string late = "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
