mesh_test: a call that finds too many others waiting is never sent

The 1,025th call to an address whose handshake is slow gets overloaded, which an exchange takes as not sent. It never arrives when the connection is made.

--- a/testing/mesh_test.cc
+++ b/testing/mesh_test.cc
@@ -1,4 +1,6 @@
 // Tests of the mesh service: authentication with the mesh key, dispatch of streams, draining and unreachable peers.
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -151,6 +153,52 @@
   EXPECT_EQ(arrived, std::vector<std::string>{"next"});
 }
 
+// A call that finds too many others waiting for the connection is repeated elsewhere.
+TEST(mesh, overloaded_means_that_nothing_was_sent) {
+  process a("a");
+  tcp::acceptor slow(a.k.executor(), {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string to = "127.0.0.1:" + std::to_string(slow.local_endpoint().port());
+  constexpr std::size_t waiting_limit = 1'024;
+  std::vector<std::string> arrived;
+  std::vector<error> failures;
+  std::size_t opened = 0;
+  wake_signal changed(a.k.executor());
+  h2_connection connection;
+  run({&a}, [&]() -> awaitable<void> {
+    for (std::size_t i = 0; i <= waiting_limit; ++i) {
+      const auto open_one = [&, i]() -> awaitable<void> {
+        const header_list headers = {{"hd-request-id", std::to_string(i)}};
+        auto stream = co_await open_mesh_stream(a.k.timers(), a.k.executor(), a.mesh_address, to, stream_kind::call,
+                                                headers, true, 5s);
+        changed.set();
+        if (!stream) {
+          failures.push_back(stream.failure());
+          co_return;
+        }
+        ++opened;
+        (void)co_await (*stream)->read_headers();
+      };
+      boost::asio::co_spawn(a.k.io(), open_one, boost::asio::detached);
+    }
+    tcp::socket accepted(a.k.executor());
+    co_await slow.async_accept(accepted, boost::asio::use_awaitable);
+    while (failures.empty()) co_await changed.wait();
+    EXPECT_TRUE(co_await handshake_as_server(accepted, a.k.timers(), "secret", "b"));
+    h2_connection_options options;
+    options.side = h2_side::server;
+    options.on_request = [&](const std::shared_ptr<h2_stream_state>&, const header_list& headers) {
+      arrived.push_back(headers.back().second);
+      changed.set();
+    };
+    connection = h2_connection::start(std::move(accepted), a.k.timers(), std::move(options));
+    while (opened < waiting_limit || arrived.size() < max_h2_streams) co_await changed.wait();
+    connection.close();
+  });
+  EXPECT_EQ(failures.size(), 1U);
+  EXPECT_EQ(failures.front().kind, error_kind::overloaded);
+  EXPECT_EQ(std::count(arrived.begin(), arrived.end(), std::to_string(waiting_limit)), 0);
+}
+
 TEST(mesh, unreachable_address_means_that_nothing_was_sent) {
   process a("a");
   run({&a}, [&]() -> awaitable<void> {
