--- a/testing/h2_session_test.cc
+++ b/testing/h2_session_test.cc
@@ -138,6 +138,9 @@
   pair.exchange_all();
   EXPECT_TRUE(pair.client->received_goaway());
   pair.expect_statements_hold();
+  EXPECT_TRUE(pair.not_processed(responses));
+  EXPECT_TRUE(pair.client->finished());
+  EXPECT_TRUE(pair.server->finished()) << "the refused stream keeps the connection open";
 }
 
 /// Opens streams until more output waits than one `collect` returns.
