stray_response_test: late copies at random times

Two nodes, 3,000 bookings of which 4 in 10 are rejected, copies and rejections without an id at random times: none runs twice, none that ran is reported as not executed.

--- a/testing/stray_response_test.cc
+++ b/testing/stray_response_test.cc
@@ -1,5 +1,7 @@
 // Responses that belong to no request, or to an earlier one, on connections to upstreams that echo the request's id.
 #include <atomic>
+#include <map>
+#include <random>
 
 #include "platform/dialect.h"
 #include "testing/second_node.h"
@@ -150,5 +152,86 @@
   });
 }
 
+/// Rejects 4 in 10 bookings, and sends copies of its responses and rejections without an id late, at random times.
+struct copying_upstream {
+  std::mt19937 random;
+  std::map<std::string, int> runs;
+  int copies = 0;
+
+  bool one_in(unsigned n) { return random() % n == 0; }
+
+  void send_later(const std::shared_ptr<h1_stream>& stream, std::string text) {
+    ++copies;
+    auto task = [](std::shared_ptr<h1_stream> s, std::string t, std::chrono::microseconds delay) -> awaitable<void> {
+      boost::asio::steady_timer timer(s->socket.get_executor(), delay);
+      (void)co_await timer.async_wait(use_tuple);
+      co_await proxy_harness::send(*s, std::move(t));
+    };
+    const std::chrono::microseconds delay(random() % 4000);
+    boost::asio::co_spawn(stream->socket.get_executor(), task(stream, std::move(text), delay), boost::asio::detached);
+  }
+
+  upstream_script script() {
+    return [this](tcp_socket s) -> awaitable<void> {
+      const auto stream = std::make_shared<h1_stream>(std::move(s));
+      for (;;) {
+        h1_reader<true> reader(*stream);
+        if (co_await reader.read_head()) co_return;
+        const std::string id(reader.message()["X-Request-Id"]);
+        if (random() % 10 < 4) {
+          const std::string rejection =
+              "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+          co_await proxy_harness::send(*stream, rejection);
+          if (one_in(3)) send_later(stream, rejection);
+          continue;
+        }
+        ++runs[id];
+        boost::asio::steady_timer timer(stream->socket.get_executor(), std::chrono::microseconds(random() % 3000));
+        (void)co_await timer.async_wait(use_tuple);
+        const std::string text = response_of(id, "200 OK", id);
+        co_await proxy_harness::send(*stream, text);
+        if (one_in(20)) send_later(stream, text);
+        if (one_in(20)) send_later(stream, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      }
+    };
+  }
+};
+
+// Late copies at any time make no booking run twice, and none that ran is reported as not executed.
+TEST(stray_response, copies_at_random_times_prove_nothing) {
+  constexpr int callers = 20;
+  constexpr int calls = 150;
+  copying_upstream upstream{.random = std::mt19937(1)};
+  std::map<std::string, unsigned> statuses;
+  {
+    second_node second(upstream.script(), platform());
+    proxy_harness first(echo_upstream, 60s, true, platform());
+    route_to(first, second);
+    int ended = 0;
+    first.run([&]() -> awaitable<void> {
+      for (int c = 0; c < callers; ++c) {
+        boost::asio::co_spawn(
+            first.k.io(),
+            [&, c]() -> awaitable<void> {
+              for (int i = 0; i < calls; ++i) {
+                const std::string id = "r-" + std::to_string(c) + "-" + std::to_string(i);
+                const auto response = co_await first.call(request_of("POST", id));
+                statuses[id] = response.result_int();
+                EXPECT_TRUE(response.result_int() != 200U || response.body() == id) << id;
+              }
+              ++ended;
+            },
+            boost::asio::detached);
+      }
+      EXPECT_TRUE(co_await eventually(first.k, [&] { return ended == callers; }));
+    });
+  }
+  EXPECT_GT(upstream.copies, callers);
+  for (const auto& [id, runs] : upstream.runs) {
+    EXPECT_EQ(runs, 1) << id;
+    EXPECT_NE(statuses[id], 503U) << id;
+  }
+}
+
 }  // namespace
 }  // namespace heatherdeck
