Upstream connection: a success does not say that a request was not executed

A success with X-Not-Executed was believed: a booking was sent three times, and its caller got 200 without the upstream's seal (found by the inventory). Such a response contradicts itself, so it proves nothing and ends the attempt.

dialect_test, unverified_responses_are_failures: the added case failed before (3 requests, 200), passes now.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -92,6 +92,7 @@
   if (head.execution == execution_status::not_executed) {
     if (id == response_id::missing && !first_on_connection)
       return mismatched_response("it says that a request was not executed, and carries no request id");
+    if (head.status < 400) return mismatched_response("a success says that the request was not executed");
     std::erase_if(head.headers, [&](const auto& f) {
       return f.first == dialect.not_executed || f.first == dialect.required_on_success;
     });
