booking_soak_test: real processes, bookings and upstreams that send late rejections

The soak runs three control hosts and three to five nodes, one to three upstreams of the called service and callers that book. Signals (SIGKILL, SIGSTOP, SIGTERM, SIGHUP) of nodes and control hosts, overload and upstreams that start again at their address come in series and overlap. The upstreams reject with the request's id when they are full and at random, before a long upload is read, reset connections beyond their limit, lose, cut and delay answers, and send late copies of answers and rejections, and rejections without an id. It judges from what callers and upstreams saw: no request ran whose status promises that it never will, none that is not idempotent ran twice, and each answer belongs to its request and is whole. It goes on until the faults that matter most have happened, and fails if one of them never does.

--- a/testing/fleet.cmake
+++ b/testing/fleet.cmake
@@ -22,3 +22,9 @@
 add_dependencies(stop_soak_test heatherdeckd heatherdeck heatherdeck_upstream)
 # Its 27 processes and callers would slow down tests that run beside it.
 set_tests_properties(stop_soak_test PROPERTIES RUN_SERIAL TRUE)
+
+hd_test(booking_soak_test hd_fleet hd_node)
+target_sources(booking_soak_test PRIVATE soak_deployment.cc soak_disruptions.cc booking_upstream.cc booking_callers.cc)
+target_compile_definitions(booking_soak_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
+add_dependencies(booking_soak_test heatherdeckd)
+set_tests_properties(booking_soak_test PROPERTIES RUN_SERIAL TRUE)
--- a/testing/soak_callers.cc
+++ b/testing/soak_callers.cc
@@ -51,10 +51,6 @@
 
 }  // namespace
 
-milliseconds wall_clock() {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 struct soak_callers::caller {
   std::uint64_t number;
   std::mt19937_64 random;
--- a/testing/soak_callers.h
+++ b/testing/soak_callers.h
@@ -18,6 +18,7 @@
 
 #include "kernel/enum_names.h"
 #include "kernel/kernel.h"
+#include "testing/wall_clock.h"
 
 namespace heatherdeck {
 
@@ -55,9 +56,6 @@
   bool body_complete = false;  ///< the body has the size that the request asked for
 };
 
-/// @return the time since the Unix epoch, as in logs.
-milliseconds wall_clock();
-
 struct called_node {
   std::string name;
   std::string caller_address;
