--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "node/deadline_timer.h"
+#include "node/error_response.h"
 #include "node/exchange.h"
 #include "wire/wake_signal.h"
 
--- a/node/exchange.h
+++ b/node/exchange.h
@@ -48,21 +48,9 @@
   });
 };
 
-/// Contents of an error response besides its status.
-struct refusal_details {
-  std::string refused_reason;       ///< machine-readable reason (hd-refused); empty: none
-  std::string text;                 ///< explanation for people, sent as the body
-  milliseconds retry_after{0};      ///< earliest time for a retry; 0: not stated
-  std::optional<load_report> load;  ///< only in responses to other nodes: load of the overloaded upstream
-};
-
 /// Runs the exchange until the response was sent or the exchange was aborted.
 /// @param caller owned by the calling task; must outlive the operation.
 /// @param head the request; `head.limits.from_peer` says whether it came from another node.
 awaitable<exchange_result> run_exchange(proxy_context_ptr context, caller_link& caller, request_head head);
 
-/// Sends an error response; also used by sessions for requests that are rejected before an exchange begins.
-awaitable<void> send_error_response(caller_link& caller, unsigned status, execution_status execution,
-                                    refusal_details details, std::string request_id);
-
 }  // namespace heatherdeck
--- a/node/peer_session.cc
+++ b/node/peer_session.cc
@@ -4,6 +4,7 @@
 // the connection to the upstream.
 #include "node/peer_session.h"
 
+#include "node/error_response.h"
 #include "node/exchange.h"
 #include "node/h2_body.h"
 
