--- a/testing/late_rejection_test.cc
+++ b/testing/late_rejection_test.cc
@@ -73,17 +73,21 @@
   EXPECT_TRUE(co_await eventually(first.k, [&ended] { return ended == 2; }));
 }
 
+void book_after_two_calls(proxy_harness& first) {
+  first.run([&]() -> awaitable<void> {
+    co_await make_two_calls_at_once(first);
+    const auto response = co_await first.call(booking_of("r1"));
+    EXPECT_EQ(response.result_int(), 200U);
+  });
+}
+
 // The first node sent the booking to the same upstream again, and a third time after the copy: it ran twice.
 TEST(late_rejection, copy_of_a_rejection_does_not_make_a_booking_run_twice) {
   copying_upstream upstream;
   second_node second(upstream.script(), platform());
   proxy_harness first(echo_upstream, 60s, true, platform());
   route_to(first, second);
-  first.run([&]() -> awaitable<void> {
-    co_await make_two_calls_at_once(first);
-    const auto response = co_await first.call(booking_of("r1"));
-    EXPECT_EQ(response.result_int(), 200U);
-  });
+  book_after_two_calls(first);
   EXPECT_EQ(upstream.runs, 1);
 }
 
@@ -98,11 +102,7 @@
     if (attributes.attempt > 1) return refusal{refusal_reason::overloaded};
     return pick_second(attributes);
   };
-  first.run([&]() -> awaitable<void> {
-    co_await make_two_calls_at_once(first);
-    const auto response = co_await first.call(booking_of("r1"));
-    EXPECT_EQ(response.result_int(), 200U);
-  });
+  book_after_two_calls(first);
   EXPECT_EQ(upstream.runs, 1);
 }
 
