--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -92,6 +92,16 @@
   std::optional<bool> idempotent;  ///< unset: by method (GET, HEAD, OPTIONS, TRACE, PUT and DELETE are idempotent)
 };
 
+/// A client account, to which callers authenticate with an API key.
+struct client_account {
+  std::string name;
+  std::optional<std::uint32_t> priority;  ///< takes precedence over the priority of the route; 0 is the highest
+  double rate_per_s = 0;                  ///< requests a second that the whole fleet serves; 0: no limit
+  double burst = 0;                       ///< requests beyond the rate that may come at once
+
+  bool operator==(const client_account&) const = default;
+};
+
 /// A rollout as the operator configured it; its progress is a `rollout_state`.
 struct rollout_spec {
   std::string service;
@@ -112,6 +122,7 @@
   caller_limits callers;
   std::vector<route_rule> routes;                         ///< in the order in which they are tried
   std::map<std::string, service_spec> services;           ///< by name
+  std::map<std::string, client_account> accounts;         ///< by name
   std::map<std::string, rollout_spec> rollouts;           ///< by service
   std::map<std::string, rollout_state> rollout_progress;  ///< by service
 
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -1,9 +1,7 @@
-// A pick checks in this order: document, deadline, route, service, end of the process, retry budget, concurrency limit,
-// version, upstream, and for the upstream on this host its admission queue. The first check that fails is the reason of
-// the refusal. Before the last step nothing is reserved but a place under the concurrency limit, which is released when
-// no upstream is found. Invariants: every choice has one entry in `pending_` until its finish; a request from another
-// node never leaves this host; a version with share 0 or a local cut is never chosen. Cost: one route lookup and
-// O(upstreams of the drawn version) for each pick.
+// A pick passes through the stages of traffic_core_stages.cc. Here is what they share: the policy of a route, the
+// choice of a version and an upstream, the admission queue of the upstream on this host, and the results of calls.
+// Invariants: every choice has one entry in `pending_` until its finish; a version with share 0 or a local cut is never
+// chosen. Cost: O(upstreams of the drawn version) for each pick.
 #include "traffic/traffic_core.h"
 
 #include <algorithm>
@@ -13,8 +11,6 @@
 namespace heatherdeck {
 namespace {
 
-// A request with at most this time left has none for a retry elsewhere, so it may use the limiter's reserved fraction.
-constexpr std::chrono::milliseconds short_deadline{200};
 constexpr std::chrono::milliseconds overloaded_retry_after{100};
 constexpr std::chrono::milliseconds unavailable_retry_after{500};
 // Objectives are usually a small multiple of the service time; assumed for an upstream that has not answered yet.
@@ -83,14 +79,13 @@
   return answer ? std::move(*answer) : pick_result(refuse(refusal_reason::overloaded));
 }
 
-std::optional<pick_result> traffic_core::pick(time_point now, const request_attributes& attributes,
-                                              std::uint64_t waiter_id) {
+std::optional<pick_result> traffic_core::pick(time_point now, request_attributes attributes, std::uint64_t waiter_id) {
   ++counters_.picks;
   if (attributes.may_have_run && waiter_id != 0) {
-    held_.emplace(waiter_id, held_attempt{attributes, now});
+    held_.emplace(waiter_id, held_attempt{std::move(attributes), now});
     return std::nullopt;
   }
-  return pick_upstream_for(now, attributes, waiter_id);
+  return run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = waiter_id});
 }
 
 void traffic_core::pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
@@ -100,62 +95,12 @@
     const auto waited = std::chrono::ceil<milliseconds>(now - held.mapped().arrived);
     attributes.age += waited;
     if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
-    if (auto answer = pick_upstream_for(now, attributes, held.key())) {
+    if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = held.key()})) {
       answers.emplace_back(held.key(), std::move(*answer));
     }
   }
 }
 
-std::optional<pick_result> traffic_core::pick_upstream_for(time_point now, const request_attributes& attributes,
-                                                           std::uint64_t waiter_id) {
-  if (!document_) return refuse(refusal_reason::no_document);
-  if (attributes.deadline && attributes.deadline->count() <= 0) return refuse(refusal_reason::deadline);
-  if (attributes.from_peer) return pick_for_peer(now, attributes, waiter_id);
-  const route_rule* rule = routes_.match(attributes);
-  if (rule == nullptr) return refuse(refusal_reason::no_route);
-  if (attributes.attempt > 0 || !attributes.deadline) return pick_by_route(now, attributes, *rule, waiter_id);
-  const auto elapsed = retry_age_estimators_[rule->name].estimate(*attributes.deadline);
-  if (elapsed.count() == 0) return pick_by_route(now, attributes, *rule, waiter_id);
-  request_attributes adjusted = attributes;
-  adjusted.age += elapsed;
-  adjusted.elapsed_before_attempt = elapsed;
-  return pick_by_route(now, adjusted, *rule, waiter_id);
-}
-
-std::optional<pick_result> traffic_core::pick_for_peer(time_point now, const request_attributes& attributes,
-                                                       std::uint64_t waiter_id) {
-  if (stop_) return refuse(refusal_reason::draining);
-  const auto found = services_.find(attributes.service);
-  if (found == services_.end()) return refuse(refusal_reason::no_upstream);
-  if (auto answer = check_quarantine(attributes.service, attributes)) return answer;
-  std::vector<std::shared_ptr<upstream>> local;
-  bool draining = false;
-  for (const auto& [name, members] : found->second.versions) {
-    if (!attributes.upstream_version.empty() && name != attributes.upstream_version) continue;
-    for (const auto& u : members) {
-      if (u->locality != locality_class::local) continue;
-      draining = draining || u->endpoint.state == upstream_state::draining;
-      if (u->usable) local.push_back(u);
-    }
-  }
-  if (local.empty()) return refuse(draining ? refusal_reason::draining : refusal_reason::no_upstream);
-  std::vector<balance_candidate> candidates;
-  candidates.reserve(local.size());
-  for (const auto& u : local) {
-    candidates.push_back({.locality = locality_class::local,
-                          .load = &u->load,
-                          .slots = slots_of(*u),
-                          .connections = u->endpoint.connections});
-  }
-  const auto index = balancer_.pick(candidates, now);
-  if (!index) return refuse(refusal_reason::overloaded);
-  route_policy route = route_policy_for(routes_.match(attributes), attributes);
-  // The first node has applied the route's timeout, counted from the arrival of the request, under the document of
-  // then.
-  if (attributes.deadline) route.timeout = *attributes.deadline;
-  return admit_locally(now, {attributes.service, route, attributes, local[*index], now, false}, waiter_id);
-}
-
 void traffic_core::start_draining(const heatherdeck::start_draining& stop) {
   stop_ = stop;
   for (const auto& [key, u] : upstreams_) u->admission.limit_waiting(stop.ends_at);
@@ -313,56 +258,6 @@
              : u.endpoint.slots;
 }
 
-std::optional<pick_result> traffic_core::pick_by_route(time_point now, const request_attributes& attributes,
-                                                       const route_rule& rule, std::uint64_t waiter_id) {
-  std::string service = rule.service;
-  if (!rule.split.empty()) service = attributes.pinned_service.empty() ? splits_.pick(rule) : attributes.pinned_service;
-  const auto spec = document_->services.find(service);
-  if (spec == document_->services.end()) return refuse(refusal_reason::no_upstream);
-  if (auto answer = check_quarantine(service, attributes)) return answer;
-  const route_policy route = route_policy_for(&rule, attributes);
-  if (may_be_broken_off(now, route, attributes)) return refuse(refusal_reason::draining);
-  service_state& traffic = services_[service];
-  if (attributes.attempt == 0) {
-    traffic.retries.on_call(now);
-  } else if (!traffic.retries.try_retry(now)) {
-    return refuse(refusal_reason::retry_budget);
-  }
-  const bool has_short_deadline = attributes.deadline && *attributes.deadline <= short_deadline;
-  const request_class kind =
-      !route.idempotent || has_short_deadline ? request_class::reserved : request_class::ordinary;
-  // If the route has a latency objective, the admission queue on the upstream's host enforces it instead of the
-  // adaptive limit. That limit is controlled by the mean latency over all routes of a service, which is meaningless
-  // when one route takes 15 ms and another 360 ms.
-  if (route.objective.count() > 0 && !spec->second.in_flight_limit) {
-    traffic.limiter.admit_unlimited();
-  } else if (!traffic.limiter.admit(kind)) {
-    return refuse(refusal_reason::overloaded);
-  }
-  choice_criteria criteria{.tried_targets = attributes.tried_targets};
-  if (rule.kind == route_kind::download) criteria.spillover = spillover_policy::avoid_other_regions;
-  if (suspected(service, attributes)) criteria.on_trial = attributes.fingerprint;
-  std::shared_ptr<upstream> chosen = choose_upstream(now, spec->second, traffic, criteria);
-  if (!chosen) {
-    traffic.limiter.release_unused();
-    // If earlier attempts have found upstreams, there are some, but none has capacity left now.
-    return refuse(criteria.tried_targets.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
-  }
-  if (chosen->locality != locality_class::local) return reserve(std::move(chosen), service, route, attributes, true);
-  std::optional<pick_result> local_answer =
-      admit_locally(now, {service, route, attributes, chosen, now, true}, waiter_id);
-  if (!local_answer || std::holds_alternative<upstream_choice>(*local_answer)) return local_answer;
-  // The upstream on this host is full; try another one before refusing the caller.
-  criteria.tried_targets.push_back(chosen->endpoint.target);
-  const bool final = holds_everywhere(std::get<refusal>(*local_answer).reason);
-  std::shared_ptr<upstream> other = final ? nullptr : choose_upstream(now, spec->second, traffic, criteria);
-  if (other && other->locality != locality_class::local) {
-    return reserve(std::move(other), service, route, attributes, true);
-  }
-  traffic.limiter.release_unused();
-  return local_answer;
-}
-
 std::string traffic_core::draw_version(const std::vector<version_share>& shares) {
   std::uint64_t total_share = 0;
   for (const version_share& s : shares) total_share += s.share;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -14,12 +14,15 @@
 /// A request from another node goes to the upstream on this host or is refused as not run; it is never forwarded again.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include <boost/json/value.hpp>
@@ -73,7 +76,7 @@
   /// @param waiter_id under which `take_answers` returns the answer if the request waits for a slot of the upstream on
   ///   this host; 0 when it cannot wait.
   /// @return nothing when the request waits.
-  std::optional<pick_result> pick(time_point now, const request_attributes& attributes, std::uint64_t waiter_id);
+  std::optional<pick_result> pick(time_point now, request_attributes attributes, std::uint64_t waiter_id);
 
   /// The same for a request that cannot wait: instead of waiting it is refused as overloaded.
   pick_result pick(time_point now, const request_attributes& attributes);
@@ -179,19 +182,58 @@
     bool limited = false;  ///< counted by the service's concurrency limiter
   };
 
+  /// What the choice of an upstream for one attempt depends on.
+  struct choice_criteria {
+    std::vector<std::string> tried_targets;
+    spillover_policy spillover = spillover_policy::any_region;
+    std::optional<request_fingerprint> on_trial;  ///< set: the request is suspected
+  };
+
+  /// One attempt on its way through the stages of a pick. Pointers are valid until the pick returns or waits.
+  struct pick_context {
+    time_point now{};
+    request_attributes attributes;
+    std::uint64_t waiter_id = 0;
+    const route_rule* rule = nullptr;  ///< null until a rule matches, and for requests from peers without one
+    route_policy route;
+    std::string service;
+    const service_spec* spec = nullptr;
+    service_state* traffic = nullptr;
+    choice_criteria criteria;
+  };
+
+  /// What a stage decided: the attempt goes on to the next stage, or it has its answer, or it waits and `take_answers`
+  /// returns its answer later.
+  struct go_on {};
+  struct waits {};
+  using stage_result = std::variant<go_on, pick_result, waits>;
+  /// A stage checks one condition or fills in one part of the context.
+  using pick_stage = stage_result (traffic_core::*)(pick_context&);
+  static const std::array<pick_stage, 9> caller_stages;  ///< of a request from a caller, in this order
+  static const std::array<pick_stage, 5> peer_stages;    ///< of a request that another node has forwarded
+
+  std::optional<pick_result> run_stages(pick_context context);
+  std::optional<pick_result> run_stages(std::span<const pick_stage> stages, pick_context& context);
+  stage_result check_document(pick_context& context);
+  stage_result match_route(pick_context& context);
+  stage_result infer_earlier_attempts(pick_context& context);
+  stage_result choose_destination(pick_context& context);
+  stage_result refuse_quarantined(pick_context& context);
+  stage_result refuse_while_stopping(pick_context& context);
+  stage_result draw_on_retry_budget(pick_context& context);
+  stage_result limit_concurrency(pick_context& context);
+  stage_result choose_and_admit(pick_context& context);
+  stage_result refuse_peer_while_stopping(pick_context& context);
+  stage_result find_forwarded_service(pick_context& context);
+  stage_result admit_forwarded(pick_context& context);
+
   /// A later attempt that waits for the reports of the crash that may have ended the earlier one.
   struct held_attempt {
     request_attributes attributes;
     time_point arrived{};
   };
 
-  std::optional<pick_result> pick_upstream_for(time_point now, const request_attributes& attributes,
-                                               std::uint64_t waiter_id);
   void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
-  std::optional<pick_result> pick_for_peer(time_point now, const request_attributes& attributes,
-                                           std::uint64_t waiter_id);
-  std::optional<pick_result> pick_by_route(time_point now, const request_attributes& attributes, const route_rule& rule,
-                                           std::uint64_t waiter_id);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
   bool may_be_broken_off(time_point now, const route_policy& route, const request_attributes& attributes) const;
@@ -200,13 +242,6 @@
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
   void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
-  /// What the choice of an upstream for one attempt depends on.
-  struct choice_criteria {
-    std::vector<std::string> tried_targets;
-    spillover_policy spillover = spillover_policy::any_region;
-    std::optional<request_fingerprint> on_trial;  ///< set: the request is suspected
-  };
-
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
                                             const choice_criteria& criteria);
   std::shared_ptr<upstream> choose_upstream_of_version(time_point now, service_state& traffic, const std::string& name,
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -112,7 +112,7 @@
 
 void traffic_service::on_pick(time_point now, pick_upstream request) {
   const std::uint64_t id = next_waiter_id_++;
-  std::optional<pick_result> answer = core_.pick(now, request.attributes, id);
+  std::optional<pick_result> answer = core_.pick(now, std::move(request.attributes), id);
   if (answer) {
     request.answer(std::move(*answer));
   } else {
