compiled_document: fields of client accounts and routes that the parts of hard-load share

Cause: four parts are built side by side and meet in these types. Change: regions of accounts and routes, anonymous routes, and the account of a pick. No code reads them yet.

--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -89,7 +89,9 @@
   std::chrono::milliseconds objective{0};  ///< latency objective of the route; 0: none
   std::uint32_t priority = 0;              ///< 0 is the highest priority
   std::uint32_t attempts = 2;              ///< targets that one request may be sent to, retries included
-  std::optional<bool> idempotent;  ///< unset: by method (GET, HEAD, OPTIONS, TRACE, PUT and DELETE are idempotent)
+  std::optional<bool> idempotent;    ///< unset: by method (GET, HEAD, OPTIONS, TRACE, PUT and DELETE are idempotent)
+  bool anonymous = false;            ///< requests need no client account
+  std::vector<std::string> regions;  ///< where its requests may be served; empty: anywhere
 };
 
 /// A client account, to which callers authenticate with an API key.
@@ -98,6 +100,7 @@
   std::optional<std::uint32_t> priority;  ///< takes precedence over the priority of the route; 0 is the highest
   double rate_per_s = 0;                  ///< requests a second that the whole fleet serves; 0: no limit
   double burst = 0;                       ///< requests beyond the rate that may come at once
+  std::vector<std::string> regions;       ///< where its requests may be served; empty: anywhere
 
   bool operator==(const client_account&) const = default;
 };
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -194,7 +194,8 @@
     time_point now{};
     request_attributes attributes;
     std::uint64_t waiter_id = 0;
-    const route_rule* rule = nullptr;  ///< null until a rule matches, and for requests from peers without one
+    const route_rule* rule = nullptr;         ///< null until a rule matches, and for requests from peers without one
+    const client_account* account = nullptr;  ///< null without one
     route_policy route;
     std::string service;
     const service_spec* spec = nullptr;
