--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,6 +127,7 @@
   std::vector<route_rule> routes;                         ///< in the order in which they are tried
   std::map<std::string, service_spec> services;           ///< by name
   std::map<std::string, client_account> accounts;         ///< by name
+  std::set<std::string> evacuated_zones;                  ///< availability zones whose upstreams get no requests
   std::map<std::string, rollout_spec> rollouts;           ///< by service
   std::map<std::string, rollout_state> rollout_progress;  ///< by service
 
--- a/model/document_compiler.cc
+++ b/model/document_compiler.cc
@@ -116,6 +116,10 @@
     out_->label = value.label;
     return {};
   }
+  result<void> collect(const std::string&, const evacuations_section& value) {
+    out_->evacuated_zones.insert(value.zones.begin(), value.zones.end());
+    return {};
+  }
   result<void> collect(const std::string& section_name, const limits_section& values) {
     for (const parsed_limits& value : values) {
       BOOST_LEAF_CHECK(add_unique(limits_, section_name, value.service, value, "limits of"));
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -374,6 +374,17 @@
   return parsed_section(label_section{std::move(label)});
 }
 
+// A list of the availability zones to which no request is sent.
+result<parsed_section> read_evacuations(const yaml_node& root) {
+  BOOST_LEAF_CHECK(root.expect_kind(yaml_kind::list));
+  evacuations_section out;
+  for (const yaml_node& item : root.items()) {
+    BOOST_LEAF_AUTO(zone, read_identifier(item, "availability zone"));
+    out.zones.push_back(std::move(zone));
+  }
+  return parsed_section(std::move(out));
+}
+
 struct section_reader {
   section_kind kind;
   result<parsed_section> (*read)(const yaml_node&);
@@ -387,6 +398,7 @@
     {section_kind::limits, read_limits},
     {section_kind::callers, read_callers},
     {section_kind::label, read_label},
+    {section_kind::evacuations, read_evacuations},
 });
 
 }  // namespace
--- a/model/section_parser.h
+++ b/model/section_parser.h
@@ -68,10 +68,13 @@
 struct label_section {
   std::string label;
 };
+struct evacuations_section {
+  std::vector<std::string> zones;
+};
 
 /// The values of one section. The alternatives are in the order of `section_kind`.
 using parsed_section = std::variant<services_section, routes_section, shares_section, rollouts_section, limits_section,
-                                    callers_section, label_section>;
+                                    callers_section, label_section, evacuations_section>;
 
 /// @return the source of a section whose text does not come from a file: errors name the section.
 yaml_source section_source(std::string_view name);
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -37,6 +37,7 @@
 
 void traffic_core::set_document(compiled_document_ptr document) {
   document_ = std::move(document);
+  document_changed_ = true;
   routes_ = route_table(document_);
   for (const auto& [name, spec] : document_->services) {
     service_state& traffic = services_[name];
@@ -88,13 +89,17 @@
   return run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = waiter_id});
 }
 
+request_attributes traffic_core::after_wait(request_attributes attributes, duration waited) {
+  const auto whole = std::chrono::ceil<milliseconds>(waited);
+  attributes.age += whole;
+  if (attributes.deadline) *attributes.deadline -= std::min(whole, *attributes.deadline);
+  return attributes;
+}
+
 void traffic_core::pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   while (!held_.empty() && held_.begin()->second.arrived + crash_report_wait <= now) {
     const auto held = held_.extract(held_.begin());
-    request_attributes attributes = held.mapped().attributes;
-    const auto waited = std::chrono::ceil<milliseconds>(now - held.mapped().arrived);
-    attributes.age += waited;
-    if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
+    request_attributes attributes = after_wait(held.mapped().attributes, now - held.mapped().arrived);
     if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = held.key()})) {
       answers.emplace_back(held.key(), std::move(*answer));
     }
@@ -207,6 +212,7 @@
     return true;
   });
   refuse_quarantined_waiters(answers);
+  move_unpermitted_waiters(now, answers);
   pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
@@ -339,7 +345,7 @@
   std::vector<balance_candidate> candidates;
   std::vector<const std::shared_ptr<upstream>*> eligible;
   for (const auto& u : members->second) {
-    if (!u->usable) continue;
+    if (!u->usable || !permitted(*u, criteria)) continue;
     const auto status = traffic.ejector.status_of(u->key, now);
     if (status == outlier_ejector::status::ejected) continue;
     const bool tried = std::find(tried_targets.begin(), tried_targets.end(), u->endpoint.target) != tried_targets.end();
@@ -360,7 +366,7 @@
 
 // Rendezvous hashing: every node finds the same upstream for the copies of a request, without knowing of the others.
 std::shared_ptr<traffic_core::upstream> traffic_core::choose_for_trial(
-    const std::vector<std::shared_ptr<upstream>>& members, const choice_criteria& criteria) {
+    const std::vector<std::shared_ptr<upstream>>& members, const choice_criteria& criteria) const {
   const auto tried = [&](const upstream& u) {
     const auto& targets = criteria.tried_targets;
     return std::find(targets.begin(), targets.end(), u.endpoint.target) != targets.end();
@@ -368,7 +374,7 @@
   std::shared_ptr<upstream> best;
   std::uint64_t best_rank = 0;
   for (const auto& u : members) {
-    if (!u->usable || u->suspect || tried(*u)) continue;
+    if (!u->usable || u->suspect || tried(*u) || !permitted(*u, criteria)) continue;
     const std::uint64_t rank = rank_for(*criteria.on_trial, u->key);
     if (best && rank <= best_rank) continue;
     best = u;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -132,6 +132,7 @@
     endpoint_record endpoint;
     std::string node_id;
     std::string availability_zone;
+    std::string region;
     std::string mesh_address;
     locality_class locality = locality_class::remote;
     bool usable = false;   ///< ready, and its node has not left and is not draining
@@ -185,6 +186,8 @@
   /// What the choice of an upstream for one attempt depends on.
   struct choice_criteria {
     std::vector<std::string> tried_targets;
+    const route_rule* rule = nullptr;         ///< null without one
+    const client_account* account = nullptr;  ///< null without one
     spillover_policy spillover = spillover_policy::any_region;
     std::optional<request_fingerprint> on_trial;  ///< set: the request is suspected
   };
@@ -234,6 +237,7 @@
     time_point arrived{};
   };
 
+  static request_attributes after_wait(request_attributes attributes, duration waited);
   void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
@@ -242,13 +246,16 @@
   bool suspected(const std::string& service, const request_attributes& attributes) const;
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
   void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  bool permitted(const upstream& u, const choice_criteria& criteria) const;
+  bool any_permitted(const service_state& traffic, const choice_criteria& criteria) const;
+  void move_unpermitted_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
                                             const choice_criteria& criteria);
   std::shared_ptr<upstream> choose_upstream_of_version(time_point now, service_state& traffic, const std::string& name,
                                                        const choice_criteria& criteria);
-  static std::shared_ptr<upstream> choose_for_trial(const std::vector<std::shared_ptr<upstream>>& members,
-                                                    const choice_criteria& criteria);
+  std::shared_ptr<upstream> choose_for_trial(const std::vector<std::shared_ptr<upstream>>& members,
+                                             const choice_criteria& criteria) const;
   const std::string& resolve_version(const service_spec& spec, const service_state& traffic,
                                      const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
@@ -284,6 +291,7 @@
   version_circuit_breaker circuit_breaker_;
   traffic_counters counters_;
   quarantine_list_ptr quarantine_ = std::make_shared<quarantine_list>();
+  bool document_changed_ = false;    ///< since the requests that wait were last compared with it
   bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
   std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
--- /dev/null
+++ b/traffic/traffic_core_rules.cc
@@ -0,0 +1,59 @@
+// Which upstreams a request may be served by at all: not those of an evacuated zone, and only those of the regions that
+// its route and its account name. Every choice asks `permitted`, at the first node and at the node beside the upstream,
+// so a first node with an older document can't bypass it. Invariant: a request that has waited is asked about again with
+// the document of the moment at which it would run. Cost: O(log zones + regions) for each upstream of a choice.
+#include <algorithm>
+#include <utility>
+
+#include "traffic/traffic_core.h"
+
+namespace heatherdeck {
+namespace {
+
+bool lists(const std::vector<std::string>& regions, const std::string& region) {
+  return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+}  // namespace
+
+bool traffic_core::permitted(const upstream& u, const choice_criteria& criteria) const {
+  if (document_ && document_->evacuated_zones.contains(u.availability_zone)) return false;
+  if (criteria.rule != nullptr && !lists(criteria.rule->regions, u.region)) return false;
+  return criteria.account == nullptr || lists(criteria.account->regions, u.region);
+}
+
+bool traffic_core::any_permitted(const service_state& traffic, const choice_criteria& criteria) const {
+  return std::any_of(traffic.versions.begin(), traffic.versions.end(), [&](const auto& version) {
+    return std::any_of(version.second.begin(), version.second.end(),
+                       [&](const auto& u) { return u->usable && permitted(*u, criteria); });
+  });
+}
+
+// Requests that wait for an upstream of this host which may not serve them any more. One from another node is refused,
+// and that node looks for another upstream; one from a caller is chosen for again here.
+void traffic_core::move_unpermitted_waiters(time_point now,
+                                            std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+  if (!std::exchange(document_changed_, false)) return;
+  std::vector<std::pair<std::uint64_t, queued_attempt>> removed;
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    const auto waiter = next++;
+    const queued_attempt& attempt = waiter->second;
+    if (permitted(*attempt.target, {.rule = routes_.match(attempt.attributes)})) continue;
+    attempt.target->admission.cancel(waiter->first);
+    if (attempt.limited) services_[attempt.service].limiter.release_unused();
+    removed.emplace_back(waiter->first, std::move(waiter->second));
+    waiting_.erase(waiter);
+  }
+  for (auto& [id, attempt] : removed) {
+    if (attempt.attributes.from_peer) {
+      answers.emplace_back(id, refuse(refusal_reason::no_upstream));
+      continue;
+    }
+    request_attributes attributes = after_wait(std::move(attempt.attributes), now - attempt.arrived);
+    if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = id})) {
+      answers.emplace_back(id, std::move(*answer));
+    }
+  }
+}
+
+}  // namespace heatherdeck
--- a/traffic/traffic_core_stages.cc
+++ b/traffic/traffic_core_stages.cc
@@ -116,13 +116,16 @@
   const time_point now = context.now;
   choice_criteria& criteria = context.criteria;
   criteria.tried_targets = context.attributes.tried_targets;
+  criteria.rule = context.rule;
+  criteria.account = context.account;
   if (context.rule->kind == route_kind::download) criteria.spillover = spillover_policy::avoid_other_regions;
   if (suspected(context.service, context.attributes)) criteria.on_trial = context.attributes.fingerprint;
   std::shared_ptr<upstream> chosen = choose_upstream(now, *context.spec, *context.traffic, criteria);
   if (!chosen) {
     context.traffic->limiter.release_unused();
     // If earlier attempts have found upstreams, there are some, but none has capacity left now.
-    return refuse(criteria.tried_targets.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
+    const bool none = criteria.tried_targets.empty() || !any_permitted(*context.traffic, criteria);
+    return refuse(none ? refusal_reason::no_upstream : refusal_reason::overloaded);
   }
   if (chosen->locality != locality_class::local) {
     return reserve(std::move(chosen), context.service, context.route, context.attributes, true);
@@ -162,12 +165,14 @@
 
 traffic_core::stage_result traffic_core::admit_forwarded(pick_context& context) {
   const request_attributes& attributes = context.attributes;
+  context.criteria.rule = context.rule;
+  context.criteria.account = context.account;
   std::vector<std::shared_ptr<upstream>> local;
   bool draining = false;
   for (const auto& [name, members] : context.traffic->versions) {
     if (!attributes.upstream_version.empty() && name != attributes.upstream_version) continue;
     for (const auto& u : members) {
-      if (u->locality != locality_class::local) continue;
+      if (u->locality != locality_class::local || !permitted(*u, context.criteria)) continue;
       draining = draining || u->endpoint.state == upstream_state::draining;
       if (u->usable) local.push_back(u);
     }
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -46,6 +46,7 @@
     u->endpoint = endpoint;
     u->node_id = member.node_id;
     u->availability_zone = member.availability_zone;
+    u->region = member.region;
     u->mesh_address = member.mesh_address;
     u->locality = locality_of(member);
     // A drain of this node does not affect requests that it has already accepted.
@@ -81,6 +82,8 @@
   if (shown.endpoint.state == upstream_state::ready) {
     if (!shown.usable) {
       why = "node draining";
+    } else if (!permitted(shown, {})) {
+      why = "zone evacuated";
     } else if (circuit_breaker_.cut(service, shown.endpoint.upstream_version, now)) {
       why = "version cut locally";
     } else if (status != outlier_ejector::status::available) {
@@ -91,7 +94,7 @@
       why = "slow start";
     }
   }
-  const bool out = !shown.usable || status == outlier_ejector::status::ejected || why == "version cut locally";
+  const bool out = !shown.usable || !permitted(shown, {}) || status == outlier_ejector::status::ejected || why == "version cut locally";
   return {{"target", shown.endpoint.target},
           {"version", shown.endpoint.upstream_version},
           {"node", shown.node_id},
@@ -133,6 +136,10 @@
   for (const auto& [service, name] : circuit_breaker_.cut_versions(now)) {
     cut.push_back(boost::json::object{{"service", service}, {"version", name}});
   }
+  boost::json::array evacuated;
+  if (document_) {
+    evacuated = boost::json::array(document_->evacuated_zones.begin(), document_->evacuated_zones.end());
+  }
   return boost::json::object{{"document", document_ ? document_->document_version.text() : "none"},
                              {"draining", stop_.has_value()},
                              {"pending", pending_.size()},
@@ -141,6 +148,7 @@
                              {"shares_moved", counters_.shares_moved},
                              {"late_finishes", counters_.late_finishes},
                              {"cut_versions", std::move(cut)},
+                             {"evacuated_zones", std::move(evacuated)},
                              {"services", std::move(services)}};
 }
 
