Cold upstreams get no more than warmup_per_s requests a second

An upstream that has just started, or says that it is cold, crashes under the load of a warm one.

The limit on the wire is checked in leaving_upstream_test.

--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -45,6 +45,8 @@
   std::vector<version_share> shares;             ///< after rollouts and withdrawals; the sum is full_share
   std::optional<std::uint32_t> in_flight_limit;  ///< upper bound of a node's adaptive concurrency limit
   double retry_ratio = 0.1;                      ///< retry budget: retries per call, at most
+  std::chrono::milliseconds warmup{0};           ///< time for which an upstream is cold after its start
+  double warmup_per_s = 0;                       ///< requests a second that a cold upstream accepts; 0: no limit
 };
 
 /// Whether requests of a route may be retried: `safe` and `download` are idempotent, `unsafe` is not. `download` has
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -21,6 +21,8 @@
 constexpr std::uint64_t max_route_timeout_ms = 600'000;
 constexpr std::uint32_t max_priority = 1000;
 constexpr std::uint32_t max_route_attempts = 100;
+constexpr double max_warmup_s = 600;
+constexpr double max_warmup_per_s = 1'000'000;
 
 bool is_identifier_character(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
@@ -112,7 +114,8 @@
 }
 
 result<parsed_service> read_service(const std::string& name, const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"versions", "slots", "connections", "health_path", "protocol", "tls"}));
+  BOOST_LEAF_CHECK(node.expect_keys(
+      {"versions", "slots", "connections", "health_path", "protocol", "tls", "warmup_s", "warmup_per_s"}));
   parsed_service out;
   out.where = node.where();
   out.spec.name = name;
@@ -125,6 +128,13 @@
   BOOST_LEAF_ASSIGN(out.spec.slots, number_or<std::uint32_t>(node, "slots", out.spec.slots, 1, 100'000));
   BOOST_LEAF_ASSIGN(out.spec.connections,
                     number_or<std::uint32_t>(node, "connections", out.spec.connections, 1, 1'000'000));
+  if (const yaml_node* warmup = node.find("warmup_s")) {
+    BOOST_LEAF_AUTO(seconds, warmup->as_double(0, max_warmup_s));
+    out.spec.warmup = std::chrono::milliseconds(std::llround(seconds * 1000));
+  }
+  if (const yaml_node* rate = node.find("warmup_per_s")) {
+    BOOST_LEAF_ASSIGN(out.spec.warmup_per_s, rate->as_double(0, max_warmup_per_s));
+  }
   return out;
 }
 
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -197,10 +197,19 @@
   request_fingerprint request;  ///< of all that has been read of it
 };
 
-/// Sent by `announcements`: load that the upstream on this host reported.
+/// What an upstream announces about its cold start.
+struct warmup_report {
+  std::optional<std::chrono::milliseconds> left;  ///< for how much longer it is cold; nothing: not given
+  std::uint64_t start_time_ms = 0;                ///< when it started; 0: not given
+
+  bool operator==(const warmup_report&) const = default;
+};
+
+/// Sent by `announcements`: what the upstream on this host reported about its load and its cold start.
 struct local_load {
   std::string target;
   load_report load;
+  warmup_report warmup;
 };
 
 /// Sent by a proxy session: the upstream on this host has made another statement than the one of the choice.
--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -223,7 +223,7 @@
   if (found == targets_.end() || !(found->second.announced.endpoint == next.announced.endpoint)) {
     result.endpoints.push_back(next.announced.endpoint);
   }
-  result.loads.push_back({target, announced.load});
+  result.loads.push_back({target, announced.load, {announced.warmup_left, announced.order.start_time_ms}});
   targets_[target] = std::move(next);
   return result;
 }
--- a/node/announcement_core.h
+++ b/node/announcement_core.h
@@ -26,6 +26,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,7 +50,7 @@
   endpoint_record endpoint;
   load_report load;
   announcement_order order;
-  milliseconds warmup_left{0};
+  std::optional<milliseconds> warmup_left;  ///< nothing: not given
 };
 
 /// Parses and validates an announcement.
--- a/testing/leaving_upstream_test.cc
+++ b/testing/leaving_upstream_test.cc
@@ -1,6 +1,6 @@
 // Runs the services "traffic" and "announcements" with a directory that returns each endpoint to traffic. Guards
 // against requests to an upstream that has stated in a response that it is leaving, while it still announces itself as
-// ready.
+// ready, and against a cold upstream's announcement that has no effect on how many requests it gets.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,16 +36,23 @@
     ASSERT_TRUE(k.add(std::move(made)));
     ASSERT_TRUE(k.start());
     traffic = *k.find<traffic_message>(to_name(service_name::traffic));
+    set_document(0);
+  }
+
+  void set_document(double warmup_per_s) {
     auto document = std::make_shared<compiled_document>();
     document->routes.push_back({.name = "all", .path_prefix = "/", .service = "certdesk"});
-    document->services["certdesk"] = {.name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
+    document->services["certdesk"] = {
+        .name = "certdesk", .versions = {"v1"}, .shares = {{"v1", full_share}}, .warmup_per_s = warmup_per_s};
     traffic.post(update_document{document});
   }
 
-  awaitable<void> announce(const std::string& state, std::uint64_t born, std::uint64_t sequence) {
+  awaitable<void> announce(const std::string& state, std::uint64_t born, std::uint64_t sequence,
+                           std::uint64_t warmup_left_ms = 0) {
     http_request put{.method = "PUT", .path = "/v1/announcement"};
     put.body = R"({"service":"certdesk","version":"v1","target":"t1","address":"127.0.0.1:9","slots":4,"state":")" +
-               state + R"(","born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) + "}";
+               state + R"(","born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) +
+               R"(,"warmup_left_ms":)" + std::to_string(warmup_left_ms) + "}";
     const std::string address = "127.0.0.1:" + std::to_string(announcements->port());
     const auto response = co_await http_call(k.timers(), k.executor(), address, put, 5s);
     EXPECT_EQ(response ? response->status : 0U, 200U);
@@ -104,5 +111,16 @@
   });
 }
 
+TEST_F(leaving_upstream, gets_requests_at_its_limit_only_while_it_announces_that_it_is_cold) {
+  run([this]() -> awaitable<void> {
+    set_document(0.5);
+    co_await announce("ready", 1000, 1, 60'000);
+    EXPECT_TRUE(co_await can_pick(true)) << "the first request";
+    EXPECT_FALSE(co_await can_pick(false)) << "the next one may start after 2 s";
+    co_await announce("ready", 1000, 2);
+    for (int i = 0; i < 5; ++i) EXPECT_TRUE(co_await can_pick(true)) << "it is warm";
+  });
+}
+
 }  // namespace
 }  // namespace heatherdeck
--- a/testing/rate_limiter_test.cc
+++ b/testing/rate_limiter_test.cc
@@ -37,6 +37,31 @@
   }
 }
 
+// A limit that is set in the middle of traffic comes after as many requests as there was traffic for.
+TEST(rate_limiter, second_in_which_a_limit_is_set_stays_within_its_bound) {
+  constexpr double rate = 20;
+  for (int before = 0; before <= 60; before += 5) {
+    rate_limiter limiter;
+    time_point now = start;
+    std::vector<time_point> starts;
+    for (int i = 0; i < before; ++i, now += 10ms) {
+      if (limiter.try_start(now)) starts.push_back(now);
+    }
+    limiter.set_rate(rate, now);
+    limiter.charge_recent_starts(now);
+    const time_point limited_at = now;
+    for (; now < limited_at + 3s; now += 1ms) {
+      if (limiter.try_start(now)) starts.push_back(now);
+    }
+    for (std::size_t first = 0, last = 0; last < starts.size(); ++last) {
+      while (starts[last] - starts[first] >= 1s) ++first;
+      if (starts[last] < limited_at) continue;
+      ASSERT_LE(last - first + 1, std::max(before, 32)) << before << " requests before";
+    }
+    EXPECT_GE(starts.size(), static_cast<std::size_t>(before) + 40) << "the pause is a second at most";
+  }
+}
+
 TEST(rate_limiter, request_may_start_once_the_stated_time_has_passed) {
   for (const double rate : {0.5, 3.0, 27.8, 999.9}) {
     rate_limiter limiter;
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -71,6 +71,12 @@
   /// @param per_second requests that the upstream accepts; nothing: as many as its slots can process.
   void set_rate_limit(std::optional<double> per_second, time_point now) { rate_.set_rate(per_second, now); }
 
+  /// Counts the requests of the last second towards a rate limit that has just been set.
+  void charge_recent_starts(time_point now) { rate_.charge_recent_starts(now); }
+
+  /// @return the rate limit in force; nothing: none.
+  const std::optional<double>& rate_limit() const { return rate_.rate(); }
+
   /// Decides on a new request; it is counted as running, or queued, or refused.
   admission_decision admit(time_point now, const admission_request& request);
 
--- a/traffic/rate_limiter.h
+++ b/traffic/rate_limiter.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "kernel/timer_service.h"
@@ -26,6 +27,10 @@
   /// @param per_second nothing: unlimited. A change keeps the tokens that are left; a first limit starts with one.
   void set_rate(std::optional<double> per_second, time_point now);
 
+  /// Counts the requests of the last second towards a limit that has just been set, so that in any second, also in one
+  /// that begins before, at most one and a half times the rate start, or as many as had started already.
+  void charge_recent_starts(time_point now);
+
   /// @return the rate in force, in requests a second; nothing when unlimited.
   const std::optional<double>& rate() const { return rate_; }
 
@@ -38,12 +43,14 @@
   duration time_until(time_point now, std::size_t requests) const;
 
  private:
+  void record_start(time_point now);
   double tokens_at(time_point now) const;
   double max_tokens() const;
 
   std::optional<double> rate_;
   double tokens_ = 0;  ///< at updated_at_
   time_point updated_at_{};
+  std::deque<time_point> starts_;  ///< of the last second
 };
 
 }  // namespace heatherdeck
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -175,6 +175,7 @@
   upstream& target = *attempt.target;
   if (auto refused = refuse_trial(now, attempt)) return *refused;
   target.admission.set_slots(target.endpoint.slots);
+  update_rate_limit(target, now);
   const auto time_allowed = attempt.attributes.deadline ? std::min(attempt.route.timeout, *attempt.attributes.deadline)
                                                         : attempt.route.timeout;
   const auto objective_remaining = attempt.route.objective - std::min(attempt.attributes.age, attempt.route.objective);
@@ -216,6 +217,7 @@
   pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
+    update_rate_limit(*u, now);
     const bool draining = u->endpoint.state == upstream_state::draining;
     for (const std::uint64_t id : draining ? u->admission.take_all() : u->admission.take_expired(now)) {
       const auto attempt = waiting_.extract(id);
@@ -259,7 +261,7 @@
 
 // The load that the node of another host reports is scaled for this already.
 std::uint32_t traffic_core::slots_of(const upstream& u) {
-  return u.locality == locality_class::local && u.statement.rate_limit
+  return u.locality == locality_class::local && u.admission.rate_limit()
              ? std::min(u.endpoint.slots, u.admission.effective_slots())
              : u.endpoint.slots;
 }
@@ -486,7 +488,7 @@
   const auto found = upstreams_.find(identity_.node_id + "/" + target);
   if (found == upstreams_.end() || found->second->statement == statement) return false;
   found->second->statement = statement;
-  found->second->admission.set_rate_limit(statement.rate_limit, now);
+  update_rate_limit(*found->second, now);
   return true;
 }
 
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -43,6 +43,7 @@
 #include "traffic/slow_start.h"
 #include "traffic/split_picker.h"
 #include "traffic/version_circuit_breaker.h"
+#include "traffic/warmup_tracker.h"
 
 namespace heatherdeck {
 
@@ -62,6 +63,12 @@
   std::uint64_t late_finishes = 0;  ///< results with an unknown pick id, such as a second result for one pick
 };
 
+/// The rate limit of a cold upstream on this host has come into force, or has ended.
+struct cold_limit_change {
+  std::string target;
+  bool cold = false;
+};
+
 class traffic_core {
  public:
   explicit traffic_core(traffic_identity identity);
@@ -95,6 +102,12 @@
   /// Records the load that the upstream on this host reported.
   void report_local_load(const std::string& target, const load_report& load, time_point now);
 
+  /// Records what the upstream on this host announced about its cold start.
+  void report_warmup(const std::string& target, const warmup_report& report, time_point now);
+
+  /// @return limits of cold upstreams that have come into force or ended since the last call.
+  std::vector<cold_limit_change> take_cold_limit_changes() { return std::exchange(cold_limit_changes_, {}); }
+
   /// Records what the upstream on this host states about itself.
   /// @return whether the statement differs from the one before.
   bool report_statement(const std::string& target, const upstream_statement& statement, time_point now);
@@ -140,6 +153,7 @@
     load_estimate load;
     double latency_ms = 0;  ///< moving average, with a penalty for failed calls; 0 when unknown
     slow_start warmup;
+    bool limited_as_cold = false;               ///< the rate limit of a cold upstream is in force; on this host only
     upstream_statement statement;               ///< known only of the upstream on this host
     admission_queue admission;                  ///< used only for the upstream on this host
     std::vector<request_fingerprint> on_trial;  ///< suspected requests that it is running; on this host only
@@ -248,6 +262,8 @@
   void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   bool permitted(const upstream& u, const choice_criteria& criteria) const;
   bool any_permitted(const service_state& traffic, const choice_criteria& criteria) const;
+  bool cold(const upstream& u, time_point now) const;
+  void update_rate_limit(upstream& u, time_point now);
   void move_unpermitted_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
@@ -278,7 +294,9 @@
   compiled_document_ptr document_;
   route_table routes_;
   std::map<std::string, service_state> services_;
-  std::map<std::string, std::shared_ptr<upstream>> upstreams_;                 ///< by key
+  std::map<std::string, std::shared_ptr<upstream>> upstreams_;  ///< by key
+  warmup_tracker warmups_;                                      ///< of the upstreams on this host
+  std::vector<cold_limit_change> cold_limit_changes_;
   std::unordered_map<std::uint64_t, pending_call> pending_;                    ///< by pick id
   std::unordered_map<std::string, retry_age_estimator> retry_age_estimators_;  ///< by route
   std::map<std::uint64_t, queued_attempt> waiting_;                            ///< by waiter id
--- a/traffic/traffic_core_rules.cc
+++ b/traffic/traffic_core_rules.cc
@@ -1,7 +1,8 @@
-// Which upstreams a request may be served by at all: not those of an evacuated zone, and only those of the regions that
+// The rules of the document that no choice may break: how many requests a second an upstream gets while it is cold, and
+// which upstreams a request may be served by at all: not those of an evacuated zone, and only those of the regions that
 // its route and its account name. Every choice asks `permitted`, at the first node and at the node beside the upstream,
-// so a first node with an older document can't bypass it. Invariant: a request that has waited is asked about again with
-// the document of the moment at which it would run. Cost: O(log zones + regions) for each upstream of a choice.
+// so a first node with an older document can't bypass it. Invariant: a request that has waited is asked about again
+// with the document of the moment at which it would run. Cost: O(log zones + regions) for each upstream of a choice.
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +11,9 @@
 namespace heatherdeck {
 namespace {
 
+// An upstream that is first heard of in this period may have started before this process did.
+constexpr std::chrono::seconds startup_period{5};
+
 bool lists(const std::vector<std::string>& regions, const std::string& region) {
   return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
 }
@@ -29,6 +33,32 @@
   });
 }
 
+void traffic_core::report_warmup(const std::string& target, const warmup_report& report, time_point now) {
+  const bool before_this_process = !first_view_at_ || now - *first_view_at_ < startup_period;
+  warmups_.report(target, report, before_this_process, now);
+}
+
+bool traffic_core::cold(const upstream& u, time_point now) const {
+  if (u.locality != locality_class::local || !document_) return false;
+  const auto spec = document_->services.find(u.endpoint.service);
+  if (spec == document_->services.end() || spec->second.warmup_per_s <= 0) return false;
+  return warmups_.cold(u.endpoint.target, spec->second.warmup, now);
+}
+
+// The limit of a cold upstream and the one that it states hold together.
+void traffic_core::update_rate_limit(upstream& u, time_point now) {
+  std::optional<double> limit = u.statement.rate_limit;
+  const bool now_cold = cold(u, now);
+  if (now_cold) {
+    const double warmup_limit = document_->services.at(u.endpoint.service).warmup_per_s;
+    limit = std::min(limit.value_or(warmup_limit), warmup_limit);
+  }
+  if (limit != u.admission.rate_limit()) u.admission.set_rate_limit(limit, now);
+  if (now_cold && !u.limited_as_cold) u.admission.charge_recent_starts(now);
+  if (now_cold != u.limited_as_cold) cold_limit_changes_.push_back({u.endpoint.target, now_cold});
+  u.limited_as_cold = now_cold;
+}
+
 // Requests that wait for an upstream of this host which may not serve them any more. One from another node is refused,
 // and that node looks for another upstream; one from a caller is chosen for again here.
 void traffic_core::move_unpermitted_waiters(time_point now,
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -94,7 +94,8 @@
       why = "slow start";
     }
   }
-  const bool out = !shown.usable || !permitted(shown, {}) || status == outlier_ejector::status::ejected || why == "version cut locally";
+  const bool out = !shown.usable || !permitted(shown, {}) || status == outlier_ejector::status::ejected ||
+                   why == "version cut locally";
   return {{"target", shown.endpoint.target},
           {"version", shown.endpoint.upstream_version},
           {"node", shown.node_id},
@@ -105,7 +106,8 @@
           {"in_flight", shown.load.own_in_flight},
           {"requests", shown.load.estimated_requests(now)},
           {"slots", shown.endpoint.slots},
-          {"rate_limit", shown.statement.rate_limit ? boost::json::value(*shown.statement.rate_limit) : nullptr},
+          {"rate_limit", shown.admission.rate_limit() ? boost::json::value(*shown.admission.rate_limit()) : nullptr},
+          {"cold", cold(shown, now)},
           {"latency_ms", shown.latency_ms},
           {"weight", shown.warmup.weight(now)}};
 }
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -88,7 +88,10 @@
                  [&](const directory_changed& m) { core_.set_members(*m.members, now); },
                  [&](pick_upstream& m) { on_pick(now, std::move(m)); },
                  [&](const finish_call& m) { core_.finish(now, m); },
-                 [&](const local_load& m) { core_.report_local_load(m.target, m.load, now); },
+                 [&](const local_load& m) {
+                   core_.report_local_load(m.target, m.load, now);
+                   core_.report_warmup(m.target, m.warmup, now);
+                 },
                  [&](const upstream_stated& m) { on_statement(now, m); },
                  [&](const start_draining& m) { core_.start_draining(m); },
                  [&](quarantine_changed& m) { core_.set_quarantine(std::move(m.list)); },
@@ -97,6 +100,9 @@
   for (auto& [id, answer] : core_.take_answers(now)) {
     if (auto waiter = waiting_.extract(id)) waiter.mapped()(std::move(answer));
   }
+  for (const cold_limit_change& change : core_.take_cold_limit_changes()) {
+    log_event(log_level::info, change.cold ? "upstream_cold" : "upstream_warm", {{"target", change.target}});
+  }
   for (quarantine_message& report : core_.take_quarantine_reports()) {
     if (quarantine_ && !quarantine_.post(std::move(report))) ++quarantine_reports_dropped_;
   }
