--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -23,6 +23,7 @@
 constexpr std::uint32_t max_route_attempts = 100;
 constexpr double max_warmup_s = 600;
 constexpr double max_warmup_per_s = 1'000'000;
+constexpr std::size_t max_regions = 64;
 
 bool is_identifier_character(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
@@ -194,8 +195,21 @@
   return {};
 }
 
+result<std::vector<std::string>> read_regions(const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_kind(yaml_kind::list));
+  if (node.items().size() > max_regions) {
+    return node.error_at("a list has at most " + std::to_string(max_regions) + " regions", "shorten it");
+  }
+  std::vector<std::string> regions;
+  for (const yaml_node& item : node.items()) {
+    BOOST_LEAF_AUTO(name, read_identifier(item, "region"));
+    regions.push_back(std::move(name));
+  }
+  return regions;
+}
+
 result<parsed_route> read_route(const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent"}));
+  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent", "regions"}));
   parsed_route out;
   out.where = node.where();
   BOOST_LEAF_ASSIGN(out.rule.name, read_required_identifier(node, "name", "route name"));
@@ -209,6 +223,9 @@
     BOOST_LEAF_AUTO(value, flag->as_bool());
     out.rule.idempotent = value;
   }
+  if (const yaml_node* regions = node.find("regions")) {
+    BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
+  }
   return out;
 }
 
@@ -233,7 +250,7 @@
 // Reads one entry of a map of routes. A path must start with the whole prefix, as it is written.
 result<parsed_route> read_keyed_route(const std::string& name, const yaml_node& node) {
   BOOST_LEAF_CHECK(node.expect_keys({"host", "path_prefix", "kind", "timeout_ms", "objective_ms", "priority", "service",
-                                     "split", "attempts", "name"}));
+                                     "split", "attempts", "name", "regions"}));
   parsed_route out;
   out.where = node.where();
   out.rule.name = name;
@@ -253,6 +270,9 @@
   out.rule.objective = std::chrono::milliseconds(objective);
   BOOST_LEAF_ASSIGN(out.rule.priority, number_or<std::uint32_t>(node, "priority", 0, 0, max_priority));
   BOOST_LEAF_ASSIGN(out.rule.attempts, number_or<std::uint32_t>(node, "attempts", 1, 1, max_route_attempts));
+  if (const yaml_node* regions = node.find("regions")) {
+    BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
+  }
   const yaml_node* split = node.find("split");
   const yaml_node* service = node.find("service");
   if ((split == nullptr) == (service == nullptr)) {
