--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   std::vector<version_share> shares;             ///< after rollouts and withdrawals; the sum is full_share
   std::optional<std::uint32_t> in_flight_limit;  ///< upper bound of a node's adaptive concurrency limit
   double retry_ratio = 0.1;                      ///< retry budget: retries per call, at most
+  std::chrono::milliseconds warmup{0};           ///< time for which an upstream is cold after its start
+  double warmup_per_s = 0;                       ///< requests a second that a cold upstream accepts; 0: no limit
 };
 
 /// Whether requests of a route may be retried: `safe` and `download` are idempotent, `unsafe` is not. `download` has
@@ -126,6 +129,7 @@
   std::vector<route_rule> routes;                         ///< in the order in which they are tried
   std::map<std::string, service_spec> services;           ///< by name
   std::map<std::string, client_account> accounts;         ///< by name
+  std::set<std::string> evacuated_zones;                  ///< availability zones whose upstreams get no requests
   std::map<std::string, rollout_spec> rollouts;           ///< by service
   std::map<std::string, rollout_state> rollout_progress;  ///< by service
 
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -21,6 +21,9 @@
 constexpr std::uint64_t max_route_timeout_ms = 600'000;
 constexpr std::uint32_t max_priority = 1000;
 constexpr std::uint32_t max_route_attempts = 100;
+constexpr double max_warmup_s = 600;
+constexpr double max_warmup_per_s = 1'000'000;
+constexpr std::size_t max_regions = 64;
 
 bool is_identifier_character(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
@@ -112,7 +115,8 @@
 }
 
 result<parsed_service> read_service(const std::string& name, const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"versions", "slots", "connections", "health_path", "protocol", "tls"}));
+  BOOST_LEAF_CHECK(node.expect_keys(
+      {"versions", "slots", "connections", "health_path", "protocol", "tls", "warmup_s", "warmup_per_s"}));
   parsed_service out;
   out.where = node.where();
   out.spec.name = name;
@@ -125,6 +129,13 @@
   BOOST_LEAF_ASSIGN(out.spec.slots, number_or<std::uint32_t>(node, "slots", out.spec.slots, 1, 100'000));
   BOOST_LEAF_ASSIGN(out.spec.connections,
                     number_or<std::uint32_t>(node, "connections", out.spec.connections, 1, 1'000'000));
+  if (const yaml_node* warmup = node.find("warmup_s")) {
+    BOOST_LEAF_AUTO(seconds, warmup->as_double(0, max_warmup_s));
+    out.spec.warmup = std::chrono::milliseconds(std::llround(seconds * 1000));
+  }
+  if (const yaml_node* rate = node.find("warmup_per_s")) {
+    BOOST_LEAF_ASSIGN(out.spec.warmup_per_s, rate->as_double(0, max_warmup_per_s));
+  }
   return out;
 }
 
@@ -184,8 +195,21 @@
   return {};
 }
 
+result<std::vector<std::string>> read_regions(const yaml_node& node) {
+  BOOST_LEAF_CHECK(node.expect_kind(yaml_kind::list));
+  if (node.items().size() > max_regions) {
+    return node.error_at("a list has at most " + std::to_string(max_regions) + " regions", "shorten it");
+  }
+  std::vector<std::string> regions;
+  for (const yaml_node& item : node.items()) {
+    BOOST_LEAF_AUTO(name, read_identifier(item, "region"));
+    regions.push_back(std::move(name));
+  }
+  return regions;
+}
+
 result<parsed_route> read_route(const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent"}));
+  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent", "regions"}));
   parsed_route out;
   out.where = node.where();
   BOOST_LEAF_ASSIGN(out.rule.name, read_required_identifier(node, "name", "route name"));
@@ -199,6 +223,9 @@
     BOOST_LEAF_AUTO(value, flag->as_bool());
     out.rule.idempotent = value;
   }
+  if (const yaml_node* regions = node.find("regions")) {
+    BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
+  }
   return out;
 }
 
@@ -223,7 +250,7 @@
 // Reads one entry of a map of routes. A path must start with the whole prefix, as it is written.
 result<parsed_route> read_keyed_route(const std::string& name, const yaml_node& node) {
   BOOST_LEAF_CHECK(node.expect_keys({"host", "path_prefix", "kind", "timeout_ms", "objective_ms", "priority", "service",
-                                     "split", "attempts", "name"}));
+                                     "split", "attempts", "name", "regions"}));
   parsed_route out;
   out.where = node.where();
   out.rule.name = name;
@@ -243,6 +270,9 @@
   out.rule.objective = std::chrono::milliseconds(objective);
   BOOST_LEAF_ASSIGN(out.rule.priority, number_or<std::uint32_t>(node, "priority", 0, 0, max_priority));
   BOOST_LEAF_ASSIGN(out.rule.attempts, number_or<std::uint32_t>(node, "attempts", 1, 1, max_route_attempts));
+  if (const yaml_node* regions = node.find("regions")) {
+    BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
+  }
   const yaml_node* split = node.find("split");
   const yaml_node* service = node.find("service");
   if ((split == nullptr) == (service == nullptr)) {
@@ -374,6 +404,17 @@
   return parsed_section(label_section{std::move(label)});
 }
 
+// A list of the availability zones to which no request is sent.
+result<parsed_section> read_evacuations(const yaml_node& root) {
+  BOOST_LEAF_CHECK(root.expect_kind(yaml_kind::list));
+  evacuations_section out;
+  for (const yaml_node& item : root.items()) {
+    BOOST_LEAF_AUTO(zone, read_identifier(item, "availability zone"));
+    out.zones.push_back(std::move(zone));
+  }
+  return parsed_section(std::move(out));
+}
+
 struct section_reader {
   section_kind kind;
   result<parsed_section> (*read)(const yaml_node&);
@@ -387,6 +428,7 @@
     {section_kind::limits, read_limits},
     {section_kind::callers, read_callers},
     {section_kind::label, read_label},
+    {section_kind::evacuations, read_evacuations},
 });
 
 }  // namespace
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -43,6 +43,7 @@
 #include "traffic/slow_start.h"
 #include "traffic/split_picker.h"
 #include "traffic/version_circuit_breaker.h"
+#include "traffic/warmup_tracker.h"
 
 namespace heatherdeck {
 
@@ -62,6 +63,12 @@
   std::uint64_t late_finishes = 0;  ///< results with an unknown pick id, such as a second result for one pick
 };
 
+/// The rate limit of a cold upstream on this host has come into force, or has ended.
+struct cold_limit_change {
+  std::string target;
+  bool cold = false;
+};
+
 class traffic_core {
  public:
   explicit traffic_core(traffic_identity identity);
@@ -95,6 +102,12 @@
   /// Records the load that the upstream on this host reported.
   void report_local_load(const std::string& target, const load_report& load, time_point now);
 
+  /// Records what the upstream on this host announced about its cold start.
+  void report_warmup(const std::string& target, const warmup_report& report, time_point now);
+
+  /// @return limits of cold upstreams that have come into force or ended since the last call.
+  std::vector<cold_limit_change> take_cold_limit_changes() { return std::exchange(cold_limit_changes_, {}); }
+
   /// Records what the upstream on this host states about itself.
   /// @return whether the statement differs from the one before.
   bool report_statement(const std::string& target, const upstream_statement& statement, time_point now);
@@ -132,6 +145,7 @@
     endpoint_record endpoint;
     std::string node_id;
     std::string availability_zone;
+    std::string region;
     std::string mesh_address;
     locality_class locality = locality_class::remote;
     bool usable = false;   ///< ready, and its node has not left and is not draining
@@ -139,6 +153,7 @@
     load_estimate load;
     double latency_ms = 0;  ///< moving average, with a penalty for failed calls; 0 when unknown
     slow_start warmup;
+    bool limited_as_cold = false;               ///< the rate limit of a cold upstream is in force; on this host only
     upstream_statement statement;               ///< known only of the upstream on this host
     admission_queue admission;                  ///< used only for the upstream on this host
     std::vector<request_fingerprint> on_trial;  ///< suspected requests that it is running; on this host only
@@ -185,6 +200,8 @@
   /// What the choice of an upstream for one attempt depends on.
   struct choice_criteria {
     std::vector<std::string> tried_targets;
+    const route_rule* rule = nullptr;         ///< null without one
+    const client_account* account = nullptr;  ///< null without one
     spillover_policy spillover = spillover_policy::any_region;
     std::optional<request_fingerprint> on_trial;  ///< set: the request is suspected
   };
@@ -234,6 +251,7 @@
     time_point arrived{};
   };
 
+  static request_attributes after_wait(request_attributes attributes, duration waited);
   void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
@@ -242,13 +260,18 @@
   bool suspected(const std::string& service, const request_attributes& attributes) const;
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
   void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  bool permitted(const upstream& u, const choice_criteria& criteria) const;
+  bool any_permitted(const service_state& traffic, const choice_criteria& criteria) const;
+  bool cold(const upstream& u, time_point now) const;
+  void update_rate_limit(upstream& u, time_point now);
+  void move_unpermitted_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
                                             const choice_criteria& criteria);
   std::shared_ptr<upstream> choose_upstream_of_version(time_point now, service_state& traffic, const std::string& name,
                                                        const choice_criteria& criteria);
-  static std::shared_ptr<upstream> choose_for_trial(const std::vector<std::shared_ptr<upstream>>& members,
-                                                    const choice_criteria& criteria);
+  std::shared_ptr<upstream> choose_for_trial(const std::vector<std::shared_ptr<upstream>>& members,
+                                             const choice_criteria& criteria) const;
   const std::string& resolve_version(const service_spec& spec, const service_state& traffic,
                                      const std::string& share) const;
   std::string draw_version(const std::vector<version_share>& shares);
@@ -271,7 +294,9 @@
   compiled_document_ptr document_;
   route_table routes_;
   std::map<std::string, service_state> services_;
-  std::map<std::string, std::shared_ptr<upstream>> upstreams_;                 ///< by key
+  std::map<std::string, std::shared_ptr<upstream>> upstreams_;  ///< by key
+  warmup_tracker warmups_;                                      ///< of the upstreams on this host
+  std::vector<cold_limit_change> cold_limit_changes_;
   std::unordered_map<std::uint64_t, pending_call> pending_;                    ///< by pick id
   std::unordered_map<std::string, retry_age_estimator> retry_age_estimators_;  ///< by route
   std::map<std::uint64_t, queued_attempt> waiting_;                            ///< by waiter id
@@ -284,6 +309,7 @@
   version_circuit_breaker circuit_breaker_;
   traffic_counters counters_;
   quarantine_list_ptr quarantine_ = std::make_shared<quarantine_list>();
+  bool document_changed_ = false;    ///< since the requests that wait were last compared with it
   bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
   std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
