Client accounts: keys in the configuration, authentication at the first node, X-Tenant-Id for upstreams

A deployment may hand API keys to its callers; upstreams are to learn the account and never the key.

A pick has the stages authenticate and adopt_account; the exchange removes the credentials and sets the account's name. A request that waits is refused as not run when its key is withdrawn.

--- a/control/configuration.cc
+++ b/control/configuration.cc
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 
+#include "control/account_sections.h"
 #include "model/document_digest.h"
 
 namespace heatherdeck {
@@ -39,11 +40,14 @@
 };
 constexpr member_row member_rows[] = {{"services", "services"}, {"limits", "callers"}};
 
+// Optional: without it the deployment has no accounts.
+constexpr std::string_view accounts_member = "accounts";
+
 constexpr std::string_view required_members[] = {"version", "routes", "services", "limits"};
 
 bool is_configuration_section(std::string_view section_name) {
   const auto same = [&](const member_row& row) { return row.section == section_name; };
-  return section_name == label_name || section_name.starts_with(routes_prefix) ||
+  return section_name == label_name || section_name.starts_with(routes_prefix) || is_account_section(section_name) ||
          std::any_of(std::begin(member_rows), std::end(member_rows), same);
 }
 
@@ -95,13 +99,15 @@
       BOOST_LEAF_ASSIGN(out.label, parse_label({label->data(), label->size()}));
     } else if (name == "routes") {
       BOOST_LEAF_CHECK(add_routes(out, member.value()));
+    } else if (name == accounts_member) {
+      BOOST_LEAF_CHECK(add_account_sections(member.value(), out.sections));
     } else if (row != std::end(member_rows)) {
       if (!member.value().is_object())
         return refuse("the member is not a JSON object: " + std::string(name), "send an object");
       out.sections[std::string(row->section)] = json::serialize(member.value());
     } else {
       return refuse("unknown member '" + std::string(name.substr(0, 64)) + "'",
-                    "use version, routes, services and limits");
+                    "use version, routes, services, limits and accounts");
     }
   }
   if (out.label == 0) return refuse("the member 'version' is 0", "send a version above the current one");
@@ -146,6 +152,8 @@
     const auto held = document.sections.find(std::string(row.section));
     if (held != document.sections.end()) whole += fmt::format(",\"{}\":{}", row.member, held->second.text);
   }
+  if (const auto accounts = read_account_sections(document))
+    whole += fmt::format(",\"{}\":{}", accounts_member, *accounts);
   return whole + "}";
 }
 
--- a/control/configuration.h
+++ b/control/configuration.h
@@ -9,8 +9,9 @@
 ///     std::vector<section_edit> edits = diff_configuration(sent, document);
 ///     std::string whole = serialize_configuration(document);
 ///
-/// Members: `version` (the label), `routes` (a map of routes by name), `services`, and `limits` of callers; see
-/// model/section_parser.h for their content. Members that are left out are empty. Pure functions, no I/O.
+/// Members: `version` (the label), `routes` (a map of routes by name), `services`, `limits` of callers, and optionally
+/// `accounts` (a map of client accounts by name); see model/section_parser.h and model/account_section.h for their
+/// content. Pure functions, no I/O.
 #pragma once
 
 #include <cstdint>
--- a/control/operators_service.cc
+++ b/control/operators_service.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "kernel/log.h"
+#include "model/distributed_document.h"
 #include "model/operator_signature.h"
 #include "model/service_names.h"
 #include "wire/metrics.h"
@@ -238,7 +239,7 @@
   const bool confirmed = parameter(request, "confirmed") == "true";
   outcome<document_state_ptr> state = co_await fetch_document(confirmed);
   if (!state) co_return error_response(state.failure());
-  co_return json_response(200, to_json(**state));
+  co_return json_response(200, to_json(*distributed_part(*state)));
 }
 
 awaitable<http_response> operators_service::show_section(http_request request) {
@@ -246,7 +247,7 @@
   outcome<document_state_ptr> state = co_await fetch_document(false);
   if (!state) co_return error_response(state.failure());
   const auto found = (*state)->sections.find(wanted);
-  if (found == (*state)->sections.end()) {
+  if (found == (*state)->sections.end() || kept_by_control_hosts(wanted)) {
     co_return error_response({error_kind::not_found, "the document has no section '" + wanted + "'",
                               "see the names with GET /v1/document", "section " + wanted});
   }
--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "model/distributed_document.h"
 #include "model/document_digest.h"
 
 namespace heatherdeck {
@@ -13,6 +14,7 @@
 std::vector<publisher_core::offer> publisher_core::set_document(document_state_ptr next, time_point now) {
   std::vector<offer> offers;
   if (!next || (state_ && next->document_version <= state_->document_version)) return offers;
+  next = distributed_part(std::move(next));
   if (state_) history_.record(*state_, *next);
   state_ = std::move(next);
   digest_ = digest_of(*state_);
--- a/model/compiled_document.h
+++ b/model/compiled_document.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "model/api_key.h"
 #include "model/document.h"
 
 namespace heatherdeck {
@@ -123,12 +124,26 @@
   version document_version;  ///< version of the document
   std::string label;         ///< the operators' name for this version; empty if they gave none
   caller_limits callers;
-  std::vector<route_rule> routes;                         ///< in the order in which they are tried
-  std::map<std::string, service_spec> services;           ///< by name
+  std::vector<route_rule> routes;                ///< in the order in which they are tried
+  std::map<std::string, service_spec> services;  ///< by name
+  bool has_accounts = false;  ///< requests to routes that are not anonymous need the key of an account
   std::map<std::string, client_account> accounts;         ///< by name
+  account_key_table account_keys;                         ///< of all accounts
   std::map<std::string, rollout_spec> rollouts;           ///< by service
   std::map<std::string, rollout_state> rollout_progress;  ///< by service
 
+  /// @return the account with this name, or null.
+  const client_account* find_account(const std::string& name) const {
+    const auto found = accounts.find(name);
+    return found != accounts.end() ? &found->second : nullptr;
+  }
+
+  /// @return the account that has the key, or null.
+  const client_account* account_of_key(const key_digest& key) const {
+    const std::string* name = account_keys.find(key);
+    return name != nullptr ? find_account(*name) : nullptr;
+  }
+
   static constexpr std::chrono::milliseconds min_evidence_period{200};
   static constexpr std::chrono::milliseconds max_evidence_period{1000};
 
--- a/model/document.h
+++ b/model/document.h
@@ -32,7 +32,7 @@
 inline constexpr basis_points full_share = 10'000;
 
 /// What a section configures; the first part of its name.
-enum class section_kind { services, routes, shares, rollouts, limits, callers, label };
+enum class section_kind { services, routes, shares, rollouts, limits, callers, label, accounts, account_keys };
 
 template <>
 struct enum_table<section_kind> {
@@ -44,6 +44,8 @@
       {section_kind::limits, "limits"},
       {section_kind::callers, "callers"},
       {section_kind::label, "label"},
+      {section_kind::accounts, "accounts"},
+      {section_kind::account_keys, "account_keys"},
   });
 };
 
--- a/model/document_compiler.cc
+++ b/model/document_compiler.cc
@@ -55,6 +55,10 @@
     BOOST_LEAF_CHECK(link_shares());
     BOOST_LEAF_CHECK(link_limits());
     BOOST_LEAF_CHECK(link_rollouts());
+    if (const auto shared = out_->account_keys.build(std::move(keys_))) {
+      return document_error("accounts '" + shared->first + "' and '" + shared->second + "' have the same API key",
+                            "give each account keys of its own", "accounts");
+    }
     for (auto& [name, spec] : out_->services) {
       if (spec.versions_from_announcements) {
         link_announced_versions(spec);
@@ -116,6 +120,19 @@
     out_->label = value.label;
     return {};
   }
+  result<void> collect(const std::string& section_name, const accounts_section& values) {
+    out_->has_accounts = true;
+    for (const parsed_account& value : values) {
+      const std::string& name = value.account.name;
+      if (!out_->accounts.emplace(name, value.account).second) {
+        return document_error(describe("account", name) + " is in two sections", "remove it from one of them",
+                              "section " + section_name);
+      }
+      for (const key_digest& digest : value.keys) keys_.push_back({digest, name});
+    }
+    return {};
+  }
+  static result<void> collect(const std::string&, const account_keys_section&) { return {}; }
   result<void> collect(const std::string& section_name, const limits_section& values) {
     for (const parsed_limits& value : values) {
       BOOST_LEAF_CHECK(add_unique(limits_, section_name, value.service, value, "limits of"));
@@ -327,6 +344,7 @@
   by_service<parsed_rollout> rollouts_;
   by_service<parsed_limits> limits_;
   std::vector<const parsed_route*> routes_;
+  std::vector<account_key_table::entry> keys_;
 };
 
 result<void> check_size(const document_state& state) {
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -60,6 +60,12 @@
   return static_cast<Number>(value);
 }
 
+result<bool> bool_or(const yaml_node& map, std::string_view key, bool fallback) {
+  const yaml_node* node = map.find(key);
+  if (node == nullptr) return fallback;
+  return node->as_bool();
+}
+
 result<basis_points> read_percent(const yaml_node& node, double min_value) {
   BOOST_LEAF_AUTO(value, node.as_double(min_value, 100));
   const double scaled = value * 100;
@@ -185,7 +191,7 @@
 }
 
 result<parsed_route> read_route(const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent"}));
+  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent", "anonymous"}));
   parsed_route out;
   out.where = node.where();
   BOOST_LEAF_ASSIGN(out.rule.name, read_required_identifier(node, "name", "route name"));
@@ -199,6 +205,7 @@
     BOOST_LEAF_AUTO(value, flag->as_bool());
     out.rule.idempotent = value;
   }
+  BOOST_LEAF_ASSIGN(out.rule.anonymous, bool_or(node, "anonymous", false));
   return out;
 }
 
@@ -223,7 +230,7 @@
 // Reads one entry of a map of routes. A path must start with the whole prefix, as it is written.
 result<parsed_route> read_keyed_route(const std::string& name, const yaml_node& node) {
   BOOST_LEAF_CHECK(node.expect_keys({"host", "path_prefix", "kind", "timeout_ms", "objective_ms", "priority", "service",
-                                     "split", "attempts", "name"}));
+                                     "split", "attempts", "name", "anonymous"}));
   parsed_route out;
   out.where = node.where();
   out.rule.name = name;
@@ -243,6 +250,7 @@
   out.rule.objective = std::chrono::milliseconds(objective);
   BOOST_LEAF_ASSIGN(out.rule.priority, number_or<std::uint32_t>(node, "priority", 0, 0, max_priority));
   BOOST_LEAF_ASSIGN(out.rule.attempts, number_or<std::uint32_t>(node, "attempts", 1, 1, max_route_attempts));
+  BOOST_LEAF_ASSIGN(out.rule.anonymous, bool_or(node, "anonymous", false));
   const yaml_node* split = node.find("split");
   const yaml_node* service = node.find("service");
   if ((split == nullptr) == (service == nullptr)) {
@@ -374,11 +382,32 @@
   return parsed_section(label_section{std::move(label)});
 }
 
+result<parsed_section> read_accounts(std::string_view text, const yaml_source& source) {
+  BOOST_LEAF_AUTO(accounts, parse_accounts_section(text, source));
+  return parsed_section(std::move(accounts));
+}
+
+result<parsed_section> read_account_keys(std::string_view text, const yaml_source& source) {
+  BOOST_LEAF_CHECK(check_account_keys_section(text, source));
+  return parsed_section(account_keys_section{});
+}
+
 struct section_reader {
   section_kind kind;
   result<parsed_section> (*read)(const yaml_node&);
 };
 
+/// Reader of a kind whose sections are JSON that this system itself has written.
+struct text_reader {
+  section_kind kind;
+  result<parsed_section> (*read)(std::string_view text, const yaml_source& source);
+};
+
+constexpr auto text_readers = std::to_array<text_reader>({
+    {section_kind::accounts, read_accounts},
+    {section_kind::account_keys, read_account_keys},
+});
+
 constexpr auto section_readers = std::to_array<section_reader>({
     {section_kind::services, read_services},
     {section_kind::routes, read_routes},
@@ -397,6 +426,9 @@
 
 result<parsed_section> parse_section(std::string_view name, std::string_view text, yaml_source source) {
   BOOST_LEAF_AUTO(kind, kind_of_section(name));
+  for (const text_reader& reader : text_readers) {
+    if (reader.kind == kind) return reader.read(text, source);
+  }
   BOOST_LEAF_AUTO(root, read_yaml(text, std::move(source)));
   for (const section_reader& reader : section_readers) {
     if (reader.kind == kind) return reader.read(root);
--- a/model/section_parser.h
+++ b/model/section_parser.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "kernel/result.h"
+#include "model/account_section.h"
 #include "model/compiled_document.h"
 #include "model/document.h"
 #include "model/yaml_reader.h"
@@ -68,10 +69,13 @@
 struct label_section {
   std::string label;
 };
+using accounts_section = std::vector<parsed_account>;
+/// Only checked: nothing but the configuration that is read back uses its content.
+struct account_keys_section {};
 
 /// The values of one section. The alternatives are in the order of `section_kind`.
 using parsed_section = std::variant<services_section, routes_section, shares_section, rollouts_section, limits_section,
-                                    callers_section, label_section>;
+                                    callers_section, label_section, accounts_section, account_keys_section>;
 
 /// @return the source of a section whose text does not come from a file: errors name the section.
 yaml_source section_source(std::string_view name);
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -16,6 +16,7 @@
 
 #include "kernel/enum_names.h"
 #include "kernel/mailbox.h"
+#include "model/api_key.h"
 #include "model/compiled_document.h"
 #include "model/directory_messages.h"
 #include "model/quarantine_list.h"
@@ -47,8 +48,9 @@
   draining,
   retry_budget,
   hops,
-  quarantined,  ///< it has crashed upstreams
-  on_trial,     ///< it is suspected to crash upstreams, and another copy of it is running
+  quarantined,      ///< it has crashed upstreams
+  on_trial,         ///< it is suspected to crash upstreams, and another copy of it is running
+  unauthenticated,  ///< its route needs the key of a client account
 };
 
 template <>
@@ -64,12 +66,14 @@
       {refusal_reason::hops, "hops"},
       {refusal_reason::quarantined, "quarantined"},
       {refusal_reason::on_trial, "on_trial"},
+      {refusal_reason::unauthenticated, "unauthenticated"},
   });
 };
 
 /// @return whether the refusal is about the request and not about one upstream, so that no other one may be tried.
 constexpr bool holds_everywhere(refusal_reason reason) {
-  return reason == refusal_reason::quarantined || reason == refusal_reason::on_trial;
+  return reason == refusal_reason::quarantined || reason == refusal_reason::on_trial ||
+         reason == refusal_reason::unauthenticated;
 }
 
 /// Attributes of a request that the choice of an upstream depends on.
@@ -89,7 +93,10 @@
   bool may_have_run = false;   ///< an earlier attempt may have run, for example at an upstream that has crashed
   std::string pinned_service;  ///< later attempts: service of a split route that the first attempt chose
   request_fingerprint fingerprint;
-  bool body_unread = false;  ///< the fingerprint lacks the body, which has not been read
+  bool body_unread = false;           ///< the fingerprint lacks the body, which has not been read
+  std::optional<key_digest> api_key;  ///< of the key that the caller has presented; unset: none
+  std::string account;                ///< from_peer: the account that the first node has authenticated; empty: none
+  std::optional<key_id> account_key;  ///< from_peer: the key by which it has done so
 };
 
 /// Load of a target, from its announcement (own host) or from the `hd-load` header of a response.
@@ -125,6 +132,8 @@
   std::chrono::milliseconds elapsed_before_attempt{0};  ///< since the caller's first attempt; to be added to the age
   std::optional<load_report> target_load;  ///< local: last reported load, for hd-load of the response to a peer
   upstream_statement statement;            ///< local: the upstream's last statement that traffic knows
+  std::string account;                     ///< client account of the request; empty: none
+  bool remove_credentials = false;         ///< the caller's key and the account that it names are not forwarded
 };
 
 /// No upstream may serve the request now.
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -310,8 +310,9 @@
   request_head head = std::move(std::get<request_head>(parsed));
   ++counts_.requests;
   if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
-  // A caller must not be able to impersonate another service or to make its request appear older.
+  // A caller must not be able to impersonate another service or account, or to make its request appear older.
   head.caller_service = context_->caller_service;
+  head.account.clear();
   head.age = milliseconds(0);
   h1_caller caller(stream_, reader, draining_, *context_->dialect);
   caller.set_request(head);
--- a/node/dialect.cc
+++ b/node/dialect.cc
@@ -29,6 +29,7 @@
                                         .deadline_ms = "hd-deadline-ms",
                                         .hops_left = "hd-hops-left",
                                         .retries_left = "hd-retries-left",
+                                        .account = "hd-account",
                                         .execution = "hd-outcome",
                                         .refused_reason = "hd-refused",
                                         .served_by = "hd-served-by",
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -25,6 +25,7 @@
   std::string_view hops_left;            ///< requests: further calls that the request may cause in sequence
   std::string_view retries_left;         ///< requests: resends that the path may still use
   std::string_view caller_service;       ///< requests to upstreams: service of the host where the request originated
+  std::string_view account;              ///< requests to upstreams: name of the client account
   std::string_view expected_target;      ///< requests to upstreams: the chosen target; any other rejects the request
   std::string_view execution;            ///< responses: whether the request may have been executed
   std::string_view refused_reason;       ///< responses: why the request was rejected
--- a/node/error_response.cc
+++ b/node/error_response.cc
@@ -13,6 +13,8 @@
   head.refused_reason = std::move(details.refused_reason);
   head.request_id = std::move(request_id);
   head.headers.emplace_back("content-type", "text/plain");
+  constexpr unsigned unauthorized = 401;
+  if (status == unauthorized) head.headers.emplace_back("www-authenticate", "Bearer");  // required by RFC 9110, 11.6.1
   std::string text = std::move(details.text);
   text += '\n';
   head.body = body_framing::sized;
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -13,6 +13,7 @@
 
 #include "kernel/log.h"
 #include "model/request_fingerprint.h"
+#include "node/credentials.h"
 #include "node/deadline_timer.h"
 #include "node/error_response.h"
 #include "node/local_upstream.h"
@@ -188,6 +189,10 @@
   if (attributes.from_peer) {
     attributes.service = head_.service;
     attributes.upstream_version = head_.upstream_version;
+    attributes.account = head_.account;
+    attributes.account_key = head_.account_key;
+  } else {
+    attributes.api_key = head_.api_key;
   }
   attributes.attempt = core_.attempts();
   attributes.tried_targets = tried_targets_;
@@ -544,6 +549,8 @@
     }
     const upstream_choice& choice = pick_.choice();
     pinned_service_ = choice.service;
+    if (choice.remove_credentials) remove_credentials(head_.headers, *context_->dialect);
+    head_.account = choice.account;
     head_.age += choice.elapsed_before_attempt;
     core_.begin_attempt(choice.idempotent, choice.timeout, timer_service::now(), choice.attempts);
     auto attempting = run_attempt();
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -49,6 +49,7 @@
     {refusal_reason::hops, 508},
     {refusal_reason::quarantined, 503},
     {refusal_reason::on_trial, 503},
+    {refusal_reason::unauthenticated, 401},
 });
 
 }  // namespace
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -10,6 +10,8 @@
 
 #include <fmt/format.h>
 
+#include "node/credentials.h"
+
 namespace heatherdeck {
 namespace {
 
@@ -57,6 +59,19 @@
   head.caller_service = text;
   return true;
 }
+bool read_account(request_head& head, std::string_view text) {
+  head.account = text;
+  return true;
+}
+bool read_account_key(request_head& head, std::string_view text) {
+  head.account_key = parse_key_id(text);
+  return true;
+}
+// The field itself is kept: without accounts it is forwarded like any other.
+bool read_authorization(request_head& head, std::string_view text) {
+  add_authorization(head, text);
+  return true;
+}
 bool read_age(request_head& head, std::string_view text) {
   std::uint64_t age = 0;
   if (!read_number(text, 86'400'000, age)) return false;
@@ -92,6 +107,9 @@
     {"hd-upstream-version", read_upstream_version},
     {"hd-caller-service", read_caller_service},
     {"hd-age-ms", read_age},
+    {"hd-account", read_account},
+    {"hd-account-key", read_account_key},
+    {"authorization", read_authorization},
     {"hd-stream", drop},
     {"hd-body", drop},
     {"hd-outcome", drop},
@@ -141,6 +159,8 @@
       return "Not Modified";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 408:
@@ -328,6 +348,7 @@
   add_limit_fields(own, head, limits, dialect);
   add_field_if_set(own, dialect.expected_target, std::string(target));
   add_field_if_set(own, dialect.caller_service, head.caller_service);
+  add_field_if_set(own, dialect.account, head.account);
   for (const auto& [name, value] : own) append_field(text, name, value);
   if (head.body == body_framing::sized) append_field(text, "content-length", std::to_string(head.content_length));
   if (head.body == body_framing::streamed) append_field(text, "transfer-encoding", "chunked");
@@ -369,6 +390,9 @@
   fields.emplace_back("hd-upstream-version", choice.upstream_version);
   if (head.age.count() > 0) fields.emplace_back("hd-age-ms", std::to_string(head.age.count()));
   if (!head.caller_service.empty()) fields.emplace_back("hd-caller-service", head.caller_service);
+  if (!head.account.empty()) fields.emplace_back("hd-account", head.account);
+  if (!head.account.empty() && head.api_key)
+    fields.emplace_back("hd-account-key", format_key_id(key_id_of(*head.api_key)));
   add_limit_fields(fields, head, limits, native_dialect());
   if (head.body == body_framing::sized) fields.emplace_back("content-length", std::to_string(head.content_length));
   fields.insert(fields.end(), head.headers.begin(), head.headers.end());
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -48,6 +48,9 @@
   std::string upstream_version;  ///< from a peer: hd-upstream-version
   milliseconds age{0};           ///< from a peer: hd-age-ms, time since the first node received the request
   std::string caller_service;    ///< service of the host where the request originated; from a peer: hd-caller-service
+  std::string account;           ///< client account; from a peer: hd-account
+  std::optional<key_id> account_key;  ///< from a peer: hd-account-key
+  std::optional<key_digest> api_key;  ///< of the bearer token in `authorization`; see node/credentials.h
   exchange_limits limits;
   header_list headers;  ///< end-to-end fields, without host
   body_framing body = body_framing::none;
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -36,6 +36,7 @@
     : identity_(std::move(identity)), balancer_(identity_.seed), random_(identity_.seed ^ 0x5EEDULL) {}
 
 void traffic_core::set_document(compiled_document_ptr document) {
+  if (document_ && document->has_accounts) note_withdrawn_keys(document_->account_keys, document->account_keys);
   document_ = std::move(document);
   routes_ = route_table(document_);
   for (const auto& [name, spec] : document_->services) {
@@ -53,6 +54,13 @@
   circuit_breaker_.set_document(*document_);
 }
 
+void traffic_core::note_withdrawn_keys(const account_key_table& before, const account_key_table& after) {
+  for (const auto& [id, attempt] : waiting_) {
+    const std::optional<key_id>& key = attempt.route.account_key;
+    if (key && before.contains(*key) && !after.contains(*key)) withdrawn_keys_.insert(*key);
+  }
+}
+
 refusal traffic_core::refuse(refusal_reason reason) {
   ++counters_.refusals;
   std::chrono::milliseconds wait{0};
@@ -156,6 +164,22 @@
   });
 }
 
+// A key that was withdrawn ends the wait of the requests that were sent with it: they are refused as not run. A key
+// that this node has never known is that of a document that has not arrived yet. Requests without a key keep waiting.
+void traffic_core::refuse_withdrawn_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+  if (withdrawn_keys_.empty()) return;
+  const std::set<key_id> withdrawn = std::exchange(withdrawn_keys_, {});
+  std::erase_if(waiting_, [&](const auto& item) {
+    const queued_attempt& attempt = item.second;
+    if (!attempt.route.account_key || !withdrawn.contains(*attempt.route.account_key)) return false;
+    attempt.target->admission.cancel(item.first);
+    if (attempt.limited) services_[attempt.service].limiter.release_unused();
+    ++counters_.withdrawn_keys;
+    answers.emplace_back(item.first, refuse(refusal_reason::unauthenticated));
+    return true;
+  });
+}
+
 refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
   full.retry_after = target.admission.retry_after(now);
@@ -207,6 +231,7 @@
     return true;
   });
   refuse_quarantined_waiters(answers);
+  refuse_withdrawn_waiters(answers);
   pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
@@ -394,6 +419,8 @@
   choice.idempotent = route.idempotent;
   choice.attempts = route.attempts;
   choice.elapsed_before_attempt = attributes.elapsed_before_attempt;
+  choice.account = route.account;
+  choice.remove_credentials = document_->has_accounts || !route.account.empty();
   choice.timeout = attributes.deadline ? std::min(route.timeout, *attributes.deadline) : route.timeout;
   ++chosen->load.own_in_flight;
   if (choice.local) {
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -60,6 +61,10 @@
   std::uint64_t refusals = 0;
   std::uint64_t shares_moved = 0;   ///< picks for which the version drawn first was cut or had no upstream to choose
   std::uint64_t late_finishes = 0;  ///< results with an unknown pick id, such as a second result for one pick
+  // Requests refused as unauthenticated:
+  std::uint64_t missing_keys = 0;    ///< without a key
+  std::uint64_t unknown_keys = 0;    ///< with a key of no account
+  std::uint64_t withdrawn_keys = 0;  ///< whose key was withdrawn while they waited
 };
 
 class traffic_core {
@@ -170,6 +175,8 @@
     std::uint32_t attempts = 2;              ///< targets to which the request may be sent
     std::uint32_t priority = 0;              ///< 0 is the most urgent
     std::chrono::milliseconds objective{0};  ///< latency objective; 0 when the route has none
+    std::string account;                     ///< client account of the request; empty when it has none
+    std::optional<key_id> account_key;       ///< the key by which the account was authenticated
   };
 
   /// An attempt that is offered to, or waits in, the admission queue of an upstream on this host.
@@ -210,13 +217,14 @@
   using stage_result = std::variant<go_on, pick_result, waits>;
   /// A stage checks one condition or fills in one part of the context.
   using pick_stage = stage_result (traffic_core::*)(pick_context&);
-  static const std::array<pick_stage, 9> caller_stages;  ///< of a request from a caller, in this order
-  static const std::array<pick_stage, 5> peer_stages;    ///< of a request that another node has forwarded
+  static const std::array<pick_stage, 10> caller_stages;  ///< of a request from a caller, in this order
+  static const std::array<pick_stage, 6> peer_stages;     ///< of a request that another node has forwarded
 
   std::optional<pick_result> run_stages(pick_context context);
   std::optional<pick_result> run_stages(std::span<const pick_stage> stages, pick_context& context);
   stage_result check_document(pick_context& context);
   stage_result match_route(pick_context& context);
+  stage_result authenticate(pick_context& context);
   stage_result infer_earlier_attempts(pick_context& context);
   stage_result choose_destination(pick_context& context);
   stage_result refuse_quarantined(pick_context& context);
@@ -226,6 +234,7 @@
   stage_result choose_and_admit(pick_context& context);
   stage_result refuse_peer_while_stopping(pick_context& context);
   stage_result find_forwarded_service(pick_context& context);
+  stage_result adopt_account(pick_context& context);
   stage_result admit_forwarded(pick_context& context);
 
   /// A later attempt that waits for the reports of the crash that may have ended the earlier one.
@@ -241,6 +250,9 @@
   std::optional<pick_result> check_quarantine(const std::string& service, const request_attributes& attributes);
   bool suspected(const std::string& service, const request_attributes& attributes) const;
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
+  static void set_account(pick_context& context, const client_account& account);
+  void note_withdrawn_keys(const account_key_table& before, const account_key_table& after);
+  void refuse_withdrawn_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
@@ -264,6 +276,7 @@
   bool starts_cold(const upstream& added, time_point now) const;
   locality_class locality_of(const member_record& member) const;
   static std::uint32_t slots_of(const upstream& u);
+  boost::json::value dump_accounts() const;
   boost::json::object dump_upstream(const upstream& shown, const service_state& traffic, const std::string& service,
                                     time_point now) const;
 
@@ -284,6 +297,7 @@
   version_circuit_breaker circuit_breaker_;
   traffic_counters counters_;
   quarantine_list_ptr quarantine_ = std::make_shared<quarantine_list>();
+  std::set<key_id> withdrawn_keys_;  ///< of requests that wait, since they were last compared with it
   bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
   std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
--- a/traffic/traffic_core_stages.cc
+++ b/traffic/traffic_core_stages.cc
@@ -13,16 +13,16 @@
 
 }  // namespace
 
-const std::array<traffic_core::pick_stage, 9> traffic_core::caller_stages{
-    &traffic_core::check_document,       &traffic_core::match_route,        &traffic_core::infer_earlier_attempts,
-    &traffic_core::choose_destination,   &traffic_core::refuse_quarantined, &traffic_core::refuse_while_stopping,
-    &traffic_core::draw_on_retry_budget, &traffic_core::limit_concurrency,  &traffic_core::choose_and_admit,
+const std::array<traffic_core::pick_stage, 10> traffic_core::caller_stages{
+    &traffic_core::check_document,         &traffic_core::match_route,          &traffic_core::authenticate,
+    &traffic_core::infer_earlier_attempts, &traffic_core::choose_destination,   &traffic_core::refuse_quarantined,
+    &traffic_core::refuse_while_stopping,  &traffic_core::draw_on_retry_budget, &traffic_core::limit_concurrency,
+    &traffic_core::choose_and_admit,
 };
 
-const std::array<traffic_core::pick_stage, 5> traffic_core::peer_stages{
-    &traffic_core::check_document,         &traffic_core::refuse_peer_while_stopping,
-    &traffic_core::find_forwarded_service, &traffic_core::refuse_quarantined,
-    &traffic_core::admit_forwarded,
+const std::array<traffic_core::pick_stage, 6> traffic_core::peer_stages{
+    &traffic_core::check_document, &traffic_core::refuse_peer_while_stopping, &traffic_core::find_forwarded_service,
+    &traffic_core::adopt_account,  &traffic_core::refuse_quarantined,         &traffic_core::admit_forwarded,
 };
 
 std::optional<pick_result> traffic_core::run_stages(pick_context context) {
@@ -52,6 +52,28 @@
   return go_on{};
 }
 
+void traffic_core::set_account(pick_context& context, const client_account& account) {
+  context.account = &account;
+  context.route.account = account.name;
+  context.route.priority = account.priority.value_or(context.route.priority);
+}
+
+traffic_core::stage_result traffic_core::authenticate(pick_context& context) {
+  if (!document_->has_accounts) return go_on{};
+  // The route has been matched, and a request may wait long with its attributes.
+  context.attributes.headers.erase("authorization");
+  if (context.rule->anonymous) return go_on{};
+  const std::optional<key_digest>& key = context.attributes.api_key;
+  const client_account* account = key ? document_->account_of_key(*key) : nullptr;
+  if (account == nullptr) {
+    ++(key ? counters_.unknown_keys : counters_.missing_keys);
+    return refuse(refusal_reason::unauthenticated);
+  }
+  set_account(context, *account);
+  context.route.account_key = key_id_of(*key);
+  return go_on{};
+}
+
 // A caller that has less time than callers of the route usually give has tried before.
 traffic_core::stage_result traffic_core::infer_earlier_attempts(pick_context& context) {
   request_attributes& attributes = context.attributes;
@@ -160,6 +182,18 @@
   return go_on{};
 }
 
+// The first node has authenticated the request. An account that is unknown here is in a document that has not arrived
+// yet, or was removed after the request was sent.
+traffic_core::stage_result traffic_core::adopt_account(pick_context& context) {
+  context.attributes.headers.erase("authorization");
+  const std::string& name = context.attributes.account;
+  if (name.empty()) return go_on{};
+  context.route.account = name;
+  if (const client_account* account = document_->find_account(name)) set_account(context, *account);
+  context.route.account_key = context.attributes.account_key;
+  return go_on{};
+}
+
 traffic_core::stage_result traffic_core::admit_forwarded(pick_context& context) {
   const request_attributes& attributes = context.attributes;
   std::vector<std::shared_ptr<upstream>> local;
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -107,6 +107,15 @@
           {"weight", shown.warmup.weight(now)}};
 }
 
+boost::json::value traffic_core::dump_accounts() const {
+  if (!document_ || !document_->has_accounts) return nullptr;
+  return boost::json::object{{"accounts", document_->accounts.size()},
+                             {"keys", document_->account_keys.size()},
+                             {"refused_missing", counters_.missing_keys},
+                             {"refused_unknown", counters_.unknown_keys},
+                             {"refused_withdrawn", counters_.withdrawn_keys}};
+}
+
 boost::json::value traffic_core::dump(time_point now) const {
   boost::json::object services;
   for (const auto& [name, traffic] : services_) {
@@ -141,6 +150,7 @@
                              {"shares_moved", counters_.shares_moved},
                              {"late_finishes", counters_.late_finishes},
                              {"cut_versions", std::move(cut)},
+                             {"accounts", dump_accounts()},
                              {"services", std::move(services)}};
 }
 
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -83,6 +83,7 @@
                  [&](const answers_due&) {},  // the answers are taken after every message
                  [&](update_document& m) {
                    evidence_period_ = m.document->evidence_period();
+                   log_accounts(*m.document);
                    core_.set_document(std::move(m.document));
                  },
                  [&](const directory_changed& m) { core_.set_members(*m.members, now); },
@@ -130,12 +131,34 @@
   if (stated.statement.leaving && announcements_) announcements_.post(upstream_leaving{stated.target});
 }
 
+void traffic_service::log_accounts(const compiled_document& document) {
+  const std::size_t accounts = document.accounts.size();
+  const std::size_t keys = document.account_keys.size();
+  if (accounts == accounts_in_force_ && keys == keys_in_force_) return;
+  accounts_in_force_ = accounts;
+  keys_in_force_ = keys;
+  log_event(log_level::info, "accounts_in_force",
+            {{"document", document.document_version.text()}, {"accounts", accounts}, {"keys", keys}});
+}
+
+// Requests refused since the last line; one line for each evidence period at most, however many there are.
+void traffic_service::log_unauthenticated() {
+  const traffic_counters& now = core_.counters();
+  const std::uint64_t missing = now.missing_keys - logged_.missing_keys;
+  const std::uint64_t unknown = now.unknown_keys - logged_.unknown_keys;
+  const std::uint64_t withdrawn = now.withdrawn_keys - logged_.withdrawn_keys;
+  logged_ = now;
+  if (missing + unknown + withdrawn == 0) return;
+  log_event(log_level::info, "unauthenticated", {{"missing", missing}, {"unknown", unknown}, {"withdrawn", withdrawn}});
+}
+
 void traffic_service::tick(time_point now) {
   for (const auto& [service, upstream_version] : core_.tick(now)) {
     log_event(log_level::warning, "version_cut_locally", {{"service", service}, {"version", upstream_version}});
   }
   if (now - evidence_taken_at_ + evidence_tolerance < evidence_period_) return;
   evidence_taken_at_ = now;
+  log_unauthenticated();
   auto report = core_.take_evidence();
   if (!report || !subscriber_) return;
   if (!subscriber_.post(send_evidence{std::move(*report)})) ++evidence_dropped_;
--- a/traffic/traffic_service.h
+++ b/traffic/traffic_service.h
@@ -40,6 +40,8 @@
   void on_pick(time_point now, pick_upstream request);
   void on_statement(time_point now, const upstream_stated& stated);
   void tick(time_point now);
+  void log_accounts(const compiled_document& document);
+  void log_unauthenticated();
   void arm_answer_timer(time_point now);
 
   kernel* kernel_ = nullptr;
@@ -55,6 +57,9 @@
   std::optional<time_point> answers_due_;  ///< of `answer_timer_`
   milliseconds evidence_period_ = compiled_document::max_evidence_period;
   time_point evidence_taken_at_{};
+  traffic_counters logged_;  ///< counters of requests without a valid key that the log has reported
+  std::size_t accounts_in_force_ = 0;
+  std::size_t keys_in_force_ = 0;
   std::uint64_t evidence_dropped_ = 0;            ///< reports dropped because the subscriber's mailbox was full
   std::uint64_t quarantine_reports_dropped_ = 0;  ///< likewise, of "quarantine"
 };
