--- a/model/document.h
+++ b/model/document.h
@@ -32,7 +32,18 @@
 inline constexpr basis_points full_share = 10'000;
 
 /// What a section configures; the first part of its name.
-enum class section_kind { services, routes, shares, rollouts, limits, callers, label, evacuations };
+enum class section_kind {
+  services,
+  routes,
+  shares,
+  rollouts,
+  limits,
+  callers,
+  label,
+  evacuations,
+  accounts,
+  account_keys
+};
 
 template <>
 struct enum_table<section_kind> {
@@ -45,6 +56,8 @@
       {section_kind::callers, "callers"},
       {section_kind::label, "label"},
       {section_kind::evacuations, "evacuations"},
+      {section_kind::accounts, "accounts"},
+      {section_kind::account_keys, "account_keys"},
   });
 };
 
