Placement by expected response time for upstreams that report their pace

Cause: upstreams with the same busy slots looked alike although some take two and a half times as long; on the uneven deployment a fifth to a quarter of the responses were late. Change: the fourth figure of the platform's load value is the pace; it travels in hd-load. A service whose upstreams report it draws upstreams by expected response time (relative_time, pace, requests, way) instead of the better of two by utilisation. Services without a pace are placed as before. Not yet measured on a deployment.

--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -96,6 +96,9 @@
 struct load_report {
   std::uint32_t in_flight = 0;  ///< requests that it is processing
   std::uint32_t queued = 0;     ///< requests that wait in its queue
+  /// How long work takes on its host now, as a multiple of the usual time (2.5: two and a half times as long); 0 when
+  /// the target does not report it.
+  double pace = 0;
 };
 
 /// What an upstream states about itself in a response; it holds until a later response states something else.
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -274,7 +274,10 @@
   response.request_id = head_.request_id;
   if (head_.limits.from_peer) {
     // This node's count of running and waiting requests includes the load that the upstream reports.
+    // The pace of the response itself is newer.
+    const double pace = response.load ? response.load->pace : 0;
     if (pick_ && pick_.choice().target_load) response.load = pick_.choice().target_load;
+    if (response.load && pace > 0) response.load->pace = pace;
     return;
   }
   response.load.reset();
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -15,6 +15,8 @@
 
 using field_reader = bool (*)(request_head&, std::string_view);
 
+constexpr double percent = 100;
+
 bool drop(request_head&, std::string_view) { return true; }
 
 template <class Number>
@@ -223,7 +225,9 @@
 }
 
 std::string format_load(const load_report& load) {
-  return fmt::format("in_flight={};queued={}", load.in_flight, load.queued);
+  std::string text = fmt::format("in_flight={};queued={}", load.in_flight, load.queued);
+  if (load.pace > 0) text += fmt::format(";pace={}", std::lround(load.pace * percent));
+  return text;
 }
 
 std::optional<double> parse_rate(std::string_view text) {
@@ -242,7 +246,14 @@
   if (split == std::string_view::npos) return std::nullopt;
   load_report load;
   if (!read_number(text.substr(0, split), 1'000'000, load.in_flight)) return std::nullopt;
-  if (!read_number(text.substr(split + second.size()), 1'000'000, load.queued)) return std::nullopt;
+  text.remove_prefix(split + second.size());
+  constexpr std::string_view third = ";pace=";
+  const std::size_t end = std::min(text.find(third), text.size());
+  if (!read_number(text.substr(0, end), 1'000'000, load.queued)) return std::nullopt;
+  if (end == text.size()) return load;
+  std::uint64_t pace = 0;
+  if (!read_number(text.substr(end + third.size()), 1'000'000, pace)) return std::nullopt;
+  load.pace = static_cast<double>(pace) / percent;
   return load;
 }
 
--- a/node/message_head.h
+++ b/node/message_head.h
@@ -103,7 +103,7 @@
 /// @return the number; nothing if the text is anything else.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
-/// Formats and parses the value of hd-load: "in_flight=3;queued=0".
+/// Formats and parses the value of hd-load: "in_flight=3;queued=0", with ";pace=250" (in percent) where it is known.
 std::string format_load(const load_report& load);
 std::optional<load_report> parse_load(std::string_view text);
 
--- a/traffic/balancer.h
+++ b/traffic/balancer.h
@@ -32,6 +32,12 @@
   /// @return estimated number of requests at the target: this node's own requests, plus those of other nodes according
   ///   to the last report, whose weight halves every 500 ms.
   double estimated_requests(time_point now) const;
+
+  /// @return whether the target reports its pace.
+  bool reports_pace() const { return last_report.pace > 0; }
+
+  /// @return estimate of the present pace: the reported one, which approaches 1 as the report ages.
+  double estimated_pace(time_point now) const;
 };
 
 /// One upstream that the balancer may choose.
@@ -39,6 +45,7 @@
   locality_class locality = locality_class::remote;
   const load_estimate* load = nullptr;
   double latency_ms = 0;            ///< moving average; failures are included with a penalty; 0 when unknown
+  double relative_time = 1;         ///< service time relative to the mean of the service, without the pace
   double weight = 1;                ///< below 1 during a slow start
   std::uint32_t slots = 20;         ///< requests that the target processes concurrently
   std::uint32_t connections = 130;  ///< connections that the target accepts; limits own_in_flight
@@ -63,6 +70,20 @@
   });
 };
 
+/// How the candidates of equal preference are compared.
+enum class placement_policy {
+  utilisation,    ///< the better of two by the part of the slots that is busy, with a penalty for latency
+  response_time,  ///< at random, weighted by expected response time; for targets that report their pace
+};
+
+template <>
+struct enum_table<placement_policy> {
+  static constexpr auto entries = std::to_array<enum_entry<placement_policy>>({
+      {placement_policy::utilisation, "utilisation"},
+      {placement_policy::response_time, "response_time"},
+  });
+};
+
 class balancer {
  public:
   explicit balancer(std::uint64_t seed) : random_(seed) {}
@@ -70,12 +91,24 @@
   /// @return the index of the chosen candidate, or nothing when no candidate that the policy permits can take another
   ///   connection.
   std::optional<std::size_t> pick(std::span<const balance_candidate> candidates, time_point now,
-                                  spillover_policy spillover = spillover_policy::any_region);
+                                  spillover_policy spillover = spillover_policy::any_region,
+                                  placement_policy placement = placement_policy::utilisation);
 
  private:
+  struct placement_row;
+  static const placement_row placements[];
+
+  std::size_t choose_by_utilisation(std::span<const balance_candidate> candidates, std::span<std::size_t> eligible,
+                                    time_point now);
+  std::size_t choose_by_response_time(std::span<const balance_candidate> candidates, std::span<std::size_t> eligible,
+                                      time_point now);
+
   random_source random_;
 };
 
+/// @return expected time to a response of one more request at the candidate, in mean service times of the service.
+double expected_response_time(const balance_candidate& candidate, time_point now);
+
 /// @param lowest_latency_ms lowest known average latency among the candidates; 0 when unknown.
 /// @return estimated cost of one more request at the candidate, as a utilisation (1: all slots busy) plus a latency
 ///   penalty; lower is better.
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -47,6 +47,9 @@
                 [&](const auto& s) { return s.second.upstreams == 0 && !document_->services.contains(s.first); });
   std::set<std::string_view> routes;
   for (const route_rule& rule : document_->routes) routes.insert(rule.name);
+  for (auto& [name, traffic] : services_) {
+    traffic.times.retain([&](const std::string& route) { return routes.contains(route); });
+  }
   std::erase_if(retry_age_estimators_, [&](const auto& estimator) { return !routes.contains(estimator.first); });
   splits_.set_document(*document_);
   evidence_.set_document(*document_);
@@ -159,7 +162,7 @@
 refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
   full.retry_after = target.admission.retry_after(now);
-  full.load = target.admission.load();
+  full.load = load_of(target, now);
   return full;
 }
 
@@ -185,7 +188,7 @@
                                   attempt.route.objective / assumed_objective_per_service_time};
   const admission_decision decision = target.admission.admit(now, request);
   if (decision == admission_decision::run) {
-    return reserve(attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited);
+    return reserve(now, attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited);
   }
   if (decision == admission_decision::wait && waiter_id != 0) {
     waiting_.emplace(waiter_id, std::move(attempt));
@@ -235,7 +238,7 @@
       if (attempt.attributes.deadline) *attempt.attributes.deadline -= std::min(waited, *attempt.attributes.deadline);
       attempt.route.timeout -= std::min(waited, attempt.route.timeout);
       answers.emplace_back(
-          id, reserve(attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited));
+          id, reserve(now, attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited));
     }
   }
   return answers;
@@ -346,6 +349,7 @@
     candidates.push_back({.locality = u->locality,
                           .load = &u->load,
                           .latency_ms = u->latency_ms,
+                          .relative_time = u->relative_time,
                           .weight = u->warmup.weight(now),
                           .slots = slots_of(*u),
                           .connections = u->endpoint.connections,
@@ -354,7 +358,7 @@
                           .refusing = status == outlier_ejector::status::avoided});
     eligible.push_back(&u);
   }
-  const auto index = balancer_.pick(candidates, now, criteria.spillover);
+  const auto index = balancer_.pick(candidates, now, criteria.spillover, traffic.placement);
   return index ? *eligible[*index] : nullptr;
 }
 
@@ -377,7 +381,14 @@
   return best;
 }
 
-upstream_choice traffic_core::reserve(std::shared_ptr<upstream> chosen, const std::string& service,
+// The load that other nodes are told of the upstream on this host.
+load_report traffic_core::load_of(const upstream& own, time_point now) const {
+  load_report load = own.admission.load();
+  if (own.load.reports_pace()) load.pace = own.load.estimated_pace(now);
+  return load;
+}
+
+upstream_choice traffic_core::reserve(time_point now, std::shared_ptr<upstream> chosen, const std::string& service,
                                       const route_policy& route, const request_attributes& attributes, bool limited) {
   upstream_choice choice;
   choice.pick_id = next_pick_id_++;
@@ -397,7 +408,7 @@
   choice.timeout = attributes.deadline ? std::min(route.timeout, *attributes.deadline) : route.timeout;
   ++chosen->load.own_in_flight;
   if (choice.local) {
-    choice.target_load = chosen->admission.load();
+    choice.target_load = load_of(*chosen, now);
     choice.statement = chosen->statement;
   }
   std::optional<request_fingerprint> on_trial;
@@ -426,7 +437,10 @@
     const bool has_service_time = result.outcome == call_outcome::ok;
     call.target->admission.release(call.route, has_service_time ? duration(result.latency) : duration::zero());
   }
-  if (result.load) call.target->load.apply_report(*result.load, now);
+  if (result.load) {
+    call.target->load.apply_report(*result.load, now);
+    if (result.load->pace > 0) services_[call.service].placement = placement_policy::response_time;
+  }
   record_result(now, call, result);
 }
 
@@ -458,6 +472,9 @@
     const double sample = failed ? std::max(measured_ms, failure_latency_ratio * baseline_ms) : measured_ms;
     target.latency_ms =
         target.latency_ms == 0 ? sample : target.latency_ms + latency_ewma_weight * (sample - target.latency_ms);
+    const double pace = result.load ? result.load->pace : 0;
+    const double relative = failed ? failure_latency_ratio : traffic.times.record(call.route, measured_ms, pace);
+    target.relative_time += latency_ewma_weight * (std::min(relative, failure_latency_ratio) - target.relative_time);
   }
   const bool local = target.locality == locality_class::local;
   const std::string& name = target.endpoint.upstream_version;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -40,6 +40,7 @@
 #include "traffic/retry_age_estimator.h"
 #include "traffic/retry_budget.h"
 #include "traffic/route_table.h"
+#include "traffic/service_time_scale.h"
 #include "traffic/slow_start.h"
 #include "traffic/split_picker.h"
 #include "traffic/version_circuit_breaker.h"
@@ -137,7 +138,8 @@
     bool usable = false;   ///< ready, and its node has not left and is not draining
     bool suspect = false;  ///< its node has been silent; used only when there is no other upstream
     load_estimate load;
-    double latency_ms = 0;  ///< moving average, with a penalty for failed calls; 0 when unknown
+    double latency_ms = 0;     ///< moving average, with a penalty for failed calls; 0 when unknown
+    double relative_time = 1;  ///< moving average of service_time_scale's samples, with the same penalty
     slow_start warmup;
     upstream_statement statement;               ///< known only of the upstream on this host
     admission_queue admission;                  ///< used only for the upstream on this host
@@ -150,6 +152,8 @@
     concurrency_limiter limiter;
     retry_budget retries;
     outlier_ejector ejector;
+    service_time_scale times;
+    placement_policy placement = placement_policy::utilisation;
   };
 
   /// A pick whose result has not been reported.
@@ -254,8 +258,9 @@
   std::string draw_version(const std::vector<version_share>& shares);
   bool tried_other_version(const service_state& traffic, const std::vector<std::string>& tried_targets,
                            const std::string& upstream_version) const;
-  upstream_choice reserve(std::shared_ptr<upstream> chosen, const std::string& service, const route_policy& route,
-                          const request_attributes& attributes, bool limited);
+  load_report load_of(const upstream& own, time_point now) const;
+  upstream_choice reserve(time_point now, std::shared_ptr<upstream> chosen, const std::string& service,
+                          const route_policy& route, const request_attributes& attributes, bool limited);
   route_policy route_policy_for(const route_rule* rule, const request_attributes& attributes) const;
   refusal refuse(refusal_reason reason);
   void record_result(time_point now, const pending_call& call, const finish_call& result);
--- a/traffic/traffic_core_stages.cc
+++ b/traffic/traffic_core_stages.cc
@@ -125,7 +125,7 @@
     return refuse(criteria.tried_targets.empty() ? refusal_reason::no_upstream : refusal_reason::overloaded);
   }
   if (chosen->locality != locality_class::local) {
-    return reserve(std::move(chosen), context.service, context.route, context.attributes, true);
+    return reserve(now, std::move(chosen), context.service, context.route, context.attributes, true);
   }
   std::optional<pick_result> local_answer =
       admit_locally(now, {context.service, context.route, context.attributes, chosen, now, true}, context.waiter_id);
@@ -136,7 +136,7 @@
   const bool final = holds_everywhere(std::get<refusal>(*local_answer).reason);
   std::shared_ptr<upstream> other = final ? nullptr : choose_upstream(now, *context.spec, *context.traffic, criteria);
   if (other && other->locality != locality_class::local) {
-    return reserve(std::move(other), context.service, context.route, context.attributes, true);
+    return reserve(now, std::move(other), context.service, context.route, context.attributes, true);
   }
   context.traffic->limiter.release_unused();
   return std::move(*local_answer);
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -104,6 +104,8 @@
           {"slots", shown.endpoint.slots},
           {"rate_limit", shown.statement.rate_limit ? boost::json::value(*shown.statement.rate_limit) : nullptr},
           {"latency_ms", shown.latency_ms},
+          {"relative_time", shown.relative_time},
+          {"pace", shown.load.estimated_pace(now)},
           {"weight", shown.warmup.weight(now)}};
 }
 
@@ -122,6 +124,7 @@
       }
     }
     services[name] = boost::json::object{{"shares", std::move(shares)},
+                                         {"placement", to_name(traffic.placement)},
                                          {"limit", traffic.limiter.limit()},
                                          {"in_flight", traffic.limiter.in_flight()},
                                          {"refused_by_limit", traffic.limiter.refused()},
