--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -15,6 +15,7 @@
 #include <random>
 
 #include "node/quarantine_core.h"
+#include "testing/worth_bound.h"
 #include "traffic/traffic_core.h"
 
 namespace heatherdeck {
@@ -38,6 +39,7 @@
 struct request_state {
   std::size_t route = 0;
   std::size_t host = 0;
+  std::optional<std::size_t> account;
   double first_sent_ms = 0;
   double work_ms = 0;
   bool crashing = false;
@@ -63,7 +65,8 @@
 
 class caller_run {
  public:
-  explicit caller_run(const caller_simulation_options& o) : o_(o), random_(o.seed), engine_(o.seed) {
+  explicit caller_run(const caller_simulation_options& o)
+      : o_(o), random_(o.seed), account_random_(o.seed ^ 0xACC0ULL), engine_(o.seed) {
     document_ = std::make_shared<compiled_document>();
     double mean_work = 0;
     for (const simulated_route& r : o.routes) {
@@ -83,6 +86,10 @@
       speeds_.push_back(o.speeds[i % o.speeds.size()]);
       speed_sum += speeds_.back();
     }
+    for (const simulated_account& a : o.accounts) {
+      document_->accounts[a.name] = {.name = a.name, .priority = a.priority};
+      result_.accounts.push_back({.name = a.name});
+    }
     capacity_per_ms_ = speed_sum * o.slots / (mean_work * o.full_slowdown);
     for (std::size_t host = 0; host < o.hosts; ++host) {
       nodes_.push_back(std::make_unique<traffic_core>(traffic_identity{.node_id = node_id(host),
@@ -101,6 +108,7 @@
     const double end_ms = o_.seconds * 1000;
     const double rate = capacity_per_ms_ * o_.load;
     for (double at = exponential(1 / rate); at < end_ms; at += exponential(1 / rate)) add_request(at);
+    for (const simulated_surge& surge : o_.surges) add_surge(surge, rate);
     if (o_.crashing_per_s > 0) {
       const double mean = 1000 / o_.crashing_per_s;
       for (double at = o_.crashing_from_s * 1000; at < end_ms; at += exponential(mean)) add_crashing_request(at);
@@ -111,7 +119,11 @@
         for (std::size_t host = 0; host < o_.hosts; ++host) apply(host, quarantines_[host]->tick(time()));
       });
     }
-    if (o_.lost_from_s > 0) push(o_.lost_from_s * 1000, [this] { lose_upstreams(); });
+    if (o_.lost_from_s > 0) push(o_.lost_from_s * 1000, [this] { set_upstreams(o_.upstreams / 2); });
+    if (o_.outage_from_s > 0) {
+      push(o_.outage_from_s * 1000, [this] { set_upstreams(0); });
+      push((o_.outage_from_s + o_.outage_s) * 1000, [this] { set_upstreams(o_.upstreams); });
+    }
     while (!events_.empty()) {
       now_ms_ = events_.top().at_ms;
       const auto action = events_.top().action;
@@ -165,9 +177,8 @@
     return rows;
   }
 
-  void lose_upstreams() {
-    const std::size_t left = o_.upstreams / 2;
-    for (auto& node : nodes_) node->set_members(members(left), time());
+  void set_upstreams(std::size_t running) {
+    for (auto& node : nodes_) node->set_members(members(running), time());
     for (std::size_t host = 0; host < o_.hosts; ++host) take_answers(host);
   }
 
@@ -178,10 +189,29 @@
     }
   }
 
-  void add_request(double at) {
+  template <typename Shares>
+  static std::size_t draw_by_share(const Shares& shares, double drawn) {
+    std::size_t index = 0;
+    while (index + 1 < shares.size() && drawn >= shares[index].share) drawn -= shares[index++].share;
+    return index;
+  }
+
+  void add_surge(const simulated_surge& surge, double rate) {
+    if (surge.route) rate *= o_.routes[*surge.route].share;
+    if (surge.account) rate *= o_.accounts[*surge.account].share;
+    const double mean = 1 / (rate * (surge.factor - 1));
+    for (double at = surge.from_s * 1000 + exponential(mean); at < surge.to_s * 1000; at += exponential(mean)) {
+      add_request(at, surge.route, surge.account);
+    }
+  }
+
+  void add_request(double at, std::optional<std::size_t> of_route = {}, std::optional<std::size_t> of_account = {}) {
     auto r = std::make_shared<request_state>();
-    double drawn = random_.fraction();
-    while (r->route + 1 < o_.routes.size() && drawn >= o_.routes[r->route].share) drawn -= o_.routes[r->route++].share;
+    const double drawn = random_.fraction();
+    r->route = of_route ? *of_route : draw_by_share(o_.routes, drawn);
+    r->account = of_account;
+    if (!of_account && !o_.accounts.empty()) r->account = draw_by_share(o_.accounts, account_random_.fraction());
+    if (r->account) ++result_.accounts[*r->account].asked;
     const simulated_route& route = o_.routes[r->route];
     r->host = random_.below(o_.hosts);
     r->fingerprint.head = offered_.size() + 1;
@@ -190,7 +220,9 @@
     r->work_ms = work(engine_);
     ++result_.routes[r->route].asked;
     result_.owed += route.worth;
-    offered_.emplace_back(route.worth, r->work_ms);
+    offered_.push_back({at, route.worth, route.late_worth, r->work_ms, route.objective_ms, route.deadline_ms});
+    offered_means_.push_back(offered_.back());
+    offered_means_.back().work_ms = route.work_ms;
     push(at + client_ms, [this, r] { arrive(r); });
   }
 
@@ -211,6 +243,7 @@
     const simulated_route& route = o_.routes[r.route];
     request_attributes a{.path = "/" + route.name + "/x", .method = route.idempotent ? "GET" : "POST"};
     a.fingerprint = r.fingerprint;
+    if (r.account) a.account = o_.accounts[*r.account].name;
     // The caller states its time left when it sends, so a first attempt always states the whole deadline.
     const double stated = route.deadline_ms - (r.received_ms - client_ms - r.first_sent_ms);
     a.deadline = milliseconds(std::llround(stated - (now_ms_ - r.received_ms)));
@@ -426,6 +459,7 @@
     route_result& sum = result_.routes[r->route];
     const double latency = now_ms_ + client_ms - r->first_sent_ms;
     result_.work_ms += service_ms;
+    if (r->account && latency <= route.deadline_ms) ++result_.accounts[*r->account].served;
     if (latency <= route.objective_ms) {
       ++sum.in_time;
       result_.earned += route.worth;
@@ -448,25 +482,37 @@
   }
 
   void finish_bound(double end_ms) {
-    std::sort(offered_.begin(), offered_.end(),
-              [](const auto& a, const auto& b) { return a.first / a.second > b.first / b.second; });
-    double speed_sum = 0;
-    for (const double speed : speeds_) speed_sum += speed;
-    double capacity = speed_sum * o_.slots * end_ms / o_.full_slowdown;
-    if (o_.lost_from_s > 0) {
-      double kept = 0;
-      for (std::size_t i = 0; i < o_.upstreams / 2; ++i) kept += speeds_[i];
-      capacity -= (speed_sum - kept) * o_.slots * (end_ms - o_.lost_from_s * 1000) / o_.full_slowdown;
+    double all = 0;
+    double kept = 0;
+    for (std::size_t i = 0; i < speeds_.size(); ++i) {
+      all += speeds_[i] * o_.slots / o_.full_slowdown;
+      if (i < o_.upstreams / 2) kept += speeds_[i] * o_.slots / o_.full_slowdown;
     }
-    for (const auto& [worth, work] : offered_) {
-      if ((capacity -= work) < 0) break;
-      result_.bound += worth;
+    std::vector<capacity_step> capacity{{0, all}};
+    if (o_.lost_from_s > 0) capacity.push_back({o_.lost_from_s * 1000, kept});
+    if (o_.outage_from_s > 0) {
+      capacity.push_back({o_.outage_from_s * 1000, 0});
+      capacity.push_back({(o_.outage_from_s + o_.outage_s) * 1000, all});
     }
+    result_.bound = bound_of(capacity, end_ms, offered_);
+    result_.mean_bound = bound_of(capacity, end_ms, offered_means_);
     result_.remote_share = runs_ == 0 ? 0 : static_cast<double>(remote_runs_) / static_cast<double>(runs_);
   }
 
+  double bound_of(const std::vector<capacity_step>& capacity, double end_ms,
+                  const std::vector<offered_request>& offered) const {
+    worth_bound bound(capacity, end_ms);
+    for (const simulated_surge& surge : o_.surges) {
+      bound.cut_at(surge.from_s * 1000);
+      bound.cut_at(surge.to_s * 1000);
+    }
+    for (const offered_request& request : offered) bound.add(request);
+    return bound.value();
+  }
+
   const caller_simulation_options& o_;
   random_source random_;
+  random_source account_random_;
   std::mt19937_64 engine_;
   std::shared_ptr<compiled_document> document_;
   std::vector<double> speeds_;
@@ -479,7 +525,8 @@
   double third_crash_ms_ = std::numeric_limits<double>::infinity();
   std::map<std::size_t, std::vector<double>> runs_at_;  // start of each run in ms, by upstream
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-  std::vector<std::pair<double, double>> offered_;  // worth and work
+  std::vector<offered_request> offered_;
+  std::vector<offered_request> offered_means_;  // the same with the mean work of their routes
   caller_result result_;
   double capacity_per_ms_ = 0;
   double now_ms_ = 0;
--- a/testing/caller_simulation.h
+++ b/testing/caller_simulation.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,22 @@
   bool idempotent = true;
 };
 
+/// A client account: its callers send this part of all requests.
+struct simulated_account {
+  std::string name;
+  double share = 1;
+  std::optional<std::uint32_t> priority{};  ///< takes precedence over that of the route
+};
+
+/// More requests than usual for some time.
+struct simulated_surge {
+  double from_s = 0;
+  double to_s = 0;
+  double factor = 1;  ///< on the usual number of requests of the route and account
+  std::optional<std::size_t> route{};
+  std::optional<std::size_t> account{};
+};
+
 struct caller_simulation_options {
   std::uint64_t seed = 1;
   double seconds = 20;
@@ -44,7 +61,11 @@
   double full_slowdown = 1.0;  ///< factor on the service time when all slots are busy
   std::uint32_t retries = 2;   ///< of a caller that was refused
   std::vector<double> speeds{0.6, 1.0, 1.4};
-  double lost_from_s = 0;  ///< half of the upstreams end at this time; 0: never
+  double lost_from_s = 0;    ///< half of the upstreams end at this time; 0: never
+  double outage_from_s = 0;  ///< all upstreams end at this time and come back `outage_s` later; 0: never
+  double outage_s = 1.5;
+  std::vector<simulated_account> accounts{};  ///< empty: requests have no account
+  std::vector<simulated_surge> surges{};
   /// Requests a second that each upstream accepts; 0 or missing: it states no limit.
   std::vector<double> rate_limits{};
   double limited_from_s = 0;  ///< from then on the upstreams state their limits in every response
@@ -80,11 +101,21 @@
   std::uint64_t attempts = 0;  ///< of callers
 };
 
+/// What the callers of one account got.
+struct account_result {
+  std::string name;
+  std::uint64_t asked = 0;
+  std::uint64_t served = 0;  ///< before the deadline
+  double served_part() const { return asked == 0 ? 1 : static_cast<double>(served) / static_cast<double>(asked); }
+};
+
 struct caller_result {
   std::vector<route_result> routes;
+  std::vector<account_result> accounts;
   double earned = 0;        ///< worth of the answers
   double owed = 0;          ///< worth of all requests, answered in time
   double bound = 0;         ///< worth that a scheduler could earn that knows all arrivals and service times
+  double mean_bound = 0;    ///< the same for one that knows of service times only the mean of each route
   double late_work_ms = 0;  ///< service time spent on late answers
   double work_ms = 0;       ///< service time spent on all answers
   double remote_share = 0;  ///< of the runs: at an upstream in another region
--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -17,7 +17,7 @@
 hd_test(retry_age_estimator_test hd_traffic)
 hd_test(split_picker_test hd_traffic)
 
-add_library(hd_caller_simulation STATIC caller_simulation.cc)
+add_library(hd_caller_simulation STATIC caller_simulation.cc overload_cases.cc worth_bound.cc)
 target_link_libraries(hd_caller_simulation PUBLIC hd_node hd_traffic)
 hd_test(caller_overload_test hd_caller_simulation)
 hd_test(upstream_rate_limit_test hd_caller_simulation)
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -5,6 +5,7 @@
 #include "traffic/traffic_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -53,12 +54,18 @@
   circuit_breaker_.set_document(*document_);
 }
 
+// Callers refused together, for example during an outage, do not come back together.
+milliseconds traffic_core::spread(milliseconds wait) {
+  if (wait.count() == 0) return wait;
+  return milliseconds(std::llround(static_cast<double>(wait.count()) * (0.75 + 0.5 * random_.fraction())));
+}
+
 refusal traffic_core::refuse(refusal_reason reason) {
   ++counters_.refusals;
   std::chrono::milliseconds wait{0};
   if (reason == refusal_reason::overloaded) wait = overloaded_retry_after;
   if (reason == refusal_reason::no_upstream || reason == refusal_reason::no_document) wait = unavailable_retry_after;
-  return {reason, wait};
+  return {reason, spread(wait)};
 }
 
 traffic_core::route_policy traffic_core::route_policy_for(const route_rule* rule,
@@ -158,7 +165,7 @@
 
 refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
-  full.retry_after = target.admission.retry_after(now);
+  full.retry_after = target.admission.retry_after(now, random_.fraction());
   full.load = target.admission.load();
   return full;
 }
@@ -177,12 +184,19 @@
       attempt.route.objective.count() > 0 ? std::min(objective_remaining, time_allowed) : time_allowed;
   const time_point deadline = attempt.attributes.deadline ? now + *attempt.attributes.deadline : time_point::max();
   const time_point process_end = stop_ ? stop_->ends_at : time_point::max();
-  const admission_request request{waiter_id,
-                                  attempt.route.name,
-                                  attempt.route.priority,
-                                  std::min(now + time_to_objective, process_end),
-                                  std::min(deadline, process_end),
-                                  attempt.route.objective / assumed_objective_per_service_time};
+  const std::string& account = attempt.attributes.account;
+  const auto known_account = document_->accounts.find(account);
+  const bool has_priority = known_account != document_->accounts.end() && known_account->second.priority;
+  const admission_request request{.id = waiter_id,
+                                  .route = attempt.route.name,
+                                  .priority = has_priority ? *known_account->second.priority : attempt.route.priority,
+                                  .objective = std::min(now + time_to_objective, process_end),
+                                  .deadline = std::min(deadline, process_end),
+                                  .assumed_service_time = attempt.route.objective / assumed_objective_per_service_time,
+                                  .account = account,
+                                  .route_priority = attempt.route.priority,
+                                  // With accounts, only calls made by upstreams come without one.
+                                  .nested = !document_->accounts.empty() && account.empty()};
   const admission_decision decision = target.admission.admit(now, request);
   if (decision == admission_decision::run) {
     return reserve(attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited);
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -257,6 +257,7 @@
   upstream_choice reserve(std::shared_ptr<upstream> chosen, const std::string& service, const route_policy& route,
                           const request_attributes& attributes, bool limited);
   route_policy route_policy_for(const route_rule* rule, const request_attributes& attributes) const;
+  std::chrono::milliseconds spread(std::chrono::milliseconds wait);
   refusal refuse(refusal_reason reason);
   void record_result(time_point now, const pending_call& call, const finish_call& result);
   void add_member(const member_record& member, const std::map<std::string, std::shared_ptr<upstream>>& previous,
