--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -5,6 +5,7 @@
 #include "traffic/traffic_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -65,12 +66,18 @@
   }
 }
 
+// Callers refused together, for example during an outage, do not come back together.
+milliseconds traffic_core::spread(milliseconds wait) {
+  if (wait.count() == 0) return wait;
+  return milliseconds(std::llround(static_cast<double>(wait.count()) * (0.75 + 0.5 * random_.fraction())));
+}
+
 refusal traffic_core::refuse(refusal_reason reason) {
   ++counters_.refusals;
   std::chrono::milliseconds wait{0};
   if (reason == refusal_reason::overloaded) wait = overloaded_retry_after;
   if (reason == refusal_reason::no_upstream || reason == refusal_reason::no_document) wait = unavailable_retry_after;
-  return {reason, wait};
+  return {reason, spread(wait)};
 }
 
 traffic_core::route_policy traffic_core::route_policy_for(const route_rule* rule,
@@ -81,6 +88,7 @@
   policy.timeout = rule->timeout;
   policy.attempts = rule->attempts;
   policy.priority = rule->priority;
+  policy.route_priority = rule->priority;
   policy.objective = rule->objective;
   policy.idempotent = rule->idempotent.value_or(policy.idempotent);
   return policy;
@@ -190,7 +198,7 @@
 
 refusal traffic_core::refuse_overloaded(time_point now, const upstream& target) {
   refusal full = refuse(refusal_reason::overloaded);
-  full.retry_after = target.admission.retry_after(now);
+  full.retry_after = target.admission.retry_after(now, random_.fraction());
   full.load = load_of(target, now);
   return full;
 }
@@ -203,6 +211,7 @@
   if (auto refused = refuse_trial(now, attempt)) return *refused;
   target.admission.set_slots(target.endpoint.slots);
   update_rate_limit(target, now);
+  if (target.load.reports_pace()) target.admission.set_pace(target.load.estimated_pace(now));
   const auto time_allowed = attempt.attributes.deadline ? std::min(attempt.route.timeout, *attempt.attributes.deadline)
                                                         : attempt.route.timeout;
   const auto objective_remaining = attempt.route.objective - std::min(attempt.attributes.age, attempt.route.objective);
@@ -210,12 +219,16 @@
       attempt.route.objective.count() > 0 ? std::min(objective_remaining, time_allowed) : time_allowed;
   const time_point deadline = attempt.attributes.deadline ? now + *attempt.attributes.deadline : time_point::max();
   const time_point process_end = stop_ ? stop_->ends_at : time_point::max();
-  const admission_request request{waiter_id,
-                                  attempt.route.name,
-                                  attempt.route.priority,
-                                  std::min(now + time_to_objective, process_end),
-                                  std::min(deadline, process_end),
-                                  attempt.route.objective / assumed_objective_per_service_time};
+  const admission_request request{.id = waiter_id,
+                                  .route = attempt.route.name,
+                                  .priority = attempt.route.priority,
+                                  .objective = std::min(now + time_to_objective, process_end),
+                                  .deadline = std::min(deadline, process_end),
+                                  .assumed_service_time = attempt.route.objective / assumed_objective_per_service_time,
+                                  .account = attempt.route.account,
+                                  .route_priority = attempt.route.route_priority,
+                                  // With accounts, only calls made by upstreams come without one.
+                                  .nested = document_->has_accounts && attempt.route.account.empty()};
   const admission_decision decision = target.admission.admit(now, request);
   if (decision == admission_decision::run) {
     return reserve(now, attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited);
@@ -470,6 +483,7 @@
   report_to_quarantine(call, result);
   if (call.target->locality == locality_class::local) {
     const bool has_service_time = result.outcome == call_outcome::ok;
+    if (result.load && result.load->pace > 0) call.target->admission.set_pace(result.load->pace);
     call.target->admission.release(call.route, has_service_time ? duration(result.latency) : duration::zero());
   }
   if (result.load) {
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -192,7 +192,8 @@
     bool idempotent = false;
     std::chrono::milliseconds timeout{1000};
     std::uint32_t attempts = 2;              ///< targets to which the request may be sent
-    std::uint32_t priority = 0;              ///< 0 is the most urgent
+    std::uint32_t priority = 0;              ///< of the account, or else of the route; 0 is the most urgent
+    std::uint32_t route_priority = 0;        ///< of the route
     std::chrono::milliseconds objective{0};  ///< latency objective; 0 when the route has none
     std::string account;                     ///< client account of the request; empty when it has none
     std::optional<key_id> account_key;       ///< the key by which the account was authenticated
@@ -297,6 +298,7 @@
   upstream_choice reserve(time_point now, std::shared_ptr<upstream> chosen, const std::string& service,
                           const route_policy& route, const request_attributes& attributes, bool limited);
   route_policy route_policy_for(const route_rule* rule, const request_attributes& attributes) const;
+  std::chrono::milliseconds spread(std::chrono::milliseconds wait);
   refusal refuse(refusal_reason reason);
   void record_result(time_point now, const pending_call& call, const finish_call& result);
   void add_member(const member_record& member, const std::map<std::string, std::shared_ptr<upstream>>& previous,
