caller_session: pipelined GET and HEAD requests run concurrently

Cause: the requests of a caller's connection ran one after the other, so a pipeline took the sum of their times.

Change: while an exchange runs, the session takes further heads from the buffer and begins up to 8 exchanges of GET and HEAD requests without a body. pipeline_core (pure) decides what may begin, whose turn it is and how much of a response may be held (64 KiB each, 256 KiB in total); queued_caller holds a response until its turn; h1_caller, moved out of caller_session.cc with the parsing of heads, still writes all responses. A GET of a route that is not idempotent gives its choice back and waits until it is the first in its connection. Deadlines count from the arrival of the request's bytes. A caller that does not pipeline causes no further task or copy. Design: docs/design/pipelining.md.

No figure of processor time was measured.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -1,221 +1,54 @@
 // The task waits for a request, parses its head, runs the exchange and repeats; a child task receives the message that
-// begins the drain. Invariant: a connection is reused only after the request was read and the response sent completely.
-// A connection is closed in three steps (last response, shutdown of the sending side, reading until the caller closes),
-// because closing a socket with unread data resets it, and a reset can discard a response in transit. Before an idle
-// connection is closed it gets 408 with hd-outcome: not-run, which is a correct response to a request that is in
-// transit at that moment.
+// begins the drain. While an exchange runs, exactly one operation reads from the socket: the exchange, which watches
+// for the end of the connection, or `read_ahead`. Both pass what they read to `begin_buffered`, which begins exchanges
+// of requests behind the one that runs, each in a child task that does not touch the socket before its turn
+// (queued_caller). A caller that does not pipeline causes none of these tasks. Invariant: a connection is reused only
+// after the request was read and the response sent completely. A connection is closed in three steps (last response,
+// shutdown of the sending side, reading until the caller closes), because closing a socket with unread data resets it,
+// and a reset can discard a response in transit. Before an idle connection is closed it gets 408 with hd-outcome:
+// not-run, which is a correct response to a request that is in transit at that moment.
 #include "node/caller_session.h"
 
+#include <vector>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <fmt/format.h>
-#include <sys/socket.h>
 
+#include "kernel/log.h"
+#include "node/arrival_times.h"
 #include "node/deadline_timer.h"
 #include "node/error_response.h"
 #include "node/exchange.h"
+#include "node/queued_caller.h"
 #include "wire/wake_signal.h"
 
 namespace heatherdeck {
 namespace {
 
-using request_reader = h1_reader<true>;
+using namespace boost::asio::experimental::awaitable_operators;  // NOLINT(google-build-using-namespace): operator||
 
 // A caller that has sent nothing for this time after the last response has taken note of it.
 constexpr duration lingering_close_timeout = std::chrono::seconds(1);
 
-error connection_error(const boost::system::error_code& ec) {
-  return {error_kind::closed,
-          "writing to the caller's connection failed: " + ec.message(),
-          "none; the caller has disconnected",
-          {}};
-}
-
-struct rejected_request {
-  unsigned status = 400;
-  std::string text;
-};
-
-// Checks what Beast does not: the HTTP version, and that at most one body framing is declared, once.
-// @return a description of the problem; empty if there is none.
-std::string check_framing(request_reader& reader) {
-  const auto& message = reader.message();
-  if (message.version() != 10 && message.version() != 11) return "the HTTP version is not supported; use 1.0 or 1.1";
-  const auto lengths = message.count(boost::beast::http::field::content_length);
-  const auto codings = message.count(boost::beast::http::field::transfer_encoding);
-  if (lengths > 1) return "the request has more than one content-length";
-  const auto length = message[boost::beast::http::field::content_length];
-  if (lengths == 1 && !parse_number({length.data(), length.size()}))
-    return "content-length is not a single decimal number";
-  if (codings == 0) return {};
-  if (lengths != 0) return "the request has both content-length and transfer-encoding";
-  if (message.version() == 10) return "transfer-encoding is not allowed in HTTP/1.0";
-  const auto coding = message[boost::beast::http::field::transfer_encoding];
-  if (codings > 1 || lower_case({coding.data(), coding.size()}) != "chunked")
-    return "the transfer-encoding is not 'chunked', the only one that is supported";
-  return {};
-}
-
-// @return the head, or the status and text of the error response.
-std::variant<request_head, rejected_request> parse_request_head(request_reader& reader, const http_dialect& dialect) {
-  if (std::string problem = check_framing(reader); !problem.empty()) return rejected_request{400, std::move(problem)};
-  const auto& message = reader.message();
-  request_head head;
-  head.method = std::string_view(message.method_string().data(), message.method_string().size());
-  head.target = std::string_view(message.target().data(), message.target().size());
-  head.http_1_0 = message.version() == 10;
-  head.keep_alive = message.keep_alive();
-  std::size_t count = 0;
-  head.headers.reserve(16);
-  for (const auto& field : message) {
-    if (++count > max_header_fields) return rejected_request{431, "more than 100 header fields"};
-    const std::string_view name(field.name_string().data(), field.name_string().size());
-    const std::string lower = lower_case(name);
-    if (!head.add(dialect.native_request_field(lower), {field.value().data(), field.value().size()})) {
-      return rejected_request{
-          400, "the header field '" + std::string(name) + "' is refused: it is repeated or its value is invalid"};
-    }
-  }
-  if (std::string problem = head.finish(); !problem.empty()) return rejected_request{400, std::move(problem)};
-  const auto length = reader.parser().content_length();
-  if (reader.parser().chunked()) {
-    head.body = body_framing::streamed;
-  } else if (length && *length != 0) {
-    head.body = body_framing::sized;
-    head.content_length = *length;
-  }
-  return head;
+// A request without effects of its own and without a body; others run alone on their connection.
+bool may_run_beside_others(const request_head& head) {
+  return (head.method == "GET" || head.method == "HEAD") && head.body == body_framing::none && !head.expects_continue;
 }
 
-// The one place through which every response to a caller passes. A status that the caller takes as "not executed" goes
-// out only with that proof; it is an upstream's own if another node speaks a dialect without such statuses.
-void replace_unproved_status(response_head& head, const http_dialect& dialect) {
-  const bool promises = dialect.statuses_imply_not_executed && http_dialect::implies_not_executed(head.status);
-  if (!promises || head.execution == execution_status::not_executed) return;
-  constexpr unsigned bad_gateway = 502;
-  head.status = bad_gateway;
-  // The field vouches for the upstream's own status.
-  std::erase_if(head.headers, [&](const auto& field) { return field.first == dialect.required_on_success; });
-}
-
-class h1_caller : public caller_link {
- public:
-  /// @param draining the session's flag; may become true while the exchange runs.
-  /// @param dialect outlives the session.
-  h1_caller(h1_stream& stream, request_reader& reader, const bool& draining, const http_dialect& dialect)
-      : stream_(&stream), reader_(&reader), draining_(&draining), dialect_(&dialect) {}
-
-  void set_request(const request_head& head) {
-    http_1_0_ = head.http_1_0;
-    keep_alive_ = head.keep_alive;
-    expects_continue_ = head.expects_continue && !head.http_1_0;
-    is_head_request_ = head.method == "HEAD";
-  }
-
-  awaitable<outcome<std::string>> read_body() override {
-    if (std::exchange(expects_continue_, false) && !response_started_ && !reader_->has_buffered_data()) {
-      // 25 bytes fit into the empty send buffer; if the write fails, the caller sends its body after its own timeout.
-      static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-      boost::system::error_code ignored;
-      stream_->socket.non_blocking(true, ignored);
-      stream_->socket.write_some(boost::asio::buffer(interim.data(), interim.size()), ignored);
-    }
-    return reader_->read_body();
-  }
-
-  bool body_done() const override { return reader_->done(); }
-  bool body_buffered() const override { return reader_->has_buffered_data(); }
-  bool keep_alive() const { return keep_alive_; }
-
-  awaitable<outcome<void>> send_head(response_head head, bool end, bool body_follows) override {
-    response_started_ = true;
-    replace_unproved_status(head, *dialect_);
-    chunked_ = head.body == body_framing::streamed && !http_1_0_;
-    const bool until_close = head.body == body_framing::streamed && http_1_0_;
-    if (until_close && !end) reset_on_close(true);
-    // Unread data of this request's body must not be parsed as the next request. A pipelined request that has been read
-    // is answered, also by a node that is stopping.
-    const bool last = *draining_ && !reader_->has_buffered_data();
-    keep_alive_ = keep_alive_ && !http_1_0_ && !until_close && body_done() && !last;
-    if (is_head_request_ && !end) {
-      head.declared_length = head.content_length;
-      head.body = body_framing::none;
-    }
-    head_text_ = serialize_h1_response(head, keep_alive_, chunked_, *dialect_);
-    if (!end && body_follows) co_return outcome<void>();
-    auto writing = write_h1(*stream_, std::exchange(head_text_, {}), {}, false, false);
-    const auto written = co_await std::move(writing);
-    if (written.ec) co_return connection_error(written.ec);
-    co_return outcome<void>();
-  }
-
-  awaitable<outcome<void>> send_body(std::string data, bool last) override {
-    if (is_head_request_) data.clear();
-    auto writing = write_h1(*stream_, std::exchange(head_text_, {}), std::move(data), chunked_, last);
-    const auto written = co_await std::move(writing);
-    if (written.ec) co_return connection_error(written.ec);
-    if (last) reset_on_close(false);
-    co_return outcome<void>();
-  }
-
-  // Pipelined data is buffered for the next request. Once the buffer holds max_header_bytes, reading stops, and a
-  // disconnected caller is noticed only when the response is written.
-  awaitable<void> wait_disconnected() override {
-    while (stream_->buffer.size() < max_header_bytes) {
-      auto [ec] = co_await stream_->socket.async_wait(boost::asio::socket_base::wait_read, use_tuple);
-      if (ec) co_return;
-      stream_->socket.non_blocking(true, ec);
-      const std::size_t size = stream_->socket.read_some(stream_->buffer.prepare(4096), ec);
-      stream_->buffer.commit(size);
-      if (ec && ec != boost::asio::error::would_block) co_return;
-    }
-    const auto executor = co_await boost::asio::this_coro::executor;
-    wake_signal never(executor);
-    auto waiting = never.wait();
-    (void)co_await std::move(waiting);
-  }
-
-  bool disconnected() override {
-    // Buffered data of the body or of another request shows that the caller is connected.
-    return stream_->buffer.size() == 0 && body_done() && !stream_->remote_end_connected();
-  }
-
-  void abort() override {
-    keep_alive_ = false;
-    reset_on_close(true);
-    stream_->close();
-  }
-
- private:
-  // Zero linger time resets the connection when it is closed, also by the end of the process, so a response that ends
-  // with the connection is seen as incomplete.
-  void reset_on_close(bool reset) {
-    if (resets_on_close_ == reset) return;
-    resets_on_close_ = reset;
-    // Asio undoes its own linger option when a socket is destroyed.
-    const linger value{.l_onoff = reset ? 1 : 0, .l_linger = 0};
-    (void)::setsockopt(stream_->socket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof value);
-  }
-
-  h1_stream* stream_;
-  request_reader* reader_;
-  const bool* draining_;
-  const http_dialect* dialect_;
-  std::string head_text_;
-  bool http_1_0_ = false;
-  bool keep_alive_ = false;
-  bool expects_continue_ = false;
-  bool is_head_request_ = false;
-  bool chunked_ = false;
-  bool response_started_ = false;
-  bool resets_on_close_ = false;
-};
+using queued_caller_ptr = std::shared_ptr<queued_caller>;
 
-class caller_session : public std::enable_shared_from_this<caller_session> {
+class caller_session : public caller_connection, public std::enable_shared_from_this<caller_session> {
  public:
   caller_session(proxy_context_ptr context, tcp_socket socket, std::shared_ptr<mailbox<session_message>> inbox,
                  std::string name)
-      : context_(std::move(context)), stream_(std::move(socket)), inbox_(std::move(inbox)), name_(std::move(name)) {
+      : context_(std::move(context)),
+        stream_(std::move(socket)),
+        inbox_(std::move(inbox)),
+        name_(std::move(name)),
+        progress_(context_->executor),
+        room_(context_->executor) {
     idle_timer_ = deadline_timer::make(*context_->timers, [this] {
       expired_ = true;
       boost::system::error_code ignored;
@@ -224,14 +57,23 @@
   }
 
   awaitable<session_counts> run();
+  void on_data() override { begin_buffered(); }
 
  private:
   static awaitable<void> receive_messages(std::shared_ptr<caller_session> self);
   void start_idle_timer();
   awaitable<bool> wait_for_request();
   awaitable<bool> serve_request();
+  awaitable<bool> serve_alone(request_reader& reader, request_head head);
   awaitable<void> reject(request_reader& reader, unsigned status, std::string text);
   awaitable<void> lingering_close();
+  void prepare(request_head& head, time_point read_at);
+  void begin_buffered();
+  void begin_queued(request_head head);
+  awaitable<bool> serve_queued();
+  awaitable<bool> deliver();
+  awaitable<void> read_ahead();
+  void cancel_queued();
 
   proxy_context_ptr context_;
   h1_stream stream_;
@@ -239,7 +81,12 @@
   std::string name_;
   std::shared_ptr<deadline_timer> idle_timer_;
   session_counts counts_;
-  bool draining_ = false;
+  std::vector<queued_caller_ptr> queued_;  // in the order of the requests
+  std::size_t running_ = 0;                // child tasks that run exchanges
+  wake_signal progress_;                   // a child task has ended
+  wake_signal room_;                       // requests were taken from the buffer
+  arrival_times arrivals_;                 // of the data in the stream's buffer
+  bool pipelines_ = false;                 // the caller has sent a request behind another one
   bool expired_ = false;
   bool idle_ = false;
 };
@@ -251,7 +98,7 @@
     auto receiving = self->inbox_->receive();
     const auto message = co_await std::move(receiving);
     if (!message) co_return;
-    self->draining_ = true;
+    self->draining = true;
     if (self->idle_)
       self->idle_timer_->set(timer_service::now() + std::min(drain_idle_timeout, self->context_->idle_timeout));
   }
@@ -259,7 +106,7 @@
 
 void caller_session::start_idle_timer() {
   expired_ = false;
-  const duration timeout = draining_ ? std::min(drain_idle_timeout, context_->idle_timeout) : context_->idle_timeout;
+  const duration timeout = draining ? std::min(drain_idle_timeout, context_->idle_timeout) : context_->idle_timeout;
   idle_timer_->set(timer_service::now() + timeout);
 }
 
@@ -277,15 +124,29 @@
 }
 
 awaitable<void> caller_session::reject(request_reader& reader, unsigned status, std::string text) {
-  static constexpr bool draining = true;
-  h1_caller caller(stream_, reader, draining, *context_->dialect);
+  h1_caller caller(stream_, &reader, *this, *context_->dialect);
   auto responding = send_error_response(caller, status, execution_status::not_executed, {.text = std::move(text)}, {});
   co_await std::move(responding);
 }
 
+// Completes the head of a request that is served from now on.
+// @param read_at earlier than now if the request has waited in the buffer, because it may not run beside others or too
+//   many were running; the time that its caller waits counts from then.
+void caller_session::prepare(request_head& head, time_point read_at) {
+  ++counts_.requests;
+  if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
+  // A caller must not be able to impersonate another service or to make its request appear older.
+  head.caller_service = context_->caller_service;
+  head.age = std::chrono::duration_cast<milliseconds>(timer_service::now() - read_at);
+  if (head.limits.deadline) *head.limits.deadline -= std::min(head.age, *head.limits.deadline);
+}
+
 // @return true if the connection may carry another request.
 awaitable<bool> caller_session::serve_request() {
   request_reader reader(stream_);
+  arrivals_.resize(stream_.buffer.size(), timer_service::now());
+  const std::size_t buffered_head = stream_.buffered_head_size();
+  const auto buffered_at = buffered_head == 0 ? std::nullopt : std::optional(arrivals_.of(buffered_head - 1));
   auto reading = reader.read_head();
   const auto ec = co_await std::move(reading);
   idle_timer_->clear();
@@ -308,17 +169,140 @@
     co_return false;
   }
   request_head head = std::move(std::get<request_head>(parsed));
-  ++counts_.requests;
-  if (head.request_id.empty()) head.request_id = fmt::format("{}-{:x}", name_, counts_.requests);
-  // A caller must not be able to impersonate another service or to make its request appear older.
-  head.caller_service = context_->caller_service;
-  head.age = milliseconds(0);
-  h1_caller caller(stream_, reader, draining_, *context_->dialect);
+  const time_point now = timer_service::now();
+  arrivals_.resize(stream_.buffer.size(), now);
+  prepare(head, buffered_at.value_or(now));
+  if (stream_.buffer.size() != 0 && may_run_beside_others(head)) pipelines_ = true;
+  if (pipelines_ && may_run_beside_others(head)) {
+    begin_queued(std::move(head));
+    begin_buffered();
+  } else {
+    auto serving = serve_alone(reader, std::move(head));
+    const bool reusable = co_await std::move(serving);
+    if (!reusable) {
+      cancel_queued();
+      co_return false;
+    }
+  }
+  if (queued_.empty()) co_return true;
+  auto serving = serve_queued();
+  co_return co_await std::move(serving);
+}
+
+// Runs the exchange in this task. Requests that arrive meanwhile may begin behind it.
+// @return true if the connection may carry another response.
+awaitable<bool> caller_session::serve_alone(request_reader& reader, request_head head) {
+  const bool closes = !head.keep_alive || head.http_1_0;
+  const auto number = pipeline.begin({.repeatable = may_run_beside_others(head), .last = closes});
+  pipeline.open(number);
+  h1_caller caller(stream_, &reader, *this, *context_->dialect);
   caller.set_request(head);
   auto exchanging = run_exchange(context_, caller, std::move(head));
   const exchange_result end = co_await std::move(exchanging);
   if (end == exchange_result::aborted) ++counts_.aborted;
-  co_return end == exchange_result::reusable&& caller.keep_alive();
+  pipeline.end(number, end == exchange_result::reusable && caller.keep_alive());
+  co_return pipeline.pop();
+}
+
+// Begins exchanges of the requests whose heads are in the buffer, as far as they may run now.
+void caller_session::begin_buffered() {
+  bool taken = false;
+  const time_point now = timer_service::now();
+  arrivals_.resize(stream_.buffer.size(), now);
+  while (pipeline.may_begin()) {
+    const std::size_t size = stream_.buffered_head_size();
+    if (size == 0) break;
+    request_reader reader(stream_);
+    std::variant<request_head, rejected_request> parsed = rejected_request{};
+    if (reader.parse_buffered_head(size)) parsed = parse_request_head(reader, *context_->dialect);
+    auto* head = std::get_if<request_head>(&parsed);
+    if (head == nullptr || !may_run_beside_others(*head)) {
+      pipeline.block();  // `serve_request` serves or rejects it when its turn comes
+      break;
+    }
+    prepare(*head, arrivals_.of(size - 1));
+    stream_.buffer.consume(size);
+    arrivals_.resize(stream_.buffer.size(), now);
+    begin_queued(std::move(*head));
+    pipelines_ = true;
+    taken = true;
+  }
+  if (taken) room_.set();
+}
+
+void caller_session::begin_queued(request_head head) {
+  auto caller = std::make_shared<queued_caller>(context_->executor, stream_, head, *this, *context_->dialect);
+  ++counts_.pipelined;
+  queued_.push_back(caller);
+  ++running_;
+  boost::asio::co_spawn(context_->executor, run_exchange(context_, *caller, std::move(head)),
+                        [self = shared_from_this(), caller](std::exception_ptr failure, exchange_result end) {
+                          if (failure)
+                            log_event(log_level::error, "pipelined_exchange_failed", {{"session", self->name_}});
+                          if (failure || end == exchange_result::aborted) ++self->counts_.aborted;
+                          caller->end(!failure && end == exchange_result::reusable);
+                          --self->running_;
+                          self->progress_.set();
+                        });
+}
+
+// Delivers the responses of all requests that have begun, and of those that begin meanwhile.
+// @return true if the connection may carry another request.
+awaitable<bool> caller_session::serve_queued() {
+  auto delivering = deliver();
+  auto reading = read_ahead();
+  auto either = std::move(delivering) || std::move(reading);
+  const auto ended = co_await std::move(either);
+  const bool* delivered = std::get_if<0>(&ended);
+  if (delivered != nullptr && *delivered) co_return true;
+  cancel_queued();
+  co_return false;
+}
+
+awaitable<bool> caller_session::deliver() {
+  while (!queued_.empty()) {
+    const queued_caller_ptr caller = queued_.front();
+    // The exchange that filled the held response has ended, or waits; its timer does not bound this write.
+    expired_ = false;
+    idle_timer_->set(timer_service::now() + context_->idle_timeout);
+    auto opening = caller->open();
+    const outcome<void> opened = co_await std::move(opening);
+    idle_timer_->clear();
+    if (!opened) co_return false;
+    while (!pipeline.ended(caller->number())) {
+      auto waiting = progress_.wait();
+      (void)co_await std::move(waiting);
+    }
+    queued_.erase(queued_.begin());
+    if (!pipeline.pop()) co_return false;
+    begin_buffered();
+  }
+  co_return true;
+}
+
+// Reads requests while responses are being delivered. Returns when the caller has disconnected.
+awaitable<void> caller_session::read_ahead() {
+  while (true) {
+    while (stream_.buffer.size() >= max_header_bytes) {
+      auto waiting = room_.wait();
+      const bool taken = co_await std::move(waiting);
+      if (!taken) co_return;
+    }
+    auto [ec] = co_await stream_.socket.async_wait(boost::asio::socket_base::wait_read, use_tuple);
+    if (!ec) ec = stream_.read_available();
+    if (ec) co_return;
+    begin_buffered();
+  }
+}
+
+// The caller takes requests without a response as not read, and will send them again.
+void caller_session::cancel_queued() {
+  pipeline.close();
+  if (queued_.empty()) return;
+  log_event(log_level::info, "pipeline_cancelled", {{"session", name_}, {"requests", queued_.size()}});
+  counts_.pipelined_cancelled += queued_.size();
+  for (const queued_caller_ptr& caller : queued_) caller->cancel();
+  queued_.clear();
 }
 
 awaitable<void> caller_session::lingering_close() {
@@ -357,6 +341,10 @@
   }
   auto closing = lingering_close();
   co_await std::move(closing);
+  while (running_ != 0) {
+    auto ending = progress_.wait();
+    (void)co_await std::move(ending);
+  }
   inbox_->close();
   co_return counts_;
 }
--- a/node/caller_session.h
+++ b/node/caller_session.h
@@ -1,6 +1,7 @@
 /// @file
-/// Serves one caller's HTTP/1.1 connection: a task that owns the socket and handles its requests one after the other.
-/// Started by the proxy service for each accepted connection.
+/// Serves one caller's HTTP/1.1 connection: a task that owns the socket. Up to 8 pipelined GET and HEAD requests run at
+/// the same time, and all responses are sent in the order of the requests (docs/design/pipelining.md). Started by the
+/// proxy service for each accepted connection.
 ///
 ///     co_spawn(executor, run_caller_session(context, std::move(socket), inbox, "id"), detached);
 ///
@@ -20,7 +21,9 @@
 /// Result of a session; added to the counters of the proxy service.
 struct session_counts {
   std::uint64_t requests = 0;
-  std::uint64_t aborted = 0;  ///< exchanges that ended before the response was complete
+  std::uint64_t aborted = 0;              ///< exchanges that ended before the response was complete
+  std::uint64_t pipelined = 0;            ///< requests that were read together with others, or behind them
+  std::uint64_t pipelined_cancelled = 0;  ///< of these, requests without a response because the connection ended
 };
 
 /// @param inbox the session's own mailbox; the proxy service keeps only its address.
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -537,6 +537,12 @@
                                 "no upstream is available for this request");
       co_return co_await std::move(responding);
     }
+    if (!pick_.choice().idempotent && !caller_->first_in_line()) {
+      pick_.finish({});  // no capacity of the upstream is reserved while responses ahead are delivered
+      auto waiting = caller_->wait_first_in_line();
+      co_await std::move(waiting);
+      if (!caller_->disconnected()) continue;
+    }
     // The pick may have waited long for a free slot; a caller that has disconnected meanwhile must not cause any work.
     if (caller_->disconnected()) {
       pick_.finish({});
--- a/node/h1_stream.h
+++ b/node/h1_stream.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +55,24 @@
     return !ec || ec == boost::asio::error::would_block;
   }
 
+  /// @return size of the message head at the front of the buffer; 0 if it is incomplete.
+  std::size_t buffered_head_size() const {
+    static constexpr std::string_view head_end = "\r\n\r\n";
+    const std::string_view text(static_cast<const char*>(buffer.data().data()), buffer.size());
+    const std::size_t end = text.find(head_end);
+    return end == std::string_view::npos ? 0 : end + head_end.size();
+  }
+
+  /// Reads what has arrived, at most 4 KiB, into the buffer. Does not wait.
+  /// @return an error if the connection has failed or the remote end has closed it.
+  boost::system::error_code read_available() {
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    const std::size_t size = socket.read_some(buffer.prepare(4096), ec);
+    buffer.commit(size);
+    return ec == boost::asio::error::would_block ? boost::system::error_code() : ec;
+  }
+
   /// @return true if the connection is open and no unread data exists. Does not wait.
   bool open_and_idle() {
     if (!socket.is_open() || buffer.size() != 0) return false;
@@ -83,6 +102,15 @@
     co_return ec;
   }
 
+  /// Parses a head that the stream's buffer holds completely. Does not wait, and leaves the buffer unchanged.
+  /// @param size of the head, from `buffered_head_size`.
+  /// @return false if the head is malformed.
+  bool parse_buffered_head(std::size_t size) {
+    boost::system::error_code ec;
+    const std::size_t parsed = parser_.put(boost::asio::buffer(stream_->buffer.data(), size), ec);
+    return !ec && parsed == size && parser_.is_header_done();
+  }
+
   /// Waits for body data.
   /// @return the data; empty at the end of the body; an error if the message is malformed or incomplete.
   awaitable<outcome<std::string>> read_body() {
--- a/node/links.h
+++ b/node/links.h
@@ -49,6 +49,13 @@
   /// @return true when the caller is known to have disconnected; does not wait.
   virtual bool disconnected() = 0;
 
+  /// @return true if every earlier request of the caller's connection has been answered. Only then may a request be
+  /// sent that must not be repeated: behind a response that ends the connection, the caller resends all others.
+  virtual bool first_in_line() const { return true; }
+
+  /// Waits until `first_in_line` or `disconnected`.
+  virtual awaitable<void> wait_first_in_line() { co_return; }
+
   /// Closes the connection or resets the stream at once, so that the caller can tell an incomplete response from a
   /// complete one.
   virtual void abort() = 0;
--- a/node/proxy_service.cc
+++ b/node/proxy_service.cc
@@ -75,6 +75,8 @@
   std::uint64_t next_session_id = 1;
   std::uint64_t requests = 0;
   std::uint64_t aborted = 0;
+  std::uint64_t pipelined = 0;
+  std::uint64_t pipelined_cancelled = 0;
   std::uint16_t port = 0;
   bool draining = false;
 };
@@ -103,7 +105,8 @@
   boost::asio::co_spawn(executor, std::move(task),
                         [end = ended_sessions.address(), id, kind](std::exception_ptr failure, session_counts counts) {
                           if (failure) log_event(log_level::error, "session_failed", {{"kind", to_name(kind)}});
-                          end.post(session_ended{id, kind, counts.requests, counts.aborted});
+                          end.post(session_ended{id, kind, counts.requests, counts.aborted, counts.pipelined,
+                                                 counts.pipelined_cancelled});
                         });
 }
 
@@ -161,6 +164,8 @@
     --self->session_counts_by_kind[end->kind];
     self->requests += end->requests;
     self->aborted += end->aborted;
+    self->pipelined += end->pipelined;
+    self->pipelined_cancelled += end->pipelined_cancelled;
     self->session_ended_signal.try_send(boost::system::error_code{});
   }
 }
@@ -286,6 +291,8 @@
                              {"sessions_by_kind", state_->count_sessions()},
                              {"requests", state_->requests},
                              {"cut", state_->aborted},
+                             {"pipelined", state_->pipelined},
+                             {"pipelined_cancelled", state_->pipelined_cancelled},
                              {"draining", state_->draining}};
 }
 
--- a/node/session_messages.h
+++ b/node/session_messages.h
@@ -29,8 +29,10 @@
 struct session_ended {
   std::uint64_t session_id = 0;
   session_kind kind = session_kind::caller;
-  std::uint64_t requests = 0;  ///< requests served
-  std::uint64_t aborted = 0;   ///< exchanges that ended before the response was complete
+  std::uint64_t requests = 0;             ///< requests served
+  std::uint64_t aborted = 0;              ///< exchanges that ended before the response was complete
+  std::uint64_t pipelined = 0;            ///< requests that were served as a part of a pipeline
+  std::uint64_t pipelined_cancelled = 0;  ///< of these, requests without a response because the connection ended
 };
 
 }  // namespace heatherdeck
