local_upstream, message_head: a response with an invalid status code fails the attempt

Cause: codes below 100 were skipped like interim responses, so the request was held until its deadline; codes above 599 were relayed to the caller, with the upstream's proof of origin. The mesh side accepted 600 to 999 and ":status" of another length than three digits.

Change: final responses have a status from 200 to 599, interim ones from 100 to 199 without 101; anything else is attempt_failure::invalid_response (outcome unknown), and the connection is closed. stray_response_test answers 1 in 20 bookings with such a code.

Local upstream, GET and POST, with and without X-Response-Seal: 000 and 099 end with 504 at the deadline, 600 and 999 reach the caller; 1000, 2x0, 0200, an empty code, 101 and 200 interim responses gave 502 already. Over two nodes the same. ":status" 0200 was accepted. That a caller received 000 itself was not reproduced.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -166,7 +166,8 @@
     for (int interim = 0; interim <= max_interim_responses; ++interim) {
       const auto ec = co_await reader_->read_head();
       if (ec) co_return connection_error(ec);
-      if (reader_->message().result_int() >= 200) {
+      const unsigned status = reader_->message().result_int();
+      if (is_final_status(status)) {
         response_head head = read_fields(*reader_);
         const response_id id = response_id_of(head, request_id_, *dialect_);
         if (!can_be_discarded(head, id)) {
@@ -180,13 +181,15 @@
         const outcome<void> discarded = co_await discard_body();
         if (!discarded) co_return discarded.failure();
       }
-      if (reader_->message().result_int() == 101) break;
+      if (!is_final_status(status) && !is_interim_status(status)) {
+        co_return error{error_kind::bad_message,
+                        "the upstream's response has the invalid status code " + std::to_string(status),
+                        "check the upstream",
+                        {}};
+      }
       new_reader();
     }
-    co_return error{error_kind::bad_message,
-                    "the upstream sent 101 or too many interim responses, which is not supported",
-                    "check the upstream",
-                    {}};
+    co_return error{error_kind::bad_message, "the upstream sent too many interim responses", "check the upstream", {}};
   }
 
   awaitable<outcome<std::string>> read_body() override { return reader_->read_body(); }
--- a/node/message_head.cc
+++ b/node/message_head.cc
@@ -425,13 +425,15 @@
   response_head head;
   for (const auto& [name, value] : fields) {
     if (name == ":status") {
-      head.status = static_cast<unsigned>(parse_number(value).value_or(0));
+      const auto status = value.size() == 3 && head.status == 0 ? parse_number(value) : std::nullopt;
+      if (!status || !is_final_status(*status)) return invalid_head("the response has an invalid status");
+      head.status = static_cast<unsigned>(*status);
     } else {
       head.add(name, value);
     }
   }
   head.finish();
-  if (head.status < 200 || head.status > 999) return invalid_head("the response has no valid status");
+  if (head.status == 0) return invalid_head("the response has no status");
   const bool bodiless = request_method == "HEAD" || head.status == 204 || head.status == 304;
   if (!bodiless && head.declared_length) {
     head.body = *head.declared_length == 0 ? body_framing::none : body_framing::sized;
--- a/testing/stray_response_test.cc
+++ b/testing/stray_response_test.cc
@@ -1,4 +1,5 @@
 // Responses that belong to no request, or to an earlier one, on connections to upstreams that echo the request's id.
+#include <array>
 #include <atomic>
 #include <map>
 #include <random>
@@ -152,11 +153,13 @@
   });
 }
 
-/// Rejects 4 in 10 bookings, and sends copies of its responses and rejections without an id late, at random times.
+/// Rejects 4 in 10 bookings, answers 1 in 20 of the others with an invalid status code, and sends copies of its
+/// responses and rejections without an id late, at random times.
 struct copying_upstream {
   std::mt19937 random;
   std::map<std::string, int> runs;
   int copies = 0;
+  int invalid = 0;  ///< responses with an invalid status code
 
   bool one_in(unsigned n) { return random() % n == 0; }
 
@@ -186,6 +189,12 @@
           continue;
         }
         ++runs[id];
+        if (one_in(20)) {
+          static const std::array<const char*, 6> statuses{"000", "099", "101", "1000", "2x0", "600"};
+          ++invalid;
+          co_await proxy_harness::send(*stream, response_of(id, statuses[random() % statuses.size()], id));
+          continue;
+        }
         boost::asio::steady_timer timer(stream->socket.get_executor(), std::chrono::microseconds(random() % 3000));
         (void)co_await timer.async_wait(use_tuple);
         const std::string text = response_of(id, "200 OK", id);
@@ -218,6 +227,8 @@
                 const auto response = co_await first.call(request_of("POST", id));
                 statuses[id] = response.result_int();
                 EXPECT_TRUE(response.result_int() != 200U || response.body() == id) << id;
+                const unsigned status = response.result_int();
+                EXPECT_TRUE(status == 200U || status == 502U || status == 503U) << id << " " << status;
               }
               ++ended;
             },
@@ -227,6 +238,7 @@
     });
   }
   EXPECT_GT(upstream.copies, callers);
+  EXPECT_GT(upstream.invalid, callers);
   for (const auto& [id, runs] : upstream.runs) {
     EXPECT_EQ(runs, 1) << id;
     EXPECT_NE(statuses[id], 503U) << id;
