--- a/testing/account_proxy_test.cc
+++ b/testing/account_proxy_test.cc
@@ -152,7 +152,9 @@
     }
     const std::size_t first = heads[0].find("x-tenant-id");
     EXPECT_EQ(first == std::string::npos, c.account.empty()) << c.what;
-    if (first != std::string::npos) EXPECT_EQ(heads[0].find("x-tenant-id", first + 1), std::string::npos);
+    if (first != std::string::npos) {
+      EXPECT_EQ(heads[0].find("x-tenant-id", first + 1), std::string::npos);
+    }
   }
 }
 
@@ -164,7 +166,9 @@
   EXPECT_EQ(response.result_int(), 200U);
   const std::vector<std::string> heads = upstream.take_heads();
   EXPECT_EQ(heads.size(), 1U);
-  if (!heads.empty()) EXPECT_NE(heads[0].find(forwarded_unchanged), std::string::npos) << heads[0];
+  if (!heads.empty()) {
+    EXPECT_NE(heads[0].find(forwarded_unchanged), std::string::npos) << heads[0];
+  }
 }
 
 const http_dialect& dialect() { return dialect_of(dialect_name::platform); }
--- a/testing/authentication_test.cc
+++ b/testing/authentication_test.cc
@@ -65,7 +65,9 @@
   std::string result_of(const request_attributes& attributes) {
     const pick_result answer = core.pick(now, attributes);
     if (const auto* r = std::get_if<refusal>(&answer)) {
-      if (r->reason == refusal_reason::unauthenticated) EXPECT_EQ(r->retry_after, 0ms) << "no promise to come back";
+      if (r->reason == refusal_reason::unauthenticated) {
+        EXPECT_EQ(r->retry_after, 0ms) << "no promise to come back";
+      }
       return std::string(to_name(r->reason));
     }
     const upstream_choice& choice = std::get<upstream_choice>(answer);
--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -141,6 +141,30 @@
 }
 
 // A change without a valid signature, or of a section that the operator does not own, must not reach the log.
+const section_edit keys_edit{"account_keys.00", R"({"acme":{"api_keys":["secret"]}})", {}};
+const section_edit accounts_edit{"accounts", "{}", {}};
+
+// Whoever reaches the API may read it, so it shows no API keys.
+TEST_F(control_service, sections_with_api_keys_are_not_shown) {
+  run([this]() -> awaitable<void> {
+    const auto ledger = *capture([&] { return k.find<ledger_message>(to_name(service_name::ledger)); });
+    std::vector<section_edit> edits{keys_edit, accounts_edit};
+    const ledger_command command = change("id-1", std::move(edits));
+    apply_entries committed;
+    committed.entries.push_back({1, 1, entry_kind::command, encode(command)});
+    ledger.post(std::move(committed));
+    http_request document{"GET", "/v1/document", {}, {}, {}};
+    http_response shown = co_await call(document);
+    EXPECT_NE(shown.body.find("\"accounts\""), std::string::npos) << shown.body;
+    EXPECT_EQ(shown.body.find("account_keys"), std::string::npos) << shown.body;
+    http_request section{"GET", "/v1/section", {{"name", "account_keys.00"}}, {}, {}};
+    shown = co_await call(section);
+    EXPECT_EQ(shown.status, 404U);
+    EXPECT_EQ(shown.body.find("secret"), std::string::npos) << shown.body;
+    EXPECT_EQ(boost::json::serialize(k.dump()).find("secret"), std::string::npos);
+  });
+}
+
 TEST_F(control_service, refuses_changes_that_are_not_signed_or_not_owned) {
   run([this]() -> awaitable<void> {
     submission altered = change("id-1", {services_edit});
