--- a/testing/fleet.cmake
+++ b/testing/fleet.cmake
@@ -28,3 +28,8 @@
 target_compile_definitions(booking_soak_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
 add_dependencies(booking_soak_test heatherdeckd)
 set_tests_properties(booking_soak_test PROPERTIES RUN_SERIAL TRUE)
+
+hd_test(accounts_deployment_test hd_fleet)
+target_sources(accounts_deployment_test PRIVATE soak_deployment.cc)
+target_compile_definitions(accounts_deployment_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
+add_dependencies(accounts_deployment_test heatherdeckd)
