--- a/model/account_section.cc
+++ b/model/account_section.cc
@@ -119,7 +119,7 @@
     {"priority", read_priority},
     {"rate_per_s", read_rate_per_s},
     {"burst", read_burst},
-    {"regions", read_regions},
+    {"allowed_regions", read_regions},
 };
 
 bool is_account_name(std::string_view name) {
@@ -193,7 +193,7 @@
     if (one.account.rate_per_s > 0) members["rate_per_s"] = one.account.rate_per_s;
     if (one.account.burst > 0) members["burst"] = one.account.burst;
     if (!one.account.regions.empty())
-      members["regions"] = json::array(one.account.regions.begin(), one.account.regions.end());
+      members["allowed_regions"] = json::array(one.account.regions.begin(), one.account.regions.end());
     by_name[one.account.name] = std::move(members);
   }
   return json::serialize(by_name);
--- a/model/section_parser.cc
+++ b/model/section_parser.cc
@@ -215,7 +215,8 @@
 }
 
 result<parsed_route> read_route(const yaml_node& node) {
-  BOOST_LEAF_CHECK(node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent", "anonymous", "regions"}));
+  BOOST_LEAF_CHECK(
+      node.expect_keys({"name", "match", "service", "timeout_ms", "idempotent", "anonymous", "allowed_regions"}));
   parsed_route out;
   out.where = node.where();
   BOOST_LEAF_ASSIGN(out.rule.name, read_required_identifier(node, "name", "route name"));
@@ -229,7 +230,7 @@
     BOOST_LEAF_AUTO(value, flag->as_bool());
     out.rule.idempotent = value;
   }
-  if (const yaml_node* regions = node.find("regions")) {
+  if (const yaml_node* regions = node.find("allowed_regions")) {
     BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
   }
   BOOST_LEAF_ASSIGN(out.rule.anonymous, bool_or(node, "anonymous", false));
@@ -257,7 +258,7 @@
 // Reads one entry of a map of routes. A path must start with the whole prefix, as it is written.
 result<parsed_route> read_keyed_route(const std::string& name, const yaml_node& node) {
   BOOST_LEAF_CHECK(node.expect_keys({"host", "path_prefix", "kind", "timeout_ms", "objective_ms", "priority", "service",
-                                     "split", "attempts", "name", "anonymous", "regions"}));
+                                     "split", "attempts", "name", "anonymous", "allowed_regions"}));
   parsed_route out;
   out.where = node.where();
   out.rule.name = name;
@@ -277,7 +278,7 @@
   out.rule.objective = std::chrono::milliseconds(objective);
   BOOST_LEAF_ASSIGN(out.rule.priority, number_or<std::uint32_t>(node, "priority", 0, 0, max_priority));
   BOOST_LEAF_ASSIGN(out.rule.attempts, number_or<std::uint32_t>(node, "attempts", 1, 1, max_route_attempts));
-  if (const yaml_node* regions = node.find("regions")) {
+  if (const yaml_node* regions = node.find("allowed_regions")) {
     BOOST_LEAF_ASSIGN(out.rule.regions, read_regions(*regions));
   }
   BOOST_LEAF_ASSIGN(out.rule.anonymous, bool_or(node, "anonymous", false));
--- a/testing/accounts_test.cc
+++ b/testing/accounts_test.cc
@@ -24,7 +24,7 @@
 const std::string second_key = "key-of-second-77ab";
 const std::string accounts_text =
     R"({"acme":{"api_keys":["key-of-first-8f31","old-1"],"priority":1,"rate_per_s":525,"burst":525.5},)"
-    R"("b.example":{"api_keys":["key-of-second-77ab"],"rate_per_s":0,"regions":["dar"]},"none":{"api_keys":[]}})";
+    R"("b.example":{"api_keys":["key-of-second-77ab"],"rate_per_s":0,"allowed_regions":["dar"]},"none":{"api_keys":[]}})";
 
 std::string text_with(const std::string& accounts, std::uint64_t label = 7) {
   const std::string member = accounts.empty() ? "" : ",\"accounts\":" + accounts;
@@ -127,8 +127,8 @@
       R"({"acme":{"api_keys":["secret"],"rate_per_s":"many"}})",
       R"({"acme":{"api_keys":["secret"],"rate_per_s":-3}})",
       R"({"acme":{"api_keys":["secret"],"burst":null}})",
-      R"({"acme":{"api_keys":["secret"],"regions":"dar"}})",
-      R"({"acme":{"api_keys":["secret"],"regions":[7]}})",
+      R"({"acme":{"api_keys":["secret"],"allowed_regions":"dar"}})",
+      R"({"acme":{"api_keys":["secret"],"allowed_regions":[7]}})",
       R"({"":{"api_keys":["secret"]}})",
       R"({"a b":{"api_keys":["secret"]}})",
       "{\"a\\r\\nx\":{\"api_keys\":[\"secret\"]}}",
--- a/testing/permitted_upstreams_test.cc
+++ b/testing/permitted_upstreams_test.cc
@@ -115,9 +115,9 @@
   state.sections["services"] = {"services", R"({"a":{"warmup_s":2.5,"warmup_per_s":17.5}})", {1, 1}};
   state.sections["routes.00"] = {
       "routes.00",
-      R"({"r":{"host":"h","path_prefix":"/","kind":"safe","timeout_ms":9,"service":"a","regions":["dar","mwa"]}})",
+      R"({"r":{"host":"h","path_prefix":"/","kind":"safe","timeout_ms":9,"service":"a","allowed_regions":["dar","mwa"]}})",
       {1, 1}};
-  state.sections["routes.list"] = {"routes.list", "- { name: l, service: a, regions: [kig] }\n", {1, 1}};
+  state.sections["routes.list"] = {"routes.list", "- { name: l, service: a, allowed_regions: [kig] }\n", {1, 1}};
   const auto compiled = capture([&] { return compile_document(state); });
   ASSERT_TRUE(compiled) << compiled.failure().message();
   EXPECT_EQ((*compiled)->routes[0].regions, (std::vector<std::string>{"dar", "mwa"}));
