--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -92,7 +92,6 @@
   std::vector<std::string> tried_targets;               ///< targets of earlier failed attempts
   bool may_have_run = false;   ///< an earlier attempt may have run, for example at an upstream that has crashed
   std::string pinned_service;  ///< later attempts: service of a split route that the first attempt chose
-  std::string account;         ///< client account, empty without one; from a peer: hd-account
   request_fingerprint fingerprint;
   bool body_unread = false;           ///< the fingerprint lacks the body, which has not been read
   std::optional<key_digest> api_key;  ///< of the key that the caller has presented; unset: none
