evacuation: once all zones have been seen, knowledge of them stays certain

A call for a zone that does not exist got 503 for as long as any member was suspected. What must not happen is that a control host which starts while a zone is cut off takes it for unknown, so it is enough that all control hosts have been in touch once since the start of the process.

--- a/control/evacuation.cc
+++ b/control/evacuation.cc
@@ -63,15 +63,11 @@
     all_in_touch_since_.reset();
   } else if (!all_in_touch_since_) {
     all_in_touch_since_ = now;
+  } else if (now - *all_in_touch_since_ >= settling_time) {
+    zones_.complete = true;
   }
 }
 
-known_zones zone_registry::known(time_point now) const {
-  known_zones zones = zones_;
-  zones.complete = all_in_touch_since_ && now - *all_in_touch_since_ >= settling_time;
-  return zones;
-}
-
 result<std::set<std::string>> evacuated_zones(const document_state& document) {
   const auto held = document.sections.find(section_name);
   if (held == document.sections.end()) return std::set<std::string>();
--- a/control/evacuation.h
+++ b/control/evacuation.h
@@ -5,7 +5,7 @@
 ///
 ///     zone_registry zones(founder_addresses);
 ///     zones.observe(members, now);                                                  // once a second
-///     auto change = plan_evacuation(evacuation_call::start, "dar-1", document, zones.known(now));
+///     auto change = plan_evacuation(evacuation_call::start, "dar-1", document, zones.known());
 ///     if (change && *change) ...                                                    // submit **change
 ///
 /// The section is a JSON list of zone names. It is never removed, because its revision must not return to an earlier
@@ -55,9 +55,10 @@
 
   void observe(const std::vector<member_record>& members, time_point now);
 
-  /// @return the zones; complete if every control host and every member has been in touch for the settling time. Each
-  ///   zone that can be cut off has a control host or a node, so none is cut off then.
-  known_zones known(time_point now) const;
+  /// @return the zones; complete from the time on when all control hosts and members have been in touch together for
+  /// the
+  ///   settling time. No zone was cut off then, and the members of a later zone are seen when they join.
+  const known_zones& known() const { return zones_; }
 
  private:
   std::set<std::string> control_hosts_;  ///< IP addresses
