--- a/testing/permitted_upstreams_test.cc
+++ b/testing/permitted_upstreams_test.cc
@@ -69,6 +69,21 @@
   EXPECT_EQ(pick_for_peer(), "dar-1") << "the evacuation has ended";
 }
 
+// All nodes return to the zone at the same moment, and the upstreams that were idle may be cold.
+TEST_F(permitted_upstreams, zone_gets_requests_slowly_after_its_evacuation) {
+  const auto weight = [&] {
+    const boost::json::value state = core.dump(now);
+    return state.at_pointer("/services/certdesk/upstreams/0/weight").to_number<double>();
+  };
+  set_document({"dar-2"});
+  set_zones({"dar-2"});
+  core.take_answers(now);
+  EXPECT_EQ(weight(), 1);
+  set_document({});
+  core.take_answers(now);
+  EXPECT_EQ(weight(), slow_start::min_weight);
+}
+
 // A suspected request has one upstream, found by rank among all.
 TEST_F(permitted_upstreams, none_of_an_evacuated_zone_is_chosen_for_a_trial) {
   set_document({"dar-1"});
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -264,6 +265,7 @@
   bool any_permitted(const service_state& traffic, const choice_criteria& criteria) const;
   bool cold(const upstream& u, time_point now) const;
   void update_rate_limit(upstream& u, time_point now);
+  void start_slowly_after_evacuation(time_point now);
   void move_unpermitted_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
@@ -309,8 +311,9 @@
   version_circuit_breaker circuit_breaker_;
   traffic_counters counters_;
   quarantine_list_ptr quarantine_ = std::make_shared<quarantine_list>();
-  bool document_changed_ = false;    ///< since the requests that wait were last compared with it
-  bool quarantine_changed_ = false;  ///< since the requests that wait were last compared with it
+  std::set<std::string> evacuated_before_;  ///< zones of the document with which waiting requests were last compared
+  bool document_changed_ = false;           ///< since the requests that wait were last compared with it
+  bool quarantine_changed_ = false;         ///< since the requests that wait were last compared with it
   std::vector<quarantine_message> quarantine_reports_;
   std::optional<time_point> first_view_at_;
   std::optional<heatherdeck::start_draining> stop_;  ///< set while the process is stopping
--- a/traffic/traffic_core_rules.cc
+++ b/traffic/traffic_core_rules.cc
@@ -59,11 +59,23 @@
   u.limited_as_cold = now_cold;
 }
 
+// When an evacuation ends, all nodes would send to the zone at once, and its idle upstreams may be cold.
+void traffic_core::start_slowly_after_evacuation(time_point now) {
+  const auto ended = [&](const std::string& zone) {
+    return evacuated_before_.contains(zone) && !document_->evacuated_zones.contains(zone);
+  };
+  for (const auto& [key, u] : upstreams_) {
+    if (ended(u->availability_zone)) u->warmup.became_ready(now);
+  }
+  evacuated_before_ = document_->evacuated_zones;
+}
+
 // Requests that wait for an upstream of this host which may not serve them any more. One from another node is refused,
 // and that node looks for another upstream; one from a caller is chosen for again here.
 void traffic_core::move_unpermitted_waiters(time_point now,
                                             std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   if (!std::exchange(document_changed_, false)) return;
+  start_slowly_after_evacuation(now);
   std::vector<std::pair<std::uint64_t, queued_attempt>> removed;
   for (auto next = waiting_.begin(); next != waiting_.end();) {
     const auto waiter = next++;
