--- a/testing/permitted_upstreams_test.cc
+++ b/testing/permitted_upstreams_test.cc
@@ -62,12 +62,28 @@
   set_zones({"dar-1", "dar-2", "mwa-1"});
   EXPECT_EQ((names{pick(), pick(), pick()}), names{"dar-2"});
   EXPECT_EQ(pick(), "no_upstream") << "all connections are used";
-  EXPECT_EQ(pick({"dar-2"}), "no_upstream");
   EXPECT_EQ(pick_for_peer(), "no_upstream") << "the other node has an older document";
+  set_document({"dar-1", "dar-2", "mwa-1"});
+  EXPECT_EQ(pick({"dar-2"}), "no_upstream") << "a retry when no zone is left";
   set_document({});
   EXPECT_EQ(pick_for_peer(), "dar-1") << "the evacuation has ended";
 }
 
+// All nodes return to the zone at the same moment, and the upstreams that were idle may be cold.
+TEST_F(permitted_upstreams, zone_gets_requests_slowly_after_its_evacuation) {
+  const auto weight = [&] {
+    const boost::json::value state = core.dump(now);
+    return state.at_pointer("/services/certdesk/upstreams/0/weight").to_number<double>();
+  };
+  set_document({"dar-2"});
+  set_zones({"dar-2"});
+  core.take_answers(now);
+  EXPECT_EQ(weight(), 1);
+  set_document({});
+  core.take_answers(now);
+  EXPECT_EQ(weight(), slow_start::min_weight);
+}
+
 // A suspected request has one upstream, found by rank among all.
 TEST_F(permitted_upstreams, none_of_an_evacuated_zone_is_chosen_for_a_trial) {
   set_document({"dar-1"});
