--- a/traffic/admission_queue.cc
+++ b/traffic/admission_queue.cc
@@ -24,6 +24,10 @@
 // A late request runs only while more than this part of the slots is free. Up to a third of them made no difference;
 // without any, late requests took slots from others that came a moment later and could have been in time.
 constexpr double slots_kept_from_late = 0.25;
+// No slots are kept where most requests are late anyway, for example at an upstream that needs longer than the
+// objective.
+constexpr double min_timely_part = 0.5;
+constexpr double timely_weight = 0.02;
 // Bounds of the retry-after hint: long enough that a retry may succeed, short enough that freed slots are used.
 constexpr milliseconds min_retry_after{50};
 constexpr milliseconds max_retry_after{1000};
@@ -103,7 +107,8 @@
 }
 
 bool admission_queue::has_slots_for_late() const {
-  return running_ == 0 || running_ + std::ceil(slots_ * slots_kept_from_late) < slots_;
+  if (running_ == 0 || timely_part_ < min_timely_part) return running_ < slots_;
+  return running_ + std::ceil(slots_ * slots_kept_from_late) < slots_;
 }
 
 // A full queue gives up the request whose rejection costs least, if that is less than the cost of rejecting the new
@@ -154,6 +159,7 @@
   // The caller would give up before the response: the run would only take a slot from another request.
   if (now + to_duration(route_time.mean_ms) > request.deadline) return admission_decision::refuse;
   const bool late = now + to_duration(route_time.mean_ms) > request.objective;
+  timely_part_ += timely_weight * ((late ? 0 : 1) - timely_part_);
   if (late && !request.nested && !has_slots_for_late()) return admission_decision::refuse;
   if (running_ < slots_ && waiting_.empty() && rate_.try_start(now)) {
     start(now, request);
--- a/traffic/admission_queue.h
+++ b/traffic/admission_queue.h
@@ -113,6 +113,9 @@
   std::uint32_t running() const { return running_; }
   std::size_t waiting() const { return waiting_.size(); }
 
+  /// @return client accounts whose shares the queue keeps.
+  std::size_t accounts() const { return shares_.accounts(); }
+
   /// @return how many requests were displaced after they had been queued.
   std::uint64_t displaced() const { return displaced_count_; }
 
@@ -164,6 +167,7 @@
   service_time overall_;                        ///< over all routes
   std::map<std::string, service_time> routes_;  ///< by route name
   double pace_ = 1;
+  double timely_part_ = 1;  ///< of the requests that come: those that could be in time if they ran at once
   fair_share shares_;
   std::vector<waiting_request> waiting_;  ///< in order of arrival
   std::vector<std::uint64_t> displaced_;  ///< removed from waiting_, and not yet returned by take_expired
--- a/traffic/fair_share.cc
+++ b/traffic/fair_share.cc
@@ -16,10 +16,12 @@
 constexpr double noise_deviations = 2;
 constexpr double noise_requests = 2;
 constexpr double max_within_usual = 2;
+// The shares measured in this time after the first request are taken for the usual ones.
+constexpr duration first_shares_period = std::chrono::seconds(5);
 // An account with nearly all of the requests has no others to be compared with.
-constexpr double min_part_of_others = 0.05;
-// Usual sum of an account that has been idle for some minutes.
-constexpr double idle_sum = 0.1;
+constexpr double max_usual_share = 0.95;
+// An account without requests for so long gives up its place in the table.
+constexpr duration idle_period = std::chrono::minutes(2);
 // From the first of these numbers of missing starts on, an account's requests rank with those of the most urgent
 // accounts, and from the second on they go before all: an account that sends only requests of the least urgent routes
 // gets its share too. With 1 and 2, chance alone made starts due to accounts that got what others did; with 2 and 3 the
@@ -57,18 +59,28 @@
   const auto known = accounts_.find(account);
   if (known != accounts_.end()) return &known->second;
   if (accounts_.size() >= max_accounts) {
-    std::erase_if(accounts_, [&](const auto& item) { return item.second.usual.at(now) < idle_sum; });
+    std::erase_if(accounts_, [&](const auto& item) { return now - item.second.updated_at > idle_period; });
   }
   if (accounts_.size() >= max_accounts) return nullptr;
-  return &accounts_[account];
+  account_state& added = accounts_[account];
+  added.updated_at = now;
+  return &added;
 }
 
-bool fair_share::is_excess(time_point now, account_state& account) {
-  const double usual = account.usual.at(now);
-  const double usual_of_others = usual_.at(now) - usual;
+// The usual share follows the recent one with time and not with the number of requests: under overload each of them
+// comes several times, and a surge would become usual within a second.
+void fair_share::learn_usual(time_point now, account_state& account) const {
+  const double share = account.recent.at(now) / recent_.at(now);
+  const double elapsed_s = std::chrono::duration<double>(now - account.updated_at).count();
+  const bool first = now - *first_arrival_ < first_shares_period;
+  account.usual_share += (first ? 1 : 1 - std::exp2(-elapsed_s / usual_s)) * (share - account.usual_share);
+  account.updated_at = now;
+}
+
+bool fair_share::is_excess(time_point now, account_state& account) const {
+  if (account.usual_share > max_usual_share) return false;
   const double recent = account.recent.at(now);
-  if (recent <= 0 || usual_of_others < min_part_of_others * usual) return false;
-  const double expected = usual / usual_of_others * (recent_.at(now) - recent);
+  const double expected = account.usual_share / (1 - account.usual_share) * (recent_.at(now) - recent);
   const double allowed = expected + noise_deviations * std::sqrt(std::max(0.0, expected)) + noise_requests;
   account.within_usual = std::min(max_within_usual, account.within_usual + std::min(1.0, allowed / recent));
   if (account.within_usual < 1) return true;
@@ -82,10 +94,10 @@
   share_standing standing{.owed = routes_[route].on_arrival(route_part * started) >= owed_credit};
   account_state* const state = account.empty() ? nullptr : find_or_add(now, account);
   if (state == nullptr) return standing;
+  if (!first_arrival_) first_arrival_ = now;
   recent_.add(now, 1);
-  usual_.add(now, 1);
   state->recent.add(now, 1);
-  state->usual.add(now, 1);
+  learn_usual(now, *state);
   standing.excess = is_excess(now, *state);
   // What the account sends beyond its usual share earns it no further starts.
   const double credit = state->credit.on_arrival(standing.excess ? 0 : account_part * started);
--- a/traffic/fair_share.h
+++ b/traffic/fair_share.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "kernel/timer_service.h"
@@ -44,7 +45,7 @@
 class fair_share {
  public:
   static constexpr std::size_t max_accounts = 1024;
-  /// Half-lives of the sums that show what an account sends now and what it usually sends. A surge of some seconds
+  /// Half-lives of the averages that show what an account sends now and what it usually sends. A surge of some seconds
   /// fills the first and hardly changes the second.
   static constexpr double recent_s = 2;
   static constexpr double usual_s = 60;
@@ -78,20 +79,22 @@
 
   struct account_state {
     decaying_sum recent{recent_s};
-    decaying_sum usual{usual_s};
+    double usual_share = 0;  ///< of the requests of all accounts
+    time_point updated_at{};
     double within_usual = 0;  ///< requests that may still be counted as usual
     start_credit credit;
   };
 
   account_state* find_or_add(time_point now, const std::string& account);
-  bool is_excess(time_point now, account_state& account);
+  void learn_usual(time_point now, account_state& account) const;
+  bool is_excess(time_point now, account_state& account) const;
   double started_part(time_point now) const;
 
   std::map<std::string, account_state> accounts_;
   std::map<std::string, start_credit> routes_;
-  decaying_sum recent_{recent_s};  ///< requests with an account
-  decaying_sum usual_{usual_s};
-  decaying_sum arrivals_{recent_s};  ///< all requests
+  decaying_sum recent_{recent_s};            ///< requests with an account
+  std::optional<time_point> first_arrival_;  ///< of a request with an account
+  decaying_sum arrivals_{recent_s};          ///< all requests
   decaying_sum starts_{recent_s};
 };
 
--- a/traffic/traffic_core_view.cc
+++ b/traffic/traffic_core_view.cc
@@ -92,7 +92,15 @@
     }
   }
   const bool out = !shown.usable || status == outlier_ejector::status::ejected || why == "version cut locally";
+  boost::json::value queue;
+  if (shown.locality == locality_class::local) {
+    queue = {{"running", shown.admission.running()},
+             {"waiting", shown.admission.waiting()},
+             {"displaced", shown.admission.displaced()},
+             {"accounts", shown.admission.accounts()}};
+  }
   return {{"target", shown.endpoint.target},
+          {"queue", std::move(queue)},
           {"version", shown.endpoint.upstream_version},
           {"node", shown.node_id},
           {"zone", shown.availability_zone},
