--- a/control/ledger.h
+++ b/control/ledger.h
@@ -79,6 +79,8 @@
 
   std::uint64_t applied() const { return content_.applied; }
   const document_state& document() const { return content_.document; }
+  /// @return the compiled document; null while there is none.
+  const compiled_document_ptr& compiled() const { return compiled_; }
   const document_history& history() const { return content_.history; }
   const ledger_content& content() const { return content_; }
 
--- a/control/ledger_service.cc
+++ b/control/ledger_service.cc
@@ -60,8 +60,8 @@
   (void)co_await ledger.send(std::move(report));
 }
 
-template <class Message>
-awaitable<void> send_task(address<Message> target, document_changed change) {
+template <class Message, class Change>
+awaitable<void> send_task(address<Message> target, Change change) {
   Message message = std::move(change);
   (void)co_await target.send(std::move(message));
 }
@@ -84,6 +84,8 @@
   BOOST_LEAF_ASSIGN(consensus_, k.find<consensus_message>(to_name(service_name::consensus)));
   const auto publisher = capture([&] { return k.find<publisher_message>(to_name(service_name::publisher)); });
   if (publisher) publisher_ = *publisher;
+  const auto permits = capture([&] { return k.find<permits_message>(to_name(service_name::permits)); });
+  if (permits) permits_ = *permits;
   const auto rollout = capture([&] { return k.find<rollout_message>(to_name(service_name::rollout)); });
   if (rollout) rollout_ = *rollout;
   const auto operators = capture([&] { return k.find<operators_message>(to_name(service_name::operators)); });
@@ -320,13 +322,14 @@
   log_event(log_level::info, "document_changed",
             {{"version", document_->document_version.text()}, {"sections", document_->sections.size()}});
   deliver(publisher_, change);
+  if (permits_ && state_.compiled()) deliver(permits_, limits_changed{state_.compiled()});
   deliver(rollout_, change);
   deliver(operators_, change);
 }
 
 // A change must not be lost when the mailbox is full; a child task waits until there is room.
-template <class Message>
-void ledger_service::deliver(const address<Message>& target, const document_changed& change) {
+template <class Message, class Change>
+void ledger_service::deliver(const address<Message>& target, const Change& change) {
   if (!target || target.post(change)) return;
   boost::asio::co_spawn(kernel_->executor(), send_task(target, change), boost::asio::detached);
 }
--- a/control/ledger_service.h
+++ b/control/ledger_service.h
@@ -73,8 +73,8 @@
   void answer_from_store(const pending_command& pending, const error& otherwise);
   void answer_reads();
   void notify_document_changed();
-  template <class Message>
-  void deliver(const address<Message>& target, const document_changed& change);
+  template <class Message, class Change>
+  void deliver(const address<Message>& target, const Change& change);
   void fail_process(const char* event, const error& e);
 
   std::uint64_t epoch_;
@@ -92,6 +92,7 @@
   std::optional<mailbox<ledger_message>> inbox_;
   address<consensus_message> consensus_;
   address<publisher_message> publisher_;
+  address<permits_message> permits_;
   address<rollout_message> rollout_;
   address<operators_message> operators_;
 };
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -61,6 +61,9 @@
   if (k.has(to_name(service_name::rollout))) {
     BOOST_LEAF_ASSIGN(rollout_, k.find<rollout_message>(to_name(service_name::rollout)));
   }
+  if (k.has(to_name(service_name::permits))) {
+    BOOST_LEAF_ASSIGN(permits_, k.find<permits_message>(to_name(service_name::permits)));
+  }
   tick_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(publisher_tick{}); });
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   boost::asio::co_spawn(k.executor(), accept_streams(), boost::asio::detached);
@@ -197,6 +200,11 @@
   rollout_.post(evidence_received{peer.node_id, peer.availability_zone, report});
 }
 
+void publisher_service::on_node_message(std::uint64_t id, const permit_request& request) {
+  const auto to = outgoing_.find(id);
+  if (permits_ && to != outgoing_.end()) permits_.post(permits_requested{id, request, to->second});
+}
+
 void publisher_service::send(const publisher_core::offer& offer) {
   const auto found = outgoing_.find(offer.to);
   if (found == outgoing_.end()) return;
--- a/control/publisher_service.h
+++ b/control/publisher_service.h
@@ -2,7 +2,8 @@
 /// Service "publisher" of a control host: serves the subscriptions of nodes to the document.
 ///
 /// Uses the services "ledger" (returns confirmed states on request and posts document_changed to this service),
-/// "consensus" (reports whether there is a quorum) and "rollout" (receives the evidence that nodes report). Publishes
+/// "consensus" (reports whether there is a quorum), "rollout" (receives the evidence that nodes report) and "permits"
+/// (receives and answers their requests for permits). Publishes
 /// address<publisher_message> and address<incoming_stream> (stream_kind::subscribe).
 ///
 /// One task owns the core and makes all decisions. Each subscription has a task that owns its stream
@@ -61,6 +62,7 @@
   void on_node_message(std::uint64_t id, const applied_report& report);
   void on_node_message(std::uint64_t id, const refused_report& report);
   void on_node_message(std::uint64_t id, const evidence_report& report);
+  void on_node_message(std::uint64_t id, const permit_request& request);
 
   void send(const publisher_core::offer& offer);
   void send(const std::vector<publisher_core::offer>& offers);
@@ -76,6 +78,7 @@
   address<ledger_message> ledger_;
   address<consensus_message> consensus_;
   address<rollout_message> rollout_;
+  address<permits_message> permits_;
   subscription tick_;
   subscription confirmation_retry_;
   std::map<std::uint64_t, address<shared_frame>> outgoing_;
--- a/control/subscription_task.cc
+++ b/control/subscription_task.cc
@@ -12,8 +12,9 @@
 namespace heatherdeck {
 namespace {
 
-// Holds one unanswered offer and a few keep-alives; a node that needs more reads too slowly.
-constexpr std::size_t outgoing_capacity = 4;
+// Holds one unanswered offer, a few keep-alives and answers to requests for permits; a node that needs more reads too
+// slowly.
+constexpr std::size_t outgoing_capacity = 8;
 constexpr std::uint32_t h2_cancel = 8;
 
 struct subscription_state {
--- a/daemon/service_table.cc
+++ b/daemon/service_table.cc
@@ -5,6 +5,7 @@
 #include "consensus/consensus_service.h"
 #include "control/ledger_service.h"
 #include "control/operators_service.h"
+#include "control/permits_service.h"
 #include "control/publisher_service.h"
 #include "control/rollout_service.h"
 #include "daemon/admin_service.h"
@@ -41,6 +42,7 @@
     {nullptr, &make_service<mesh_service>},
     {&settings::is_control, &make_service<consensus_service>},
     {&settings::is_control, &make_service<ledger_service>},
+    {&settings::is_control, &make_service<permits_service>},
     {&settings::is_control, &make_service<publisher_service>},
     {&settings::is_control, &make_service<rollout_service>},
     {&settings::is_control, &make_service<operators_service>},
--- a/model/distribution_messages.h
+++ b/model/distribution_messages.h
@@ -15,6 +15,7 @@
 
 #include "kernel/error.h"
 #include "model/document.h"
+#include "model/permit_messages.h"
 
 namespace heatherdeck {
 
@@ -59,7 +60,7 @@
   std::vector<withdrawn_key> disabled_locally;  ///< versions that this node stopped using because of its own counts
 };
 
-using node_message = std::variant<subscribe_request, applied_report, refused_report, evidence_report>;
+using node_message = std::variant<subscribe_request, applied_report, refused_report, evidence_report, permit_request>;
 
 /// A new version, as the whole document.
 struct snapshot_offer {
@@ -86,6 +87,6 @@
   std::chrono::milliseconds retry_after{0};
 };
 
-using control_message = std::variant<keepalive, snapshot_offer, delta_offer, busy_notice>;
+using control_message = std::variant<keepalive, snapshot_offer, delta_offer, busy_notice, permit_answer>;
 
 }  // namespace heatherdeck
--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -15,6 +15,7 @@
 #include "model/directory_messages.h"
 #include "model/distribution_messages.h"
 #include "model/ledger_messages.h"
+#include "model/permit_messages.h"
 
 namespace heatherdeck {
 
@@ -86,6 +87,13 @@
   evidence_report report;
 };
 
+/// Posted by `traffic` to `subscriber`: a request for permits. It counts the permits of one stream, so it must not be
+/// sent on another one.
+struct send_permit_request {
+  std::uint64_t stream = 0;  ///< as in permit_source_changed
+  permit_request request;
+};
+
 /// Periodic timer of the subscriber.
 struct subscriber_tick {};
 
@@ -116,6 +124,6 @@
 };
 
 using subscriber_message = std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened,
-                                        reconnect_due, directory_changed>;
+                                        reconnect_due, directory_changed, send_permit_request>;
 
 }  // namespace heatherdeck
--- a/model/service_names.h
+++ b/model/service_names.h
@@ -12,6 +12,7 @@
 enum class service_name {
   consensus,      ///< replicated log of the control hosts
   ledger,         ///< replicated state: document, submissions, rollouts, withdrawn versions
+  permits,        ///< grants permits of the fleet-wide rate limit, on a control host
   publisher,      ///< sends the document to subscribed nodes, on a control host
   rollout,        ///< plans rollout steps and decides on rollback; active on the leader
   configuration,  ///< HTTP API for whole configurations and rollouts, on a control host
@@ -33,6 +34,7 @@
   static constexpr auto entries = std::to_array<enum_entry<service_name>>({
       {service_name::consensus, "consensus"},
       {service_name::ledger, "ledger"},
+      {service_name::permits, "permits"},
       {service_name::publisher, "publisher"},
       {service_name::rollout, "rollout"},
       {service_name::configuration, "configuration"},
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -18,6 +18,7 @@
 #include "kernel/mailbox.h"
 #include "model/compiled_document.h"
 #include "model/directory_messages.h"
+#include "model/permit_messages.h"
 #include "model/quarantine_list.h"
 
 namespace heatherdeck {
@@ -49,6 +50,8 @@
   hops,
   quarantined,  ///< it has crashed upstreams
   on_trial,     ///< it is suspected to crash upstreams, and another copy of it is running
+  over_limit,   ///< its client account is over its limit
+  limit_unavailable,  ///< the control host that grants permits to its client account has not answered
 };
 
 template <>
@@ -64,6 +67,8 @@
       {refusal_reason::hops, "hops"},
       {refusal_reason::quarantined, "quarantined"},
       {refusal_reason::on_trial, "on_trial"},
+      {refusal_reason::over_limit, "over_limit"},
+      {refusal_reason::limit_unavailable, "limit_unavailable"},
   });
 };
 
@@ -216,7 +221,14 @@
   time_point ends_at;     ///< latest time at which a response begins that still reaches its caller
 };
 
+/// Sent by `subscriber` when its stream to a control host has been opened, with a number that is never reused; 0: there
+/// is none.
+struct permit_source_changed {
+  std::uint64_t stream = 0;
+};
+
 using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
-                                     finish_call, local_load, upstream_stated, start_draining, quarantine_changed>;
+                                     finish_call, local_load, upstream_stated, start_draining, quarantine_changed,
+                                     permit_source_changed, permit_answer>;
 
 }  // namespace heatherdeck
--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -288,7 +288,8 @@
   core_.mark_response_started();
   if (decision.execution != execution_status::not_executed)
     refused_reason.clear();  // hd-refused implies that the request was not executed
-  const bool retry_later = decision.execution == execution_status::not_executed && decision.status == 503 && !pick_;
+  const bool retry_later = decision.execution == execution_status::not_executed && !pick_ &&
+                           (decision.status == 503 || decision.status == 429);
   log_event(log_level::info, "request_refused",
             {{"request", head_.request_id},
              {"fingerprint", to_text(fingerprint())},
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -49,6 +49,8 @@
     {refusal_reason::hops, 508},
     {refusal_reason::quarantined, 503},
     {refusal_reason::on_trial, 503},
+    {refusal_reason::over_limit, 429},
+    {refusal_reason::limit_unavailable, 503},
 });
 
 }  // namespace
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -117,6 +117,7 @@
   actions on_offer(const snapshot_offer& offer);
   actions on_offer(const delta_offer& offer);
   actions on_offer(const busy_notice& notice);
+  static actions on_offer(const permit_answer&) { return {}; }  // goes to "traffic"
   bool should_accept(const version& offered);
   bool is_unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -118,6 +118,8 @@
   }
   stream_ = m.stream;
   core_.on_connected(timer_service::now());
+  traffic_message permit_source = permit_source_changed{generation_};
+  (void)co_await traffic_.send(std::move(permit_source));
   log_event(log_level::info, "subscribed", {{"source", core_.source()}, {"version", core_.held_version().text()}});
   node_message request = core_.request();
   co_await write(std::move(request));
@@ -137,6 +139,11 @@
     disconnect("a message could not be decoded", std::nullopt);
     co_return;
   }
+  // An answer may come before the first offer, whose meaning depends on being the first.
+  if (const auto* permits = std::get_if<permit_answer>(&*message)) {
+    traffic_.post(*permits);
+    co_return;
+  }
   const bool had_quorum = core_.source_has_quorum();
   subscriber_core::actions r = core_.on_message(*message, timer_service::now());
   if (core_.source_has_quorum() != had_quorum) {
@@ -183,6 +190,12 @@
   co_await write(std::move(message));
 }
 
+awaitable<void> subscriber_service::handle(send_permit_request m) {
+  if (m.stream != generation_) co_return;
+  node_message message = std::move(m.request);
+  co_await write(std::move(message));
+}
+
 awaitable<void> subscriber_service::write(node_message message) {
   if (!stream_) co_return;
   const std::shared_ptr<h2_stream> stream = stream_;
@@ -199,6 +212,7 @@
              {"version", core_.held_version().text()},
              {"silent_ms", silent.count()}});
   core_.on_disconnected();
+  traffic_.post(permit_source_changed{0});
   if (stream_) stream_->reset(h2_cancel);
   stream_.reset();
   schedule_attempt(retry_after);
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -45,6 +45,7 @@
   awaitable<void> handle(source_closed m);
   awaitable<void> handle(source_opened m);
   awaitable<void> handle(reconnect_due m);
+  awaitable<void> handle(send_permit_request m);
   awaitable<void> write(node_message message);
   void disconnect(const std::string& reason, std::optional<milliseconds> retry_after);
   void schedule_attempt(std::optional<milliseconds> retry_after);
--- /dev/null
+++ b/testing/fleet_limit_test.cc
@@ -0,0 +1,88 @@
+// Property test of the fleet-wide rate limit: whatever happens to nodes, control hosts, links and limits, no window of
+// 5 s has more requests of an account than the limit allows.
+#include <cstdlib>
+#include <iostream>
+
+#include <gtest/gtest.h>
+
+#include "testing/permit_simulation.h"
+
+namespace heatherdeck {
+namespace {
+
+std::uint64_t schedules(std::uint64_t usual) {
+  const char* asked = std::getenv("HD_SCHEDULES");
+  return asked != nullptr ? std::strtoull(asked, nullptr, 10) : usual;
+}
+
+struct total {
+  permit_simulation_result sum;
+  std::uint64_t broken = 0;
+  std::uint64_t first_broken_seed = 0;
+};
+
+total run_all(std::uint64_t first_seed, std::uint64_t count, permit_simulation_options options) {
+  total all;
+  for (std::uint64_t seed = first_seed; seed < first_seed + count; ++seed) {
+    options.seed = seed;
+    options.hosts = seed % 5 == 0 ? 3 : 6;
+    const permit_simulation_result r = permit_simulation(options).run();
+    all.sum.worst_excess = std::max(all.sum.worst_excess, r.worst_excess);
+    all.sum.arrived += r.arrived;
+    all.sum.sent += r.sent;
+    all.sum.below_limit += r.below_limit;
+    all.sum.over_limit += r.over_limit;
+    all.sum.unavailable += r.unavailable;
+    all.sum.node_messages += r.node_messages;
+    all.sum.loan_messages += r.loan_messages;
+    if (r.worst_excess > 0 && all.broken++ == 0) all.first_broken_seed = seed;
+  }
+  const auto share = [&](std::uint64_t part) {
+    return 100.0 * static_cast<double>(part) / static_cast<double>(all.sum.arrived);
+  };
+  std::cout << count << " schedules: worst excess " << all.sum.worst_excess << ", broken " << all.broken
+            << " (first seed " << all.first_broken_seed << "), arrived " << all.sum.arrived << ", sent "
+            << share(all.sum.sent) << "%, refused below the limit " << share(all.sum.below_limit) << "%, over limit "
+            << share(all.sum.over_limit) << "%, unavailable " << share(all.sum.unavailable) << "%, messages a request "
+            << share(all.sum.node_messages) / 100 << " of nodes, " << share(all.sum.loan_messages) / 100
+            << " between hosts\n";
+  return all;
+}
+
+double below_limit(const total& all) {
+  return static_cast<double>(all.sum.below_limit) / static_cast<double>(all.sum.arrived);
+}
+
+TEST(fleet_limit, without_faults) {
+  const total all = run_all(1, schedules(200), {});
+  EXPECT_EQ(all.broken, 0U);
+  EXPECT_LT(below_limit(all), 0.01);
+}
+
+TEST(fleet_limit, with_a_fault_every_eight_seconds) {
+  const total all = run_all(5'000, schedules(400), {.faults = true, .length = std::chrono::seconds(32), .fault_period_s = 8});
+  EXPECT_EQ(all.broken, 0U);
+  EXPECT_LT(below_limit(all), 0.05);
+}
+
+TEST(fleet_limit, with_many_faults) {
+  EXPECT_EQ(run_all(10'000, schedules(1500), {.faults = true}).broken, 0U);
+}
+
+// The worst that nodes can do with permits that they hold.
+TEST(fleet_limit, with_nodes_that_hoard_permits) {
+  EXPECT_EQ(run_all(20'000, schedules(500), {.overload = 1, .hoard = true}).broken, 0U);
+  EXPECT_EQ(run_all(30'000, schedules(500), {.faults = true, .overload = 1, .hoard = true}).broken, 0U);
+}
+
+// The test must be able to fail: without these mechanisms the bound is exceeded.
+TEST(fleet_limit, bound_fails_without_expiry) {
+  EXPECT_GT(run_all(30'000, 100, {.faults = true, .overload = 1, .hoard = true, .ignore_expiry = true}).broken, 0U);
+}
+
+TEST(fleet_limit, bound_fails_when_the_lender_does_not_deduct) {
+  EXPECT_GT(run_all(10'000, 20, {.faults = true, .lend_without_deducting = true}).broken, 0U);
+}
+
+}  // namespace
+}  // namespace heatherdeck
--- a/testing/traffic.cmake
+++ b/testing/traffic.cmake
@@ -23,3 +23,8 @@
 hd_test(upstream_rate_limit_test hd_caller_simulation)
 hd_test(crashing_request_test hd_caller_simulation)
 hd_test(crashing_request_more_seeds_test hd_caller_simulation)
+
+add_library(hd_permit_simulation STATIC permit_simulation.cc)
+target_link_libraries(hd_permit_simulation PUBLIC hd_control hd_traffic)
+hd_test(fleet_limit_test hd_permit_simulation)
+hd_test(permits_test hd_permit_simulation)
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -90,17 +90,25 @@
 
 void traffic_core::pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   while (!held_.empty() && held_.begin()->second.arrived + crash_report_wait <= now) {
-    const auto held = held_.extract(held_.begin());
-    request_attributes attributes = held.mapped().attributes;
-    const auto waited = std::chrono::ceil<milliseconds>(now - held.mapped().arrived);
-    attributes.age += waited;
-    if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
-    if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = held.key()})) {
+    auto held = held_.extract(held_.begin());
+    if (auto answer = resume(now, held.key(), std::move(held.mapped()), std::nullopt)) {
       answers.emplace_back(held.key(), std::move(*answer));
     }
   }
 }
 
+std::optional<pick_result> traffic_core::resume(time_point now, std::uint64_t waiter_id, held_attempt attempt,
+                                                std::optional<permit> drawn) {
+  request_attributes attributes = std::move(attempt.attributes);
+  const auto waited = std::chrono::ceil<milliseconds>(now - attempt.arrived);
+  attributes.age += waited;
+  if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
+  return run_stages({.now = now,
+                     .attributes = std::move(attributes),
+                     .waiter_id = waiter_id,
+                     .drawn = std::move(drawn)});
+}
+
 void traffic_core::start_draining(const heatherdeck::start_draining& stop) {
   stop_ = stop;
   for (const auto& [key, u] : upstreams_) u->admission.limit_waiting(stop.ends_at);
@@ -143,13 +151,14 @@
   quarantine_changed_ = true;
 }
 
-void traffic_core::refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+void traffic_core::refuse_quarantined_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   if (!std::exchange(quarantine_changed_, false)) return;
   std::erase_if(waiting_, [&](const auto& item) {
     const queued_attempt& attempt = item.second;
     const auto standing = quarantine_->standing_of(attempt.service, attempt.attributes.fingerprint);
     if (standing != request_standing::quarantined) return false;
     attempt.target->admission.cancel(item.first);
+    give_back(now, attempt.drawn);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     answers.emplace_back(item.first, refuse(refusal_reason::quarantined));
     return true;
@@ -202,11 +211,12 @@
     const queued_attempt& attempt = item.second;
     const auto known = upstreams_.find(attempt.target->key);
     if (known != upstreams_.end() && known->second == attempt.target) return false;
+    give_back(now, attempt.drawn);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     answers.emplace_back(item.first, refuse(refusal_reason::draining));
     return true;
   });
-  refuse_quarantined_waiters(answers);
+  refuse_quarantined_waiters(now, answers);
   pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
@@ -214,6 +224,7 @@
     for (const std::uint64_t id : draining ? u->admission.take_all() : u->admission.take_expired(now)) {
       const auto attempt = waiting_.extract(id);
       if (attempt.empty()) continue;
+      give_back(now, attempt.mapped().drawn);
       if (attempt.mapped().limited) services_[attempt.mapped().service].limiter.release_unused();
       answers.emplace_back(id, draining || stop_ ? refuse(refusal_reason::draining) : refuse_overloaded(now, *u));
     }
@@ -224,7 +235,10 @@
         continue;
       }
       queued_attempt& attempt = found.mapped();
-      if (auto refused = refuse_trial(now, attempt)) {
+      std::optional<refusal> refused = refuse_trial(now, attempt);
+      if (refused) give_back(now, attempt.drawn);
+      if (!refused && !spend_or_replace(now, attempt.drawn)) refused = refuse_without_permit({});
+      if (refused) {
         u->admission.release({}, {});
         if (attempt.limited) services_[attempt.service].limiter.release_unused();
         answers.emplace_back(id, *refused);
@@ -238,12 +252,16 @@
           id, reserve(attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited));
     }
   }
+  pick_with_permits(now, answers);
   return answers;
 }
 
 std::optional<time_point> traffic_core::next_answer_time(time_point now) const {
   std::optional<time_point> next;
   if (!held_.empty()) next = held_.begin()->second.arrived + crash_report_wait;
+  if (const auto due = permits_.next_time(now + suspended_); due && (!next || *due - suspended_ < *next)) {
+    next = *due - suspended_;
+  }
   for (const auto& [key, u] : upstreams_) {
     const std::optional<time_point> start = u->admission.next_start(now);
     if (start && (!next || *start < *next)) next = start;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -37,6 +37,7 @@
 #include "traffic/concurrency_limiter.h"
 #include "traffic/evidence_collector.h"
 #include "traffic/outlier_ejector.h"
+#include "traffic/permit_store.h"
 #include "traffic/retry_age_estimator.h"
 #include "traffic/retry_budget.h"
 #include "traffic/route_table.h"
@@ -113,6 +114,21 @@
   /// @param stop when callers notice the stop, and when it ends.
   void start_draining(const start_draining& stop);
 
+  /// Sets for how long the host has been suspended in total (CLOCK_BOOTTIME less CLOCK_MONOTONIC). Permits expire during
+  /// that time too. To be called before every other function.
+  void set_suspended_time(duration total) { suspended_ = total; }
+
+  /// Changes the stream over which permits are requested; 0: there is none.
+  void set_permit_source(time_point now, std::uint64_t stream) { permits_.set_source(now + suspended_, stream); }
+
+  /// Takes over permits that the control host has granted.
+  void apply_permits(time_point now, const permit_answer& answer) { permits_.apply(now + suspended_, answer); }
+
+  /// @return the request for permits to send now; to be called after take_answers.
+  std::optional<permit_request> take_permit_request(time_point now) { return permits_.take_request(now + suspended_); }
+
+  const permit_store& permits() const { return permits_; }
+
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
   /// @return versions that are cut at this node from now on.
   std::vector<withdrawn_key> tick(time_point now);
@@ -179,7 +195,8 @@
     request_attributes attributes;
     std::shared_ptr<upstream> target;
     time_point arrived{};
-    bool limited = false;  ///< counted by the service's concurrency limiter
+    bool limited = false;          ///< counted by the service's concurrency limiter
+    std::optional<permit> drawn;   ///< spent when the attempt is let through
   };
 
   /// What the choice of an upstream for one attempt depends on.
@@ -201,6 +218,7 @@
     const service_spec* spec = nullptr;
     service_state* traffic = nullptr;
     choice_criteria criteria;
+    std::optional<permit> drawn;  ///< permit of the account, not spent
   };
 
   /// What a stage decided: the attempt goes on to the next stage, or it has its answer, or it waits and `take_answers`
@@ -210,13 +228,14 @@
   using stage_result = std::variant<go_on, pick_result, waits>;
   /// A stage checks one condition or fills in one part of the context.
   using pick_stage = stage_result (traffic_core::*)(pick_context&);
-  static const std::array<pick_stage, 9> caller_stages;  ///< of a request from a caller, in this order
+  static const std::array<pick_stage, 10> caller_stages;  ///< of a request from a caller, in this order
   static const std::array<pick_stage, 5> peer_stages;    ///< of a request that another node has forwarded
 
   std::optional<pick_result> run_stages(pick_context context);
   std::optional<pick_result> run_stages(std::span<const pick_stage> stages, pick_context& context);
   stage_result check_document(pick_context& context);
   stage_result match_route(pick_context& context);
+  stage_result draw_permit(pick_context& context);
   stage_result infer_earlier_attempts(pick_context& context);
   stage_result choose_destination(pick_context& context);
   stage_result refuse_quarantined(pick_context& context);
@@ -228,20 +247,28 @@
   stage_result find_forwarded_service(pick_context& context);
   stage_result admit_forwarded(pick_context& context);
 
-  /// A later attempt that waits for the reports of the crash that may have ended the earlier one.
+  /// An attempt that waits before its first stage, or for a permit: a later one waits for the reports of the crash that
+  /// may have ended the earlier one. The stages start again when the wait ends.
   struct held_attempt {
     request_attributes attributes;
     time_point arrived{};
   };
 
   void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  std::optional<pick_result> resume(time_point now, std::uint64_t waiter_id, held_attempt attempt,
+                                    std::optional<permit> drawn);
+  void pick_with_permits(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  refusal refuse_without_permit(const permit_refusal& reason);
+  void give_back(time_point now, const std::optional<permit>& unused);
+  bool spend_or_replace(time_point now, const std::optional<permit>& used);
+  void settle_permit(pick_context& context, std::optional<pick_result>& answer);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
   bool may_be_broken_off(time_point now, const route_policy& route, const request_attributes& attributes) const;
   std::optional<pick_result> check_quarantine(const std::string& service, const request_attributes& attributes);
   bool suspected(const std::string& service, const request_attributes& attributes) const;
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
-  void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  void refuse_quarantined_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   void report_to_quarantine(const pending_call& call, const finish_call& result);
   std::shared_ptr<upstream> choose_upstream(time_point now, const service_spec& spec, service_state& traffic,
                                             const choice_criteria& criteria);
@@ -276,6 +303,9 @@
   std::unordered_map<std::string, retry_age_estimator> retry_age_estimators_;  ///< by route
   std::map<std::uint64_t, queued_attempt> waiting_;                            ///< by waiter id
   std::map<std::uint64_t, held_attempt> held_;                                 ///< by waiter id, the oldest first
+  std::map<std::uint64_t, held_attempt> awaiting_permits_;                     ///< by waiter id
+  permit_store permits_;
+  duration suspended_{};
   std::uint64_t next_pick_id_ = 1;
   balancer balancer_;
   random_source random_;
--- a/traffic/traffic_core_stages.cc
+++ b/traffic/traffic_core_stages.cc
@@ -13,10 +13,11 @@
 
 }  // namespace
 
-const std::array<traffic_core::pick_stage, 9> traffic_core::caller_stages{
-    &traffic_core::check_document,       &traffic_core::match_route,        &traffic_core::infer_earlier_attempts,
-    &traffic_core::choose_destination,   &traffic_core::refuse_quarantined, &traffic_core::refuse_while_stopping,
-    &traffic_core::draw_on_retry_budget, &traffic_core::limit_concurrency,  &traffic_core::choose_and_admit,
+const std::array<traffic_core::pick_stage, 10> traffic_core::caller_stages{
+    &traffic_core::check_document,         &traffic_core::match_route,          &traffic_core::draw_permit,
+    &traffic_core::infer_earlier_attempts, &traffic_core::choose_destination,   &traffic_core::refuse_quarantined,
+    &traffic_core::refuse_while_stopping,  &traffic_core::draw_on_retry_budget, &traffic_core::limit_concurrency,
+    &traffic_core::choose_and_admit,
 };
 
 const std::array<traffic_core::pick_stage, 5> traffic_core::peer_stages{
@@ -27,7 +28,9 @@
 
 std::optional<pick_result> traffic_core::run_stages(pick_context context) {
   if (context.attributes.from_peer) return run_stages(peer_stages, context);
-  return run_stages(caller_stages, context);
+  std::optional<pick_result> answer = run_stages(caller_stages, context);
+  settle_permit(context, answer);
+  return answer;
 }
 
 std::optional<pick_result> traffic_core::run_stages(std::span<const pick_stage> stages, pick_context& context) {
@@ -128,8 +131,12 @@
     return reserve(std::move(chosen), context.service, context.route, context.attributes, true);
   }
   std::optional<pick_result> local_answer =
-      admit_locally(now, {context.service, context.route, context.attributes, chosen, now, true}, context.waiter_id);
-  if (!local_answer) return waits{};
+      admit_locally(now, {context.service, context.route, context.attributes, chosen, now, true, context.drawn},
+                    context.waiter_id);
+  if (!local_answer) {
+    context.drawn.reset();
+    return waits{};
+  }
   if (std::holds_alternative<upstream_choice>(*local_answer)) return std::move(*local_answer);
   // The upstream on this host is full; try another one before refusing the caller.
   criteria.tried_targets.push_back(chosen->endpoint.target);
@@ -184,7 +191,8 @@
   const auto index = balancer_.pick(candidates, context.now);
   if (!index) return refuse(refusal_reason::overloaded);
   std::optional<pick_result> answer = admit_locally(
-      context.now, {context.service, context.route, attributes, local[*index], context.now, false}, context.waiter_id);
+      context.now, {context.service, context.route, attributes, local[*index], context.now, false, {}},
+      context.waiter_id);
   if (!answer) return waits{};
   return std::move(*answer);
 }
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -3,6 +3,7 @@
 // one for each finish; five ticks a second.
 #include "traffic/traffic_service.h"
 
+#include <ctime>
 #include <random>
 #include <utility>
 
@@ -16,6 +17,15 @@
 namespace heatherdeck {
 namespace {
 
+// Time during which the host was suspended; the steady clock does not count it.
+duration suspended_time() {
+  timespec with{};
+  timespec without{};
+  clock_gettime(CLOCK_MONOTONIC, &without);
+  clock_gettime(CLOCK_BOOTTIME, &with);
+  return std::chrono::seconds(with.tv_sec - without.tv_sec) + std::chrono::nanoseconds(with.tv_nsec - without.tv_nsec);
+}
+
 constexpr std::size_t inbox_capacity = 8192;
 constexpr milliseconds tick_period{200};
 // Evidence is sent at the tick nearest to the period that the document asks for.
@@ -78,6 +88,7 @@
 
 void traffic_service::handle(traffic_message message) {
   const time_point now = timer_service::now();
+  core_.set_suspended_time(suspended_time());
   std::visit(overloaded_handlers{
                  [&](const traffic_tick&) { tick(now); },
                  [&](const answers_due&) {},  // the answers are taken after every message
@@ -92,6 +103,8 @@
                  [&](const upstream_stated& m) { on_statement(now, m); },
                  [&](const start_draining& m) { core_.start_draining(m); },
                  [&](quarantine_changed& m) { core_.set_quarantine(std::move(m.list)); },
+                 [&](const permit_source_changed& m) { core_.set_permit_source(now, m.stream); },
+                 [&](const permit_answer& m) { core_.apply_permits(now, m); },
              },
              message);
   for (auto& [id, answer] : core_.take_answers(now)) {
@@ -100,6 +113,10 @@
   for (quarantine_message& report : core_.take_quarantine_reports()) {
     if (quarantine_ && !quarantine_.post(std::move(report))) ++quarantine_reports_dropped_;
   }
+  if (auto request = core_.take_permit_request(now)) {
+    // A request that a full mailbox refuses has no answer, and the next one is sent after a time-out.
+    if (subscriber_) subscriber_.post(send_permit_request{core_.permits().source(), std::move(*request)});
+  }
   arm_answer_timer(now);
 }
 
@@ -143,6 +160,7 @@
 
 boost::json::value traffic_service::dump() const {
   boost::json::value state = core_.dump(timer_service::now());
+  state.as_object()["permits"] = core_.permits().dump(timer_service::now() + suspended_time());
   state.as_object()["evidence_dropped"] = evidence_dropped_;
   state.as_object()["quarantine_reports_dropped"] = quarantine_reports_dropped_;
   return state;
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -17,6 +17,7 @@
 #include "model/distribution_messages.h"
 #include "model/gossip_messages.h"
 #include "model/ledger_messages.h"
+#include "model/permit_messages.h"
 #include "model/raft_messages.h"
 
 namespace heatherdeck {
@@ -36,6 +37,7 @@
 std::string encode(const std::vector<member_record>& records);
 std::string encode(const evidence_report& report);
 std::string encode(const gossip_message& message);
+std::string encode(const loan_message& message);
 
 /// Defined for every type that `encode` takes.
 template <class Message>
@@ -65,5 +67,7 @@
 result<evidence_report> decode<evidence_report>(std::string_view bytes);
 template <>
 result<gossip_message> decode<gossip_message>(std::string_view bytes);
+template <>
+result<loan_message> decode<loan_message>(std::string_view bytes);
 
 }  // namespace heatherdeck
--- a/wire/codec_distribution.cc
+++ b/wire/codec_distribution.cc
@@ -76,6 +76,10 @@
   to.mutable_busy()->set_retry_after_ms(static_cast<std::uint32_t>(from.retry_after.count()));
 }
 
+void write_body(const permit_request& from, pb::NodeMessage& to) { write(from, *to.mutable_permits()); }
+
+void write_body(const permit_answer& from, pb::ControlMessage& to) { write(from, *to.mutable_permits()); }
+
 }  // namespace
 
 void read(const pb::NodeMessage& from, node_message& to, decode_context& context) {
@@ -101,6 +105,12 @@
       to = std::move(report);
       return;
     }
+    case pb::NodeMessage::kPermits: {
+      permit_request request;
+      read(from.permits(), request);
+      to = std::move(request);
+      return;
+    }
     case pb::NodeMessage::BODY_NOT_SET:
       context.set_error("the message has no body that this release knows");
   }
@@ -127,6 +137,12 @@
     case pb::ControlMessage::kBusy:
       to = busy_notice{std::chrono::milliseconds(from.busy().retry_after_ms())};
       return;
+    case pb::ControlMessage::kPermits: {
+      permit_answer answer;
+      read(from.permits(), answer, context);
+      to = std::move(answer);
+      return;
+    }
     case pb::ControlMessage::BODY_NOT_SET:
       context.set_error("the message has no body that this release knows");
   }
--- a/wire/codec_parts.h
+++ b/wire/codec_parts.h
@@ -95,6 +95,9 @@
 void write(const node_message& from, pb::NodeMessage& to);
 void write(const control_message& from, pb::ControlMessage& to);
 void write(const gossip_message& from, pb::Gossip& to);
+void write(const permit_request& from, pb::PermitRequest& to);
+void write(const permit_answer& from, pb::PermitAnswer& to);
+void write(const loan_message& from, pb::LoanMessage& to);
 
 digest read_digest(const pb::Digest& from);
 void read(const pb::Error& from, error& to, decode_context& context);
@@ -105,6 +108,9 @@
 void read(const pb::DocumentDelta& from, document_delta& to, decode_context& context);
 void read(const pb::LogEntry& from, log_entry& to, decode_context& context);
 void read(const pb::EvidenceReport& from, evidence_report& to, decode_context& context);
+void read(const pb::PermitRequest& from, permit_request& to);
+void read(const pb::PermitAnswer& from, permit_answer& to, decode_context& context);
+void read(const pb::LoanMessage& from, loan_message& to, decode_context& context);
 void read(const pb::TargetDeparture& from, target_departure& to, decode_context& context);
 void read(const pb::MemberRecord& from, member_record& to, decode_context& context);
 void read(const pb::MemberList& from, std::vector<member_record>& to, decode_context& context);
--- a/wire/h2_stream.h
+++ b/wire/h2_stream.h
@@ -34,7 +34,7 @@
 inline constexpr std::size_t stream_buffer_bytes = 64UL * 1024;
 
 /// Purpose of a stream, sent in the request header `hd-stream`; selects the service that receives an incoming stream.
-enum class stream_kind { call, subscribe, raft, evidence };
+enum class stream_kind { call, subscribe, raft, evidence, loan };
 
 template <>
 struct enum_table<stream_kind> {
@@ -43,6 +43,7 @@
       {stream_kind::subscribe, "subscribe"},
       {stream_kind::raft, "raft"},
       {stream_kind::evidence, "evidence"},
+      {stream_kind::loan, "loan"},
   });
 };
 
--- a/wire/mesh_messages.h
+++ b/wire/mesh_messages.h
@@ -2,7 +2,7 @@
 /// Messages to the mesh service (mesh_service.h), which owns all connections between processes.
 ///
 /// Incoming streams go to the `address<incoming_stream>` that a service has published under its name:
-/// call -> proxy, subscribe -> publisher, raft -> consensus, evidence -> rollout.
+/// call -> proxy, subscribe -> publisher, raft -> consensus, evidence -> rollout, loan -> permits.
 #pragma once
 
 #include <string>
--- a/wire/mesh_service.cc
+++ b/wire/mesh_service.cc
@@ -26,6 +26,7 @@
     {stream_kind::subscribe, service_name::publisher},
     {stream_kind::raft, service_name::consensus},
     {stream_kind::evidence, service_name::rollout},
+    {stream_kind::loan, service_name::permits},
 };
 
 std::shared_ptr<const stream_inboxes> make_stream_inboxes(const kernel& k) {
