--- a/control/permit_granter.cc
+++ b/control/permit_granter.cc
@@ -61,7 +61,7 @@
     b.filled_at = now;
     return;
   }
-  const double added = std::max(0.0, seconds(now - b.filled_at)) * share(b.rate);
+  const double added = std::max(0.0, seconds(now - std::max(b.filled_at, waits_until_))) * share(b.rate);
   const double limit = std::max(0.0, capacity(now, b) - b.loan_asked);
   b.level = std::min(b.level + added, limit);
   b.filled_at = now;
@@ -97,7 +97,10 @@
   if (admitted && seen_as_outsider_) waits_until_ = now + admission_wait;
   // Buckets fill from the moment from which this host may grant.
   if (admitted) {
-    for (auto& [name, b] : accounts_) b.filled_at = b.created_at = now;
+    for (auto& [name, b] : accounts_) {
+      b.level = 0;
+      b.filled_at = b.created_at = now;
+    }
   }
   for (auto& [name, b] : accounts_) {
     if (divisor_ > 0) refill(now, b);
--- a/testing/codec_test.cc
+++ b/testing/codec_test.cc
@@ -113,6 +113,12 @@
       make_sample("voters", std::vector<raft_member>{{"c1", "s1", "10.0.0.9:7001", true}}),
       make_sample("entry", log_entry{2, 4, entry_kind::membership, "x"}),
       make_sample("evidence", evidence),
+      make_sample("permit_request", node_message(permit_request{7, {{"acme", 3, 2, 9, 12'345}, {"b", 0, 0, 1, 1}}})),
+      make_sample("permit_answer",
+                  control_message(permit_answer{
+                      7, {{"acme", 3, permit_verdict::granted, {}, true},
+                          {"b", 0, permit_verdict::over_limit, milliseconds(250), false}}})),
+      make_sample("loan", loan_message{9, {{"acme", 1'500'000}, {"b", 1}}}),
       make_sample("submission", ledger_command(change)),
       make_sample("step", ledger_command(set_rollout_step{"certdesk", "v2", 500, rollout_status::done, {1, 4}})),
       make_sample("withdraw", ledger_command(withdraw_version{"certdesk", "v2", "slow"})),
--- a/testing/permit_simulation.cc
+++ b/testing/permit_simulation.cc
@@ -279,12 +279,15 @@
 }
 
 void permit_simulation::deliver_limits() {
+  const std::uint64_t document = next_document_++;
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     std::map<std::string, client_account> limits;
     for (const account& a : accounts_) {
       if (a.limit.rate_per_s > 0) limits[a.limit.name] = a.limit;
     }
     at(now_ + from_seconds(0.02 + 2.4 * uniform() * uniform()), [=, this] {
+      if (document <= hosts_[i].document) return;
+      hosts_[i].document = document;
       hosts_[i].limits = limits;
       if (hosts_[i].granter) hosts_[i].granter->set_accounts(now_, limits);
     });
--- a/testing/permit_simulation.h
+++ b/testing/permit_simulation.h
@@ -59,6 +59,7 @@
     bool outsider = false;                    ///< not a voter yet
     bool removed = false;
     std::map<std::string, client_account> limits;
+    std::uint64_t document = 0;  ///< version of `limits`
     std::size_t voters = 0;
     time_point wake_at = time_point::max();
   };
@@ -121,6 +122,7 @@
   std::size_t voters_ = 0;
   std::size_t cut_zone_ = SIZE_MAX;
   double loss_ = 0;
+  std::uint64_t next_document_ = 1;
   std::uint64_t next_process_ = 1;
   std::uint64_t next_stream_ = 1;
   std::uint64_t next_waiter_ = 1;
--- a/testing/single_host_control.h
+++ b/testing/single_host_control.h
@@ -40,6 +40,7 @@
   boost::json::value dump() const override { return nullptr; }
 
   commit_mode mode = commit_mode::commit;
+  std::vector<raft_member> voters;  ///< of the status
 
  private:
   awaitable<void> run() {
@@ -69,6 +70,7 @@
     status.term = 1;
     status.leader = "c2";
     status.has_quorum = true;
+    status.voters = voters;
     message.answer(status);
   }
   void handle(change_membership) {}
--- a/testing/wire.cmake
+++ b/testing/wire.cmake
@@ -22,7 +22,7 @@
     target_compile_definitions(fuzz_${name} PRIVATE ${ARGN})
   endfunction()
   foreach(message raft_message log_entry node_message control_message ledger_command command_result document_state
-                  document_delta evidence_report gossip_message)
+                  document_delta evidence_report gossip_message loan_message)
     hd_fuzz(${message} decode_fuzz.cc HD_FUZZED_MESSAGE=${message})
   endforeach()
   hd_fuzz(voters decode_fuzz.cc "HD_FUZZED_MESSAGE=std::vector<raft_member>")
