Rate limit: tests of the stage, loans ask fewer hosts for single tokens

A round of loans asked every host for a part of one token, which is most of the messages between control hosts for small accounts. Two hosts are asked first, and all of them after a round that brought little.

--- a/control/permit_granter.cc
+++ b/control/permit_granter.cc
@@ -27,15 +27,17 @@
 constexpr auto min_over_limit_wait = 50ms;
 constexpr auto max_over_limit_wait = 1000ms;
 constexpr auto loan_timeout = 150ms;
-constexpr auto loan_period = 20ms;           // of messages to one peer
-constexpr auto account_loan_period = 40ms;   // of loans for one account
+constexpr auto loan_period = 20ms;          // of messages to one peer
+constexpr auto account_loan_period = 40ms;  // of loans for one account
 constexpr auto exhausted_period = 250ms;
-constexpr auto unmet_memory = 60ms;          // a node asks again within this time
-constexpr auto removed_memory = 5s;          // longer than the life of permits
-constexpr double own_need_s = 0.25;          // demand of this long is not lent
+constexpr auto unmet_memory = 60ms;  // a node asks again within this time
+constexpr auto removed_memory = 5s;  // longer than the life of permits
+constexpr double own_need_s = 0.25;  // demand of this long is not lent
 constexpr double loan_ahead_s = 0.3;
+constexpr double min_lent = 0.1;  // of what was asked for; with less, the others have nothing to lend
+constexpr double peers_for_a_token = 2;
 constexpr double min_willingness = 0.05;
-constexpr double ahead_fraction = 0.5;       // of tokens and of outstanding permits that are kept for waiting requests
+constexpr double ahead_fraction = 0.5;  // of tokens and of outstanding permits that are kept for waiting requests
 constexpr std::size_t max_dumped_accounts = 50;
 
 double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
@@ -88,8 +90,7 @@
   }
 }
 
-void permit_granter::set_membership(time_point now, std::size_t voters, bool is_voter,
-                                    std::vector<std::string> peers) {
+void permit_granter::set_membership(time_point now, std::size_t voters, bool is_voter, std::vector<std::string> peers) {
   if (voters == 0) return;
   peers_ = std::move(peers);
   if (!is_voter) seen_as_outsider_ = true;
@@ -163,8 +164,7 @@
   const time_point first = now + from_seconds(std::max(0.0, 1 - b.level) / rate);
   b.next_free = std::max(b.next_free, first);
   const double full_s = capacity(now, b) / rate;
-  const duration longest =
-      std::clamp<duration>(from_seconds(full_s / 2), 2 * min_over_limit_wait, max_over_limit_wait);
+  const duration longest = std::clamp<duration>(from_seconds(full_s / 2), 2 * min_over_limit_wait, max_over_limit_wait);
   b.next_free = std::min(b.next_free, now + longest);
   row.verdict = permit_verdict::over_limit;
   row.wait = std::chrono::ceil<milliseconds>(std::max<duration>(b.next_free - now, min_over_limit_wait));
@@ -235,26 +235,31 @@
   return filled < (waited_for ? wanted - rounding : wanted / 2);
 }
 
-// Each peer is asked for a part, so that one round trip is enough; more of those that have lent before. The room for
-// all parts stays free until they arrive or are given up.
+// Several peers are asked for a part each, so that one round trip is enough: two for a single token, more for more, and
+// all of them after a round that brought little. The room for all parts stays free until they arrive or are given up.
 void permit_granter::ask_peers(time_point now, const std::string& account, bucket& b,
                                std::map<std::string, open_loan>& by_peer) {
   refill(now, b);
   const double need = std::min(wanted_level(now, b), capacity(now, b)) - b.level - b.loan_asked;
   if (need <= rounding) return;
+  const auto enough = std::max<std::size_t>(2, static_cast<std::size_t>(std::ceil(peers_for_a_token * need)));
+  const std::size_t count = b.ask_all ? peers_.size() : std::min(peers_.size(), enough);
+  std::vector<std::pair<const std::string*, double>> asked;
   double total = 0;
   bool any_willing = false;
-  for (const std::string& peer : peers_) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string& peer = peers_[b.next_peer++ % peers_.size()];
     const double willing = b.willingness.try_emplace(peer, 1.0).first->second;
+    asked.emplace_back(&peer, willing);
     total += willing;
     any_willing = any_willing || willing > 2 * min_willingness;
   }
-  for (const std::string& peer : peers_) {
-    const double willing = b.willingness[peer];
+  b.round_asks_all = count == peers_.size() && (b.round_open == 0 || b.round_asks_all);
+  for (const auto& [peer, willing] : asked) {
     const double amount = std::floor(need * willing / total * millionths) / millionths;
     if (amount < rounding) continue;
     const bool counted = !any_willing || willing > 2 * min_willingness;
-    by_peer[peer].asked[account] = {amount, counted};
+    by_peer[*peer].asked[account] = {amount, counted};
     b.loan_asked += amount;
     b.round_asked += amount;
     b.round_open += counted ? 1 : 0;
@@ -321,7 +326,8 @@
   willing = lent >= part.amount * (1 - rounding) ? std::min(1.0, 2 * willing + 0.1)
                                                  : std::max(min_willingness, willing * lent / part.amount);
   if (!part.counted || --b.round_open > 0) return;
-  if (b.level < 1 && b.round_received < overage * b.round_asked) b.exhausted_until = now + exhausted_period;
+  if (b.round_asks_all && b.round_received < min_lent * b.round_asked) b.exhausted_until = now + exhausted_period;
+  b.ask_all = b.round_received < b.round_asked / 2;
   b.round_asked = b.round_received = 0;
 }
 
@@ -380,18 +386,12 @@
                                        {"outstanding", outstanding},
                                        {"exhausted", now < b.exhausted_until}});
   }
-  return boost::json::object{{"grants", grants(now)},
-                             {"divisor", divisor_},
-                             {"accounts", accounts_.size()},
-                             {"granted", counters_.granted},
-                             {"spent", counters_.spent},
-                             {"returned", counters_.returned},
-                             {"expired", counters_.expired},
-                             {"refused", counters_.refused},
-                             {"deferred", counters_.deferred},
-                             {"lent", counters_.lent},
-                             {"borrowed", counters_.borrowed},
-                             {"loans_lost", counters_.loans_lost},
+  return boost::json::object{{"grants", grants(now)},          {"divisor", divisor_},
+                             {"accounts", accounts_.size()},   {"granted", counters_.granted},
+                             {"spent", counters_.spent},       {"returned", counters_.returned},
+                             {"expired", counters_.expired},   {"refused", counters_.refused},
+                             {"deferred", counters_.deferred}, {"lent", counters_.lent},
+                             {"borrowed", counters_.borrowed}, {"loans_lost", counters_.loans_lost},
                              {"active", std::move(rows)}};
 }
 
--- a/control/permit_granter.h
+++ b/control/permit_granter.h
@@ -98,7 +98,10 @@
     double loan_asked = 0;            ///< room reserved for loans under way
     double round_asked = 0;           ///< in the present round of loan requests
     double round_received = 0;
-    std::uint32_t round_open = 0;  ///< requests of the round without an answer, to peers that may lend
+    bool round_asks_all = false;                ///< every peer was asked
+    bool ask_all = false;                       ///< in the next round, because the last one brought little
+    std::size_t next_peer = 0;                  ///< to begin with when only some are asked
+    std::uint32_t round_open = 0;               ///< requests of the round without an answer, to peers that may lend
     std::map<std::uint64_t, holding> holdings;  ///< by stream
     double demand = 0;                          ///< moving average, requests a second
     time_point demand_at{};
--- a/model/traffic_messages.h
+++ b/model/traffic_messages.h
@@ -48,9 +48,9 @@
   draining,
   retry_budget,
   hops,
-  quarantined,  ///< it has crashed upstreams
-  on_trial,     ///< it is suspected to crash upstreams, and another copy of it is running
-  over_limit,   ///< its client account is over its limit
+  quarantined,        ///< it has crashed upstreams
+  on_trial,           ///< it is suspected to crash upstreams, and another copy of it is running
+  over_limit,         ///< its client account is over its limit
   limit_unavailable,  ///< the control host that grants permits to its client account has not answered
 };
 
@@ -227,8 +227,8 @@
   std::uint64_t stream = 0;
 };
 
-using traffic_message = std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream,
-                                     finish_call, local_load, upstream_stated, start_draining, quarantine_changed,
-                                     permit_source_changed, permit_answer>;
+using traffic_message =
+    std::variant<traffic_tick, answers_due, update_document, directory_changed, pick_upstream, finish_call, local_load,
+                 upstream_stated, start_draining, quarantine_changed, permit_source_changed, permit_answer>;
 
 }  // namespace heatherdeck
--- a/testing/permit_simulation.cc
+++ b/testing/permit_simulation.cc
@@ -148,7 +148,8 @@
     n.store->set_source(now_, n.stream);
     return;
   }
-  at(now_ + 100ms, [this, index, process = n.process] { on_node(index, process, [=, this](node&) { connect(index); }); });
+  at(now_ + 100ms,
+     [this, index, process = n.process] { on_node(index, process, [=, this](node&) { connect(index); }); });
 }
 
 void permit_simulation::lose_stream(std::size_t index) {
@@ -220,16 +221,15 @@
   const double kind = uniform();
   if (kind < 0.9) return let_through(index, drawn);
   const bool refused = kind > 0.98;
-  at(now_ + from_seconds(uniform() * (chance(0.05) ? 1.5 : 0.3)),
-     [=, this, process = nodes_[index].process] {
-       on_node(index, process, [=, this](node& n) {
-         if (refused) {
-           n.store->give_back(now_, drawn);
-         } else {
-           let_through(index, drawn);
-         }
-       });
-     });
+  at(now_ + from_seconds(uniform() * (chance(0.05) ? 1.5 : 0.3)), [=, this, process = nodes_[index].process] {
+    on_node(index, process, [=, this](node& n) {
+      if (refused) {
+        n.store->give_back(now_, drawn);
+      } else {
+        let_through(index, drawn);
+      }
+    });
+  });
 }
 
 void permit_simulation::let_through(std::size_t index, const permit& used) {
@@ -310,18 +310,16 @@
       n.waiting.clear();
       n.stream = 0;
       n.wake_at = time_point::max();
-      at(now_ + 100ms, [=, this, process = n.process] {
-        on_node(some_node, process, [=, this](node&) { connect(some_node); });
-      });
+      at(now_ + 100ms,
+         [=, this, process = n.process] { on_node(some_node, process, [=, this](node&) { connect(some_node); }); });
       break;
     case 2:  // a control host is killed and restarted
       if (!h.granter || h.outsider || h.removed) break;
       h.granter.reset();
       for (std::size_t i = 0; i < nodes_.size(); ++i) {
         if (nodes_[i].source_host == some_host) {
-          at(now_ + from_seconds(0.3 * uniform()), [=, this, process = nodes_[i].process] {
-            on_node(i, process, [=, this](node&) { lose_stream(i); });
-          });
+          at(now_ + from_seconds(0.3 * uniform()),
+             [=, this, process = nodes_[i].process] { on_node(i, process, [=, this](node&) { lose_stream(i); }); });
         }
       }
       at(now_ + from_seconds(0.05 + 2 * uniform()), [=, this] {
@@ -333,9 +331,8 @@
       cut_zone_ = some_host;
       for (std::size_t i = 0; i < nodes_.size(); ++i) {
         if (!reachable(nodes_[i].zone, nodes_[i].source_host)) {
-          at(now_ + 1s, [=, this, process = nodes_[i].process] {
-            on_node(i, process, [=, this](node&) { lose_stream(i); });
-          });
+          at(now_ + 1s,
+             [=, this, process = nodes_[i].process] { on_node(i, process, [=, this](node&) { lose_stream(i); }); });
         }
       }
       at(now_ + from_seconds(3 * uniform()), [this] { cut_zone_ = SIZE_MAX; });
--- a/testing/permit_simulation.h
+++ b/testing/permit_simulation.h
@@ -37,12 +37,12 @@
 };
 
 struct permit_simulation_result {
-  double worst_excess = -1e9;      ///< largest number of requests in any window, less the bound
+  double worst_excess = -1e9;  ///< largest number of requests in any window, less the bound
   std::uint64_t arrived = 0;
   std::uint64_t sent = 0;
-  std::uint64_t below_limit = 0;   ///< requests refused here that one perfect token bucket would have let through
-  std::uint64_t over_limit = 0;    ///< refused as over the limit
-  std::uint64_t unavailable = 0;   ///< refused without an answer
+  std::uint64_t below_limit = 0;  ///< requests refused here that one perfect token bucket would have let through
+  std::uint64_t over_limit = 0;   ///< refused as over the limit
+  std::uint64_t unavailable = 0;  ///< refused without an answer
   std::uint64_t node_messages = 0;
   std::uint64_t loan_messages = 0;
 };
--- a/testing/permits_service_test.cc
+++ b/testing/permits_service_test.cc
@@ -1,12 +1,13 @@
 // The fleet-wide rate limit with real services on loopback: a node asks on its subscription, its control host borrows
-// from another one over the mesh, and refuses what is over the limit. A fault in the wiring would leave requests without
-// an answer.
+// from another one over the mesh, and refuses what is over the limit. A fault in the wiring would leave requests
+// without an answer.
+#include "control/permits_service.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
 #include "control/ledger_service.h"
-#include "control/permits_service.h"
 #include "control/publisher_service.h"
 #include "node/subscriber_service.h"
 #include "testing/single_host_control.h"
--- a/traffic/permit_store.cc
+++ b/traffic/permit_store.cc
@@ -1,6 +1,6 @@
-// Invariants: a permit is in one place: free, held by a request, spent or expired; a permit of an answer that is not the
-// one awaited does not exist, so the control host may count it as unspent when it sees the next request. Cost: one look
-// at the accounts with activity on this node for each message.
+// Invariants: a permit is in one place: free, held by a request, spent or expired; a permit of an answer that is not
+// the one awaited does not exist, so the control host may count it as unspent when it sees the next request. Cost: one
+// look at the accounts with activity on this node for each message.
 #include "traffic/permit_store.h"
 
 #include <algorithm>
@@ -15,10 +15,10 @@
 using namespace std::chrono_literals;
 
 constexpr milliseconds unavailable_retry_after{250};
-constexpr double ahead_s = 0.6;          // demand of this long is kept as free permits
-constexpr auto ahead_period = 300ms;     // of requests for permits that no request waits for
-constexpr auto report_delay = 30ms;      // of a report alone, where few permits may be outstanding
-constexpr auto unanswered_wait = 50ms;   // of an account that the answer does not mention
+constexpr double ahead_s = 0.6;         // demand of this long is kept as free permits
+constexpr auto ahead_period = 300ms;    // of requests for permits that no request waits for
+constexpr auto report_delay = 30ms;     // of a report alone, where few permits may be outstanding
+constexpr auto unanswered_wait = 50ms;  // of an account that the answer does not mention
 constexpr double idle_demand = 0.05;
 
 }  // namespace
@@ -38,8 +38,8 @@
   }
 }
 
-// The count of spent permits of an account that was forgotten and comes back must not start again: the control host would
-// take permits as unspent.
+// The count of spent permits of an account that was forgotten and comes back must not start again: the control host
+// would take permits as unspent.
 permit_store::account_state& permit_store::state_of(const std::string& account) {
   const auto [found, added] = accounts_.try_emplace(account);
   if (added) found->second.spent = found->second.reported_spent = spent_base_;
@@ -112,8 +112,8 @@
     return;
   }
   ++counters_.returned;
-  const auto later = std::find_if(a.free.begin(), a.free.end(),
-                                  [&](const batch& b) { return b.expires >= unused.expires; });
+  const auto later =
+      std::find_if(a.free.begin(), a.free.end(), [&](const batch& b) { return b.expires >= unused.expires; });
   if (later != a.free.end() && later->expires == unused.expires && later->source == unused.source) {
     ++later->count;
   } else {
@@ -250,16 +250,11 @@
                                        {"waiting", a.waiting.size()},
                                        {"over_limit", now < a.over_until}});
   }
-  return boost::json::object{{"granted", counters_.granted},
-                             {"spent", counters_.spent},
-                             {"expired", counters_.expired},
-                             {"returned", counters_.returned},
-                             {"over_limit", counters_.over_limit},
-                             {"unavailable", counters_.unavailable},
-                             {"requests", counters_.requests},
-                             {"unanswered", counters_.unanswered},
-                             {"late_answers", counters_.late_answers},
-                             {"accounts", std::move(rows)}};
+  return boost::json::object{{"granted", counters_.granted},           {"spent", counters_.spent},
+                             {"expired", counters_.expired},           {"returned", counters_.returned},
+                             {"over_limit", counters_.over_limit},     {"unavailable", counters_.unavailable},
+                             {"requests", counters_.requests},         {"unanswered", counters_.unanswered},
+                             {"late_answers", counters_.late_answers}, {"accounts", std::move(rows)}};
 }
 
 }  // namespace heatherdeck
--- a/traffic/permit_store.h
+++ b/traffic/permit_store.h
@@ -5,8 +5,8 @@
 ///     permit_store permits;
 ///     permits.set_source(now, 7);                                  // a stream to a control host is open
 ///     permit_take taken = permits.take(now, "acme", waiter_id);
-///     if (auto* p = std::get_if<permit>(&taken)) ...               // sent: spend(now, *p); not sent: give_back(now, *p)
-///     if (auto request = permits.take_request(now)) ...            // to be called after every change
+///     if (auto* p = std::get_if<permit>(&taken)) ...               // sent: spend(now, *p); not sent: give_back(now,
+///     *p) if (auto request = permits.take_request(now)) ...            // to be called after every change
 ///     permits.apply(now, answer);
 ///     for (permit_decision& d : permits.take_decisions(now)) ...   // requests whose wait has ended
 ///
--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -103,10 +103,8 @@
   const auto waited = std::chrono::ceil<milliseconds>(now - attempt.arrived);
   attributes.age += waited;
   if (attributes.deadline) *attributes.deadline -= std::min(waited, *attributes.deadline);
-  return run_stages({.now = now,
-                     .attributes = std::move(attributes),
-                     .waiter_id = waiter_id,
-                     .drawn = std::move(drawn)});
+  return run_stages(
+      {.now = now, .attributes = std::move(attributes), .waiter_id = waiter_id, .drawn = std::move(drawn)});
 }
 
 void traffic_core::start_draining(const heatherdeck::start_draining& stop) {
@@ -151,7 +149,8 @@
   quarantine_changed_ = true;
 }
 
-void traffic_core::refuse_quarantined_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+void traffic_core::refuse_quarantined_waiters(time_point now,
+                                              std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   if (!std::exchange(quarantine_changed_, false)) return;
   std::erase_if(waiting_, [&](const auto& item) {
     const queued_attempt& attempt = item.second;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -114,8 +114,8 @@
   /// @param stop when callers notice the stop, and when it ends.
   void start_draining(const start_draining& stop);
 
-  /// Sets for how long the host has been suspended in total (CLOCK_BOOTTIME less CLOCK_MONOTONIC). Permits expire during
-  /// that time too. To be called before every other function.
+  /// Sets for how long the host has been suspended in total (CLOCK_BOOTTIME less CLOCK_MONOTONIC). Permits expire
+  /// during that time too. To be called before every other function.
   void set_suspended_time(duration total) { suspended_ = total; }
 
   /// Changes the stream over which permits are requested; 0: there is none.
@@ -129,6 +129,9 @@
 
   const permit_store& permits() const { return permits_; }
 
+  /// For tests without keys: requests of callers that have not been authenticated belong to this account.
+  void assume_account(std::optional<client_account> account) { assumed_account_ = std::move(account); }
+
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
   /// @return versions that are cut at this node from now on.
   std::vector<withdrawn_key> tick(time_point now);
@@ -195,8 +198,8 @@
     request_attributes attributes;
     std::shared_ptr<upstream> target;
     time_point arrived{};
-    bool limited = false;          ///< counted by the service's concurrency limiter
-    std::optional<permit> drawn;   ///< spent when the attempt is let through
+    bool limited = false;         ///< counted by the service's concurrency limiter
+    std::optional<permit> drawn;  ///< spent when the attempt is let through
   };
 
   /// What the choice of an upstream for one attempt depends on.
@@ -229,7 +232,7 @@
   /// A stage checks one condition or fills in one part of the context.
   using pick_stage = stage_result (traffic_core::*)(pick_context&);
   static const std::array<pick_stage, 10> caller_stages;  ///< of a request from a caller, in this order
-  static const std::array<pick_stage, 5> peer_stages;    ///< of a request that another node has forwarded
+  static const std::array<pick_stage, 5> peer_stages;     ///< of a request that another node has forwarded
 
   std::optional<pick_result> run_stages(pick_context context);
   std::optional<pick_result> run_stages(std::span<const pick_stage> stages, pick_context& context);
@@ -305,6 +308,7 @@
   std::map<std::uint64_t, held_attempt> held_;                                 ///< by waiter id, the oldest first
   std::map<std::uint64_t, held_attempt> awaiting_permits_;                     ///< by waiter id
   permit_store permits_;
+  std::optional<client_account> assumed_account_;
   duration suspended_{};
   std::uint64_t next_pick_id_ = 1;
   balancer balancer_;
--- a/traffic/traffic_core_limits.cc
+++ b/traffic/traffic_core_limits.cc
@@ -11,6 +11,7 @@
 // a request that waits passes through the stages again from the start.
 traffic_core::stage_result traffic_core::draw_permit(pick_context& context) {
   const client_account* account = context.account;
+  if (account == nullptr && assumed_account_) account = &*assumed_account_;
   const bool limited = account != nullptr && account->rate_per_s > 0 && context.attributes.attempt == 0;
   if (context.drawn && (!limited || context.drawn->account != account->name)) {
     give_back(context.now, std::exchange(context.drawn, std::nullopt));
--- a/traffic/traffic_core_stages.cc
+++ b/traffic/traffic_core_stages.cc
@@ -130,9 +130,8 @@
   if (chosen->locality != locality_class::local) {
     return reserve(std::move(chosen), context.service, context.route, context.attributes, true);
   }
-  std::optional<pick_result> local_answer =
-      admit_locally(now, {context.service, context.route, context.attributes, chosen, now, true, context.drawn},
-                    context.waiter_id);
+  std::optional<pick_result> local_answer = admit_locally(
+      now, {context.service, context.route, context.attributes, chosen, now, true, context.drawn}, context.waiter_id);
   if (!local_answer) {
     context.drawn.reset();
     return waits{};
@@ -190,9 +189,9 @@
   }
   const auto index = balancer_.pick(candidates, context.now);
   if (!index) return refuse(refusal_reason::overloaded);
-  std::optional<pick_result> answer = admit_locally(
-      context.now, {context.service, context.route, attributes, local[*index], context.now, false, {}},
-      context.waiter_id);
+  std::optional<pick_result> answer =
+      admit_locally(context.now, {context.service, context.route, attributes, local[*index], context.now, false, {}},
+                    context.waiter_id);
   if (!answer) return waits{};
   return std::move(*answer);
 }
--- a/wire/mesh_service.cc
+++ b/wire/mesh_service.cc
@@ -22,10 +22,8 @@
 };
 
 constexpr kind_owner kind_owners[] = {
-    {stream_kind::call, service_name::proxy},
-    {stream_kind::subscribe, service_name::publisher},
-    {stream_kind::raft, service_name::consensus},
-    {stream_kind::evidence, service_name::rollout},
+    {stream_kind::call, service_name::proxy},     {stream_kind::subscribe, service_name::publisher},
+    {stream_kind::raft, service_name::consensus}, {stream_kind::evidence, service_name::rollout},
     {stream_kind::loan, service_name::permits},
 };
 
