--- a/traffic/traffic_core.cc
+++ b/traffic/traffic_core.cc
@@ -117,14 +117,21 @@
 
 void traffic_core::pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   while (!held_.empty() && held_.begin()->second.arrived + crash_report_wait <= now) {
-    const auto held = held_.extract(held_.begin());
-    request_attributes attributes = after_wait(held.mapped().attributes, now - held.mapped().arrived);
-    if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = held.key()})) {
+    auto held = held_.extract(held_.begin());
+    if (auto answer = resume(now, held.key(), std::move(held.mapped()), std::nullopt)) {
       answers.emplace_back(held.key(), std::move(*answer));
     }
   }
 }
 
+std::optional<pick_result> traffic_core::resume(time_point now, std::uint64_t waiter_id, held_attempt attempt,
+                                                std::optional<permit> drawn) {
+  return run_stages({.now = now,
+                     .attributes = after_wait(std::move(attempt.attributes), now - attempt.arrived),
+                     .waiter_id = waiter_id,
+                     .drawn = std::move(drawn)});
+}
+
 void traffic_core::start_draining(const heatherdeck::start_draining& stop) {
   stop_ = stop;
   for (const auto& [key, u] : upstreams_) u->admission.limit_waiting(stop.ends_at);
@@ -167,13 +174,15 @@
   quarantine_changed_ = true;
 }
 
-void traffic_core::refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+void traffic_core::refuse_quarantined_waiters(time_point now,
+                                              std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   if (!std::exchange(quarantine_changed_, false)) return;
   std::erase_if(waiting_, [&](const auto& item) {
     const queued_attempt& attempt = item.second;
     const auto standing = quarantine_->standing_of(attempt.service, attempt.attributes.fingerprint);
     if (standing != request_standing::quarantined) return false;
     attempt.target->admission.cancel(item.first);
+    give_back(now, attempt.drawn);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     answers.emplace_back(item.first, refuse(refusal_reason::quarantined));
     return true;
@@ -182,13 +191,15 @@
 
 // A key that was withdrawn ends the wait of the requests that were sent with it: they are refused as not run. A key
 // that this node has never known is that of a document that has not arrived yet. Requests without a key keep waiting.
-void traffic_core::refuse_withdrawn_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
+void traffic_core::refuse_withdrawn_waiters(time_point now,
+                                            std::vector<std::pair<std::uint64_t, pick_result>>& answers) {
   if (withdrawn_keys_.empty()) return;
   const std::set<key_id> withdrawn = std::exchange(withdrawn_keys_, {});
   std::erase_if(waiting_, [&](const auto& item) {
     const queued_attempt& attempt = item.second;
     if (!attempt.route.account_key || !withdrawn.contains(*attempt.route.account_key)) return false;
     attempt.target->admission.cancel(item.first);
+    give_back(now, attempt.drawn);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     ++counters_.withdrawn_keys;
     answers.emplace_back(item.first, refuse(refusal_reason::unauthenticated));
@@ -248,13 +259,14 @@
     const queued_attempt& attempt = item.second;
     const auto known = upstreams_.find(attempt.target->key);
     if (known != upstreams_.end() && known->second == attempt.target) return false;
+    give_back(now, attempt.drawn);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     answers.emplace_back(item.first, refuse(refusal_reason::draining));
     return true;
   });
-  refuse_quarantined_waiters(answers);
+  refuse_quarantined_waiters(now, answers);
   move_unpermitted_waiters(now, answers);
-  refuse_withdrawn_waiters(answers);
+  refuse_withdrawn_waiters(now, answers);
   pick_for_held(now, answers);
   for (const auto& [key, u] : upstreams_) {
     if (u->locality != locality_class::local) continue;
@@ -263,6 +275,7 @@
     for (const std::uint64_t id : draining ? u->admission.take_all() : u->admission.take_expired(now)) {
       const auto attempt = waiting_.extract(id);
       if (attempt.empty()) continue;
+      give_back(now, attempt.mapped().drawn);
       if (attempt.mapped().limited) services_[attempt.mapped().service].limiter.release_unused();
       answers.emplace_back(id, draining || stop_ ? refuse(refusal_reason::draining) : refuse_overloaded(now, *u));
     }
@@ -273,7 +286,10 @@
         continue;
       }
       queued_attempt& attempt = found.mapped();
-      if (auto refused = refuse_trial(now, attempt)) {
+      std::optional<refusal> refused = refuse_trial(now, attempt);
+      if (refused) give_back(now, attempt.drawn);
+      if (!refused && !spend_or_replace(now, attempt.drawn)) refused = refuse_without_permit({});
+      if (refused) {
         u->admission.release({}, {});
         if (attempt.limited) services_[attempt.service].limiter.release_unused();
         answers.emplace_back(id, *refused);
@@ -287,12 +303,16 @@
           id, reserve(now, attempt.target, attempt.service, attempt.route, attempt.attributes, attempt.limited));
     }
   }
+  pick_with_permits(now, answers);
   return answers;
 }
 
 std::optional<time_point> traffic_core::next_answer_time(time_point now) const {
   std::optional<time_point> next;
   if (!held_.empty()) next = held_.begin()->second.arrived + crash_report_wait;
+  if (const auto due = permits_.next_time(now + suspended_); due && (!next || *due - suspended_ < *next)) {
+    next = *due - suspended_;
+  }
   for (const auto& [key, u] : upstreams_) {
     const std::optional<time_point> start = u->admission.next_start(now);
     if (start && (!next || *start < *next)) next = start;
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -38,6 +38,7 @@
 #include "traffic/concurrency_limiter.h"
 #include "traffic/evidence_collector.h"
 #include "traffic/outlier_ejector.h"
+#include "traffic/permit_store.h"
 #include "traffic/retry_age_estimator.h"
 #include "traffic/retry_budget.h"
 #include "traffic/route_table.h"
@@ -132,6 +133,24 @@
   /// @param stop when callers notice the stop, and when it ends.
   void start_draining(const start_draining& stop);
 
+  /// Sets for how long the host has been suspended in total (CLOCK_BOOTTIME less CLOCK_MONOTONIC). Permits expire
+  /// during that time too. To be called before every other function.
+  void set_suspended_time(duration total) { suspended_ = total; }
+
+  /// Changes the stream over which permits are requested; 0: there is none.
+  void set_permit_source(time_point now, std::uint64_t stream) { permits_.set_source(now + suspended_, stream); }
+
+  /// Takes over permits that the control host has granted.
+  void apply_permits(time_point now, const permit_answer& answer) { permits_.apply(now + suspended_, answer); }
+
+  /// @return the request for permits to send now; to be called after take_answers.
+  std::optional<permit_request> take_permit_request(time_point now) { return permits_.take_request(now + suspended_); }
+
+  const permit_store& permits() const { return permits_; }
+
+  /// For tests without keys: requests of callers that have not been authenticated belong to this account.
+  void assume_account(std::optional<client_account> account) { assumed_account_ = std::move(account); }
+
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
   /// @return versions that are cut at this node from now on.
   std::vector<withdrawn_key> tick(time_point now);
@@ -206,7 +225,8 @@
     request_attributes attributes;
     std::shared_ptr<upstream> target;
     time_point arrived{};
-    bool limited = false;  ///< counted by the service's concurrency limiter
+    bool limited = false;         ///< counted by the service's concurrency limiter
+    std::optional<permit> drawn;  ///< spent when the attempt is let through
   };
 
   /// What the choice of an upstream for one attempt depends on.
@@ -230,6 +250,7 @@
     const service_spec* spec = nullptr;
     service_state* traffic = nullptr;
     choice_criteria criteria;
+    std::optional<permit> drawn;  ///< permit of the account, not spent
   };
 
   /// What a stage decided: the attempt goes on to the next stage, or it has its answer, or it waits and `take_answers`
@@ -239,7 +260,7 @@
   using stage_result = std::variant<go_on, pick_result, waits>;
   /// A stage checks one condition or fills in one part of the context.
   using pick_stage = stage_result (traffic_core::*)(pick_context&);
-  static const std::array<pick_stage, 10> caller_stages;  ///< of a request from a caller, in this order
+  static const std::array<pick_stage, 11> caller_stages;  ///< of a request from a caller, in this order
   static const std::array<pick_stage, 6> peer_stages;     ///< of a request that another node has forwarded
 
   std::optional<pick_result> run_stages(pick_context context);
@@ -247,6 +268,7 @@
   stage_result check_document(pick_context& context);
   stage_result match_route(pick_context& context);
   stage_result authenticate(pick_context& context);
+  stage_result draw_permit(pick_context& context);
   stage_result infer_earlier_attempts(pick_context& context);
   stage_result choose_destination(pick_context& context);
   stage_result refuse_quarantined(pick_context& context);
@@ -259,7 +281,8 @@
   stage_result adopt_account(pick_context& context);
   stage_result admit_forwarded(pick_context& context);
 
-  /// A later attempt that waits for the reports of the crash that may have ended the earlier one.
+  /// An attempt that waits before its first stage, or for a permit: a later one waits for the reports of the crash that
+  /// may have ended the earlier one. The stages start again when the wait ends.
   struct held_attempt {
     request_attributes attributes;
     time_point arrived{};
@@ -267,6 +290,13 @@
 
   static request_attributes after_wait(request_attributes attributes, duration waited);
   void pick_for_held(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  std::optional<pick_result> resume(time_point now, std::uint64_t waiter_id, held_attempt attempt,
+                                    std::optional<permit> drawn);
+  void pick_with_permits(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  refusal refuse_without_permit(const permit_refusal& reason);
+  void give_back(time_point now, const std::optional<permit>& unused);
+  bool spend_or_replace(time_point now, const std::optional<permit>& used);
+  void settle_permit(pick_context& context, std::optional<pick_result>& answer);
   std::optional<pick_result> admit_locally(time_point now, queued_attempt attempt, std::uint64_t waiter_id);
   refusal refuse_overloaded(time_point now, const upstream& target);
   bool may_be_broken_off(time_point now, const route_policy& route, const request_attributes& attributes) const;
@@ -275,8 +305,8 @@
   std::optional<refusal> refuse_trial(time_point now, const queued_attempt& attempt);
   static void set_account(pick_context& context, const client_account& account);
   void note_withdrawn_keys(const account_key_table& before, const account_key_table& after);
-  void refuse_withdrawn_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
-  void refuse_quarantined_waiters(std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  void refuse_withdrawn_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
+  void refuse_quarantined_waiters(time_point now, std::vector<std::pair<std::uint64_t, pick_result>>& answers);
   bool permitted(const upstream& u, const choice_criteria& criteria) const;
   bool any_permitted(const service_state& traffic, const choice_criteria& criteria) const;
   bool cold(const upstream& u, time_point now) const;
@@ -322,6 +352,10 @@
   std::unordered_map<std::string, retry_age_estimator> retry_age_estimators_;  ///< by route
   std::map<std::uint64_t, queued_attempt> waiting_;                            ///< by waiter id
   std::map<std::uint64_t, held_attempt> held_;                                 ///< by waiter id, the oldest first
+  std::map<std::uint64_t, held_attempt> awaiting_permits_;                     ///< by waiter id
+  permit_store permits_;
+  std::optional<client_account> assumed_account_;
+  duration suspended_{};
   std::uint64_t next_pick_id_ = 1;
   balancer balancer_;
   random_source random_;
--- a/traffic/traffic_core_rules.cc
+++ b/traffic/traffic_core_rules.cc
@@ -80,7 +80,8 @@
   for (auto next = waiting_.begin(); next != waiting_.end();) {
     const auto waiter = next++;
     const queued_attempt& attempt = waiter->second;
-    if (permitted(*attempt.target, {.rule = routes_.match(attempt.attributes)})) continue;
+    const client_account* account = document_->find_account(attempt.route.account);
+    if (permitted(*attempt.target, {.rule = routes_.match(attempt.attributes), .account = account})) continue;
     attempt.target->admission.cancel(waiter->first);
     if (attempt.limited) services_[attempt.service].limiter.release_unused();
     removed.emplace_back(waiter->first, std::move(waiter->second));
@@ -91,8 +92,8 @@
       answers.emplace_back(id, refuse(refusal_reason::no_upstream));
       continue;
     }
-    request_attributes attributes = after_wait(std::move(attempt.attributes), now - attempt.arrived);
-    if (auto answer = run_stages({.now = now, .attributes = std::move(attributes), .waiter_id = id})) {
+    held_attempt again{std::move(attempt.attributes), attempt.arrived};
+    if (auto answer = resume(now, id, std::move(again), std::move(attempt.drawn))) {
       answers.emplace_back(id, std::move(*answer));
     }
   }
