--- a/testing/permitted_upstreams_test.cc
+++ b/testing/permitted_upstreams_test.cc
@@ -28,6 +28,7 @@
   // The upstream in each zone has one slot and three connections; the first zone is that of this node.
   void set_zones(const std::vector<std::string>& zones) {
     std::vector<member_record> members;
+    members.reserve(zones.size());
     for (const std::string& zone : zones) {
       members.push_back({.node_id = zone == "dar-1" ? "n1" : zone,
                          .availability_zone = zone,
