pipeline_core: no further request begins without room for its response

Cause: at the bound of held responses the exchanges waited, but further requests were still read and begun.

--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -269,6 +269,7 @@
     const outcome<void> opened = co_await std::move(opening);
     idle_timer_->clear();
     if (!opened) co_return false;
+    begin_buffered();  // there is room for other responses
     while (!pipeline.ended(caller->number())) {
       auto waiting = progress_.wait();
       (void)co_await std::move(waiting);
--- a/node/pipeline_core.cc
+++ b/node/pipeline_core.cc
@@ -8,6 +8,7 @@
 
 bool pipeline_core::may_begin() const {
   if (closed_ || blocked_ || last_begun_ || size() == max_pipelined) return false;
+  if (held_total_ > max_held_total - max_held_response) return false;
   return empty() || at(next_ - 1).repeatable;
 }
 
--- a/node/pipeline_core.h
+++ b/node/pipeline_core.h
@@ -16,7 +16,7 @@
 /// Rules (docs/design/pipelining.md):
 /// - A request that may not be repeated runs alone: it begins when nothing is ahead, and nothing begins behind it.
 /// - Behind a response that closes the connection nothing begins, and what runs is cancelled.
-/// - Responses that wait for their turn are bounded, each and in total.
+/// - Responses that wait for their turn are bounded, each and in total; without room for another one nothing begins.
 #pragma once
 
 #include <array>
--- a/testing/pipeline_core_test.cc
+++ b/testing/pipeline_core_test.cc
@@ -71,10 +71,12 @@
   }
   EXPECT_EQ(core.held_bytes(), max_held_total);
   EXPECT_FALSE(core.may_hold(5, 1));
+  EXPECT_FALSE(core.may_begin()) << "no further request is read";
   core.open(0);
   EXPECT_FALSE(core.may_hold(0, 1)) << "the response at the front is written, not held";
   core.release(3);
   EXPECT_TRUE(core.may_hold(5, max_held_response));
+  EXPECT_TRUE(core.may_begin());
 }
 
 /// Random requests, ends and sizes; checks what a caller and an upstream would see.
--- a/testing/pipelining_test.cc
+++ b/testing/pipelining_test.cc
@@ -313,6 +313,28 @@
   EXPECT_FALSE(upstream.has_seen("/post"));
 }
 
+// A connection whose requests run must not be closed as idle.
+TEST(pipelining_idle, begins_after_the_last_response) {
+  gated_upstream upstream;
+  proxy_harness h(upstream.script(), 100ms);
+  upstream.harness = &h;
+  h.run([&]() -> awaitable<void> {
+    auto caller = co_await h.connect();
+    co_await h.send(*caller, request_of("/0") + request_of("/1"));
+    EXPECT_TRUE(co_await eventually(h.k, [&] { return upstream.seen.size() == 2; }));
+    upstream.released.insert("/1");
+    EXPECT_TRUE(co_await eventually(h.k, [turn = 0]() mutable { return ++turn > 300; }));
+    upstream.all = true;
+    for (const char* path : {"/0", "/1"}) {
+      auto response = co_await h.read_response(*caller);
+      EXPECT_EQ(response.body(), path);
+    }
+    auto idle = co_await h.read_response(*caller);
+    EXPECT_EQ(idle.result_int(), 408U);
+    EXPECT_EQ(idle["hd-outcome"], "not-run");
+  });
+}
+
 // Responses behind a slow one must not fill the memory of the node.
 TEST_F(pipelining, large_responses_that_wait_are_bounded) {
   constexpr std::size_t total = 48UL * 1024 * 1024;
