--- a/traffic/fair_share.h
+++ b/traffic/fair_share.h
@@ -52,7 +52,7 @@
   /// Guaranteed parts of the rate at which all requests are started. An account must get a quarter; the rest is for
   /// the time that its credit takes to build up and for requests that come while no slot can be given to them. A route
   /// with little urgency is only kept from being served not at all, as more would be taken from urgent ones: a tenth
-  /// cost 2 in 100 of the worth at an overload of 2.5.
+  /// cost 0.02 of the bound at an overload of 2.5.
   static constexpr double account_part = 0.3;
   static constexpr double route_part = 0.01;
 
