--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -471,6 +471,38 @@
   EXPECT_EQ(core.dump(now).at("pending").as_uint64(), 0U);
 }
 
+// Guards against an order that ignores the priority of accounts, and against calls of upstreams, which come without an
+// account, that wait behind new requests.
+TEST_F(traffic_core_test, accounts_come_before_routes_and_calls_of_upstreams_before_both) {
+  const auto d = document({{"v1", full_share}});
+  d->routes[0].priority = 1;
+  d->accounts["urgent"] = {.name = "urgent", .priority = 0};
+  d->accounts["other"] = {.name = "other"};
+  core.set_document(d);
+  endpoint_record only = endpoint("t1", "v1");
+  only.slots = 1;
+  core.set_members({member("n1", "dar-1", {only})}, now);
+  request_attributes request = lookup();
+  request.deadline = 10s;
+  request.account = "other";
+  upstream_choice running = chosen(request);
+  finish(running);
+  running = chosen(request);
+  ASSERT_TRUE(running.local);
+  const std::vector<std::pair<std::uint64_t, std::string>> waiting{{1, "other"}, {2, "urgent"}, {3, ""}};
+  for (const auto& [id, account] : waiting) {
+    request.account = account;
+    ASSERT_FALSE(core.pick(now, request, id)) << account;
+  }
+  for (const std::uint64_t expected : {3, 2, 1}) {
+    finish(running);
+    const auto answers = core.take_answers(now);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].first, expected);
+    running = std::get<upstream_choice>(answers[0].second);
+  }
+}
+
 // A faulty version must lose this node's calls before the leader has decided. A fault of both versions must cut
 // neither.
 TEST_F(traffic_core_test, faulty_version_is_cut_locally_and_reported) {
