--- a/testing/exchange_core_test.cc
+++ b/testing/exchange_core_test.cc
@@ -213,6 +213,14 @@
   EXPECT_EQ(refused.status, 502U);
 }
 
+// 429 states that the account is over its limit; a control host that does not answer states nothing about it.
+TEST(exchange_core, only_an_account_over_its_limit_is_answered_429) {
+  EXPECT_EQ(status_of(refusal_reason::over_limit), 429U);
+  EXPECT_EQ(status_of(refusal_reason::limit_unavailable), 503U);
+  EXPECT_EQ(exchange_core({}, time_point{}).decide_after_refusal(refusal_reason::over_limit).execution,
+            execution_status::not_executed);
+}
+
 // The operators shortened the route's timeout between two attempts; counted from the second one, it ended an exchange
 // at a time that neither document had promised.
 TEST(exchange_core, later_attempt_keeps_the_time_of_the_first) {
--- a/testing/fleet_limit_test.cc
+++ b/testing/fleet_limit_test.cc
@@ -102,6 +102,68 @@
   EXPECT_LE(static_cast<double>(sent), bound);
 }
 
+// One node that asks for as much as it can get, and one control host whose bucket is full.
+struct greedy_node {
+  greedy_node() {
+    start_host();
+    now += std::chrono::seconds(60);
+    node.set_source(now, 1);
+  }
+  void start_host() {
+    granter = permit_granter();
+    granter.set_membership(now, 1, true, {});
+    granter.set_accounts(now, {{"acme", limit}});
+  }
+  std::vector<permit> draw() {
+    for (int i = 0; i < 100; ++i) (void)node.take(now, "acme", ++waiter);
+    if (const auto request = node.take_request(now)) node.apply(now, granter.on_request(now, stream, *request));
+    std::vector<permit> drawn;
+    for (const permit_decision& d : node.take_decisions(now)) {
+      if (const auto* one = std::get_if<permit>(&d.result)) drawn.push_back(*one);
+    }
+    return drawn;
+  }
+  void send(const std::vector<permit>& permits) {
+    for (const permit& p : permits) sent += node.spend(now, p) ? 1 : 0;
+  }
+  void send_for(duration time) {
+    for (const time_point end = now + time; now < end; now += std::chrono::milliseconds(5)) send(draw());
+  }
+
+  const client_account limit{.name = "acme", .rate_per_s = 500, .burst = 500};
+  const double bound = (5 * limit.rate_per_s + limit.burst) * 1.1 + 20;
+  time_point now = time_point{} + std::chrono::seconds(100);
+  permit_granter granter;
+  permit_store node;
+  std::uint64_t stream = 1;
+  std::uint64_t waiter = 0;
+  double sent = 0;
+};
+
+// Without the bound of outstanding permits, a second of refill could be held back and sent with the burst.
+TEST(fleet_limit, permits_held_back_are_within_the_overage) {
+  greedy_node greedy;
+  std::vector<permit> held;
+  for (int i = 0; i < 198; ++i, greedy.now += std::chrono::milliseconds(5)) {
+    for (permit& drawn : greedy.draw()) held.push_back(std::move(drawn));
+  }
+  greedy.send(held);
+  greedy.send_for(std::chrono::milliseconds(4990));
+  EXPECT_GT(greedy.sent, 3000);
+  EXPECT_LE(greedy.sent, greedy.bound);
+}
+
+// Without the empty bucket after a restart, each restart would give a burst.
+TEST(fleet_limit, restarted_control_host_gives_no_burst) {
+  greedy_node greedy;
+  greedy.send_for(std::chrono::milliseconds(500));
+  greedy.start_host();
+  greedy.node.set_source(greedy.now, greedy.stream = 2);
+  greedy.send_for(std::chrono::milliseconds(4490));
+  EXPECT_GT(greedy.sent, 2500);
+  EXPECT_LE(greedy.sent, greedy.bound);
+}
+
 // The test must be able to fail.
 TEST(fleet_limit, bound_fails_when_the_lender_does_not_deduct) {
   EXPECT_GT(run_all(10'000, 20, {.faults = true, .lend_without_deducting = true}).broken, 0U);
--- a/testing/limit_stage_test.cc
+++ b/testing/limit_stage_test.cc
@@ -82,9 +82,10 @@
 }
 
 TEST_F(limit_stage, later_attempts_and_accounts_without_a_limit_need_no_permit) {
-  EXPECT_TRUE(pick(1, 1));
+  EXPECT_TRUE(std::holds_alternative<upstream_choice>(*pick(1, 1)));
   core.assume_account(client_account{.name = "acme"});
-  EXPECT_FALSE(pick(2)) << "the slot is taken";
+  set_upstream(2);
+  EXPECT_TRUE(std::holds_alternative<upstream_choice>(*pick(2)));
   EXPECT_FALSE(core.take_permit_request(now));
 }
 
@@ -103,6 +104,9 @@
 // A request that waits in the queue of its upstream while its host is suspended must not be let through with a permit
 // of before.
 TEST_F(limit_stage, permit_is_checked_again_when_the_request_leaves_the_queue) {
+  // One call, so that the queue knows the service time.
+  const auto first = pick(7, 1);
+  core.finish(now, {std::get<upstream_choice>(*first).pick_id, call_outcome::ok, 100ms, {}});
   EXPECT_FALSE(pick(1));
   EXPECT_FALSE(pick(2));
   const auto answers = grant(2);
