--- a/testing/caller_simulation.cc
+++ b/testing/caller_simulation.cc
@@ -15,6 +15,7 @@
 #include <random>
 
 #include "node/quarantine_core.h"
+#include "testing/account_document.h"
 #include "testing/worth_bound.h"
 #include "traffic/traffic_core.h"
 
@@ -86,10 +87,12 @@
       speeds_.push_back(o.speeds[i % o.speeds.size()]);
       speed_sum += speeds_.back();
     }
+    std::vector<client_account> accounts;
     for (const simulated_account& a : o.accounts) {
-      document_->accounts[a.name] = {.name = a.name, .priority = a.priority};
+      accounts.push_back({.name = a.name, .priority = a.priority});
       result_.accounts.push_back({.name = a.name});
     }
+    if (!accounts.empty()) set_accounts(*document_, accounts);
     capacity_per_ms_ = speed_sum * o.slots / (mean_work * o.full_slowdown);
     for (std::size_t host = 0; host < o.hosts; ++host) {
       nodes_.push_back(std::make_unique<traffic_core>(traffic_identity{.node_id = node_id(host),
@@ -243,7 +246,10 @@
     const simulated_route& route = o_.routes[r.route];
     request_attributes a{.path = "/" + route.name + "/x", .method = route.idempotent ? "GET" : "POST"};
     a.fingerprint = r.fingerprint;
-    if (r.account) a.account = o_.accounts[*r.account].name;
+    if (r.account) {
+      a.account = o_.accounts[*r.account].name;
+      a.api_key = key_of_account(a.account);
+    }
     // The caller states its time left when it sends, so a first attempt always states the whole deadline.
     const double stated = route.deadline_ms - (r.received_ms - client_ms - r.first_sent_ms);
     a.deadline = milliseconds(std::llround(stated - (now_ms_ - r.received_ms)));
--- a/testing/limit_stage_test.cc
+++ b/testing/limit_stage_test.cc
@@ -2,6 +2,7 @@
 // without a permit, spend two for one request, or leave it waiting.
 #include <gtest/gtest.h>
 
+#include "testing/account_document.h"
 #include "traffic/traffic_core.h"
 
 namespace heatherdeck {
@@ -11,15 +12,18 @@
 
 struct limit_stage : testing::Test {
   void SetUp() override {
+    set_limit(10);
+    core.set_permit_source(now, 1);
+    set_upstream(1);
+  }
+  void set_limit(double rate_per_s) {
     auto d = std::make_shared<compiled_document>();
     d->document_version = {1, 5};
     d->routes = {
         {.name = "book", .path_prefix = "/", .service = "desk", .timeout = 2000ms, .objective = 1500ms, .attempts = 2}};
     d->services["desk"] = {.name = "desk", .versions = {"v1"}, .shares = {{"v1", full_share}}};
+    set_accounts(*d, {{.name = "acme", .rate_per_s = rate_per_s, .burst = rate_per_s}});
     core.set_document(d);
-    core.assume_account(client_account{.name = "acme", .rate_per_s = 10, .burst = 10});
-    core.set_permit_source(now, 1);
-    set_upstream(1);
   }
   void set_upstream(std::uint32_t slots) {
     member_record own{.node_id = "n1", .availability_zone = "dar-1", .region = "dar", .mesh_address = "127.0.0.1:7000"};
@@ -34,7 +38,8 @@
     core.set_members({own}, now);
   }
   std::optional<pick_result> pick(std::uint64_t waiter, std::uint32_t attempt = 0) {
-    return core.pick(now, {.path = "/x", .method = "GET", .attempt = attempt}, waiter);
+    return core.pick(now, {.path = "/x", .method = "GET", .attempt = attempt, .api_key = key_of_account("acme")},
+                     waiter);
   }
   std::vector<std::pair<std::uint64_t, pick_result>> grant(std::uint32_t permits, permit_verdict verdict = {}) {
     const auto request = core.take_permit_request(now);
@@ -82,9 +87,10 @@
 }
 
 TEST_F(limit_stage, later_attempts_and_accounts_without_a_limit_need_no_permit) {
-  EXPECT_TRUE(pick(1, 1));
-  core.assume_account(client_account{.name = "acme"});
-  EXPECT_FALSE(pick(2)) << "the slot is taken";
+  EXPECT_TRUE(std::holds_alternative<upstream_choice>(*pick(1, 1)));
+  set_limit(0);
+  set_upstream(2);
+  EXPECT_TRUE(std::holds_alternative<upstream_choice>(*pick(2)));
   EXPECT_FALSE(core.take_permit_request(now));
 }
 
@@ -103,6 +109,9 @@
 // A request that waits in the queue of its upstream while its host is suspended must not be let through with a permit
 // of before.
 TEST_F(limit_stage, permit_is_checked_again_when_the_request_leaves_the_queue) {
+  // One call, so that the queue knows the service time.
+  const auto first = pick(7, 1);
+  core.finish(now, {std::get<upstream_choice>(*first).pick_id, call_outcome::ok, 100ms, {}});
   EXPECT_FALSE(pick(1));
   EXPECT_FALSE(pick(2));
   const auto answers = grant(2);
--- a/testing/traffic_core_test.cc
+++ b/testing/traffic_core_test.cc
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "model/service_names.h"
+#include "testing/account_document.h"
 #include "traffic/traffic_service.h"
 
 namespace heatherdeck {
@@ -476,14 +477,15 @@
 TEST_F(traffic_core_test, accounts_come_before_routes_and_calls_of_upstreams_before_both) {
   const auto d = document({{"v1", full_share}});
   d->routes[0].priority = 1;
-  d->accounts["urgent"] = {.name = "urgent", .priority = 0};
-  d->accounts["other"] = {.name = "other"};
+  set_accounts(*d, {{.name = "urgent", .priority = 0}, {.name = "other"}});
   core.set_document(d);
   endpoint_record only = endpoint("t1", "v1");
   only.slots = 1;
   core.set_members({member("n1", "dar-1", {only})}, now);
   request_attributes request = lookup();
   request.deadline = 10s;
+  request.from_peer = true;
+  request.service = "certdesk";
   request.account = "other";
   upstream_choice running = chosen(request);
   finish(running);
--- a/traffic/traffic_core.h
+++ b/traffic/traffic_core.h
@@ -148,9 +148,6 @@
 
   const permit_store& permits() const { return permits_; }
 
-  /// For tests without keys: requests of callers that have not been authenticated belong to this account.
-  void assume_account(std::optional<client_account> account) { assumed_account_ = std::move(account); }
-
   /// Evaluates the local circuit breaker of versions under rollout; to be called several times a second.
   /// @return versions that are cut at this node from now on.
   std::vector<withdrawn_key> tick(time_point now);
@@ -354,7 +351,6 @@
   std::map<std::uint64_t, held_attempt> held_;                                 ///< by waiter id, the oldest first
   std::map<std::uint64_t, held_attempt> awaiting_permits_;                     ///< by waiter id
   permit_store permits_;
-  std::optional<client_account> assumed_account_;
   duration suspended_{};
   std::uint64_t next_pick_id_ = 1;
   balancer balancer_;
