--- a/control/account_sections.cc
+++ b/control/account_sections.cc
@@ -16,8 +16,8 @@
 
 namespace json = boost::json;
 
-// 10,000 accounts with two keys of 42 characters have 2.1 MB of distributed text: in 64 sections at most 40 KiB, with 32
-// the average would be at the limit of 64 KiB for a section.
+// 10,000 accounts with two keys of 42 characters have 2.1 MB of distributed text: in 64 sections at most 40 KiB, with
+// 32 the average would be at the limit of 64 KiB for a section.
 constexpr std::uint64_t account_sections = 64;
 constexpr std::string_view sent_kind = to_name(section_kind::account_keys);
 constexpr std::string_view distributed_kind = to_name(section_kind::accounts);
