--- a/node/exchange.cc
+++ b/node/exchange.cc
@@ -34,23 +34,6 @@
   attempt_failure failure = attempt_failure::closed;
 };
 
-attempt_failure failure_of(error_kind kind) {
-  switch (kind) {
-    case error_kind::unreachable:
-    case error_kind::unauthorised:
-    case error_kind::overloaded:
-      return attempt_failure::connect_failed;
-    case error_kind::not_processed:
-      return attempt_failure::refused_stream;
-    case error_kind::timeout:
-      return attempt_failure::timeout;
-    case error_kind::bad_message:
-      return attempt_failure::invalid_response;
-    default:
-      return attempt_failure::closed;
-  }
-}
-
 class exchange {
  public:
   exchange(proxy_context_ptr context, caller_link& caller, request_head head)
--- a/node/exchange_core.cc
+++ b/node/exchange_core.cc
@@ -56,6 +56,23 @@
 
 }  // namespace
 
+attempt_failure failure_of(error_kind kind) {
+  switch (kind) {
+    case error_kind::unreachable:
+    case error_kind::unauthorised:
+    case error_kind::overloaded:
+      return attempt_failure::connect_failed;
+    case error_kind::not_processed:
+      return attempt_failure::refused_stream;
+    case error_kind::timeout:
+      return attempt_failure::timeout;
+    case error_kind::bad_message:
+      return attempt_failure::invalid_response;
+    default:
+      return attempt_failure::closed;
+  }
+}
+
 bool proves_not_executed(attempt_failure failure) { return row_of(failure).proves_not_executed; }
 
 unsigned status_of(refusal_reason reason) {
--- a/node/exchange_core.h
+++ b/node/exchange_core.h
@@ -26,6 +26,7 @@
 #include <string_view>
 
 #include "kernel/enum_names.h"
+#include "kernel/error.h"
 #include "kernel/timer_service.h"
 #include "model/traffic_messages.h"
 
@@ -84,6 +85,9 @@
   });
 };
 
+/// @return the failure that an error of the connection to an upstream or node amounts to.
+attempt_failure failure_of(error_kind kind);
+
 /// @return whether the failure proves that no upstream has executed the request, even if bytes of it were sent.
 bool proves_not_executed(attempt_failure failure);
 
--- a/testing/permits_service_test.cc
+++ b/testing/permits_service_test.cc
@@ -3,6 +3,8 @@
 // without an answer.
 #include "control/permits_service.h"
 
+#include <iostream>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
