--- a/testing/permits_service_test.cc
+++ b/testing/permits_service_test.cc
@@ -169,7 +169,9 @@
   const double lent = c2.total("lent");
   const double borrowed = c1.total("borrowed");
   EXPECT_LE(borrowed, lent + 0.001);
-  if (c1.total("loans_lost") == 0) EXPECT_NEAR(lent, borrowed, 5);
+  if (c1.total("loans_lost") == 0) {
+    EXPECT_NEAR(lent, borrowed, 5);
+  }
   std::cout << "lent " << lent << ", borrowed " << borrowed << ", loans lost " << c1.total("loans_lost") << '\n';
   EXPECT_LE(user->sent, (5 * 100 + 100) * 1.1 + 20);
 }
