--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -115,7 +115,7 @@
 
 subscriber_core::actions subscriber_core::on_message(const control_message& message, time_point now) {
   last_message_at_ = now;
-  actions r = std::visit([this](const auto& m) { return on_offer(m); }, message);
+  actions r = std::visit([this](const auto& m) { return this->on_offer(m); }, message);
   first_message_ = false;
   if (r.disconnect_reason.empty()) r.disconnect_reason = check_quorum(now);
   return r;
--- a/testing/accounts_test.cc
+++ b/testing/accounts_test.cc
@@ -188,7 +188,7 @@
 TEST(accounts, ten_thousand_fit_and_one_changed_key_edits_one_pair_of_sections) {
   using clock = std::chrono::steady_clock;
   const auto ms_since = [](clock::time_point start) {
-    return std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - start).count() / 1000.0;
+    return std::chrono::duration<double, std::milli>(clock::now() - start).count();
   };
   const std::string text = text_with(many_accounts(10'000));
   auto start = clock::now();
