--- a/testing/permit_simulation.cc
+++ b/testing/permit_simulation.cc
@@ -106,10 +106,9 @@
   at(now_ + delay(from, to), [=, this] {
     if (!hosts_[to].granter || !reachable(from, to)) return;
     if (options_.lend_without_deducting) {
-      loan_message given = request;
       at(now_ + delay(to, from), [=, this] {
         if (hosts_[from].process == asker && hosts_[from].granter)
-          hosts_[from].granter->on_loan_answer(now_, host_name(to), given);
+          hosts_[from].granter->on_loan_answer(now_, host_name(to), request);
       });
       return;
     }
