--- a/review/harness-2.h
+++ b/review/harness-2.h
@@ -35,6 +35,9 @@
 
 inline const steady::time_point started_at = steady::now();
 
+/// Exit codes of a script.
+enum exit_code { rule_held = 0, rule_broken = 1, not_run = 2 };
+
 /// @return milliseconds since the start of the script.
 inline long now_ms() {
   return static_cast<long>(std::chrono::duration_cast<milliseconds>(steady::now() - started_at).count());
@@ -228,8 +231,11 @@
 class deployment {
  public:
   deployment(record_file& record, int controls, int nodes) : record_(&record) {
-    char folder[] = "/tmp/heatherdeck-review-XXXXXX";
-    folder_ = mkdtemp(folder);
+    folder_ = (std::filesystem::temp_directory_path() / "heatherdeck-review-XXXXXX").string();
+    if (mkdtemp(folder_.data()) == nullptr) {
+      std::perror("temporary folder");
+      std::exit(not_run);
+    }
     const int third = 16 + static_cast<int>(getpid() % 200);
     for (int i = 0; i < controls + nodes; ++i) {
       const bool control = i < controls;
@@ -430,7 +436,7 @@
     const sockaddr_in at = address_of(fleet.node(node_index).ip, fleet.target_port());
     if (bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || listen(listener_, 128) != 0) {
       std::perror("target");
-      std::exit(2);
+      std::exit(not_run);
     }
     accepting_ = std::thread([this] { accept_connections(); });
   }
@@ -609,7 +615,4 @@
   std::map<std::string, attempt> attempts_;
 };
 
-/// Exit codes of a script.
-enum exit_code { rule_held = 0, rule_broken = 1, not_run = 2 };
-
 }  // namespace review
