local_upstream: a reset during an upload is not the end of a response without a length

What callers saw: an upstream answered a long upload at once, without a length, sent a part of its body and reset the connection. The caller got that part as a complete response.

Cause: the kernel reports a reset once, to the operation that comes first. If that is a write of the upload, reading ends with 0, as after an orderly close, and a body without a length is complete when reading ends. The failed write was not taken into account. There are two ways: the write waits for room and is retried before the waiting read, or it fails at once. In the second the read is resumed first, since a failed write is resumed later than a read that was waiting (strace: sendmsg ECONNRESET, recvfrom 0, then the last chunk to the caller).

Change: at the end of the data of a body without a length, a write that is under way is given the chance to be resumed, and if a write has failed, the response is broken off: the caller's connection is reset, or the stream to the other node.

An orderly end is still complete.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -2,11 +2,15 @@
 // `may_have_been_sent` becomes true before the first write, and false again only if that write failed before the kernel
 // accepted a byte. On a reused connection a response without the request's id, such as a late copy of an earlier one,
 // is discarded. The id tells, because an unsuccessful request never comes to the same connection again. A connection
-// returns to the pool only if request and response are complete and its buffer is empty.
+// returns to the pool only if request and response are complete and its buffer is empty. A body without a length is
+// complete only if the connection has ended without an error in either direction.
 #include "node/local_upstream.h"
 
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "kernel/log.h"
 #include "node/upstream_connection.h"
 
@@ -154,10 +158,15 @@
     const bool first = !sent_;
     sent_ = true;
     std::string head = std::exchange(head_, {});
+    writing_ = true;
     auto writing = write_h1(connection_->stream, std::move(head), std::move(data), chunked_, last);
     const auto written = co_await std::move(writing);
+    writing_ = false;
     if (first && written.ec && written.size == 0) sent_ = false;
-    if (written.ec) co_return connection_error(written.ec);
+    if (written.ec) {
+      write_failed_ = true;
+      co_return connection_error(written.ec);
+    }
     request_done_ = last;
     co_return outcome<void>();
   }
@@ -192,7 +201,18 @@
     co_return error{error_kind::bad_message, "the upstream sent too many interim responses", "check the upstream", {}};
   }
 
-  awaitable<outcome<std::string>> read_body() override { return reader_->read_body(); }
+  awaitable<outcome<std::string>> read_body() override {
+    auto reading = reader_->read_body();
+    auto data = co_await std::move(reading);
+    if (!data || !data->empty() || !reader_->parser().need_eof()) co_return std::move(data);
+    auto checking = connection_failed();
+    const bool failed = co_await std::move(checking);
+    if (!failed) co_return std::string();
+    co_return error{error_kind::closed,
+                    "the upstream's connection failed before the end of a response without a length",
+                    "check the log of the upstream",
+                    {}};
+  }
   bool response_done() const override { return is_head_request_ || reader_->done(); }
   bool body_buffered() const override { return reader_->has_buffered_data(); }
   bool may_have_been_sent() const override { return sent_; }
@@ -215,6 +235,16 @@
   }
 
  private:
+  // The kernel reports a reset once. If it has been reported to a write, reads end as after an orderly close. The write
+  // may have failed without having been resumed yet; what is posted runs after it.
+  awaitable<bool> connection_failed() {
+    if (writing_) {
+      auto resuming = boost::asio::post(connection_->stream.socket.get_executor(), boost::asio::use_awaitable);
+      co_await std::move(resuming);
+    }
+    co_return write_failed_;
+  }
+
   awaitable<outcome<void>> discard_body() {
     while (!reader_->done()) {
       auto data = co_await reader_->read_body();
@@ -263,6 +293,8 @@
   bool is_head_request_ = false;
   bool sent_ = false;
   bool request_done_ = false;
+  bool writing_ = false;
+  bool write_failed_ = false;
   int discarded_responses_ = 0;  ///< discarded; the connection is not used again
 };
 
--- a/testing/fleet.cmake
+++ b/testing/fleet.cmake
@@ -33,3 +33,8 @@
 target_sources(accounts_deployment_test PRIVATE soak_deployment.cc)
 target_compile_definitions(accounts_deployment_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
 add_dependencies(accounts_deployment_test heatherdeckd)
+
+hd_test(broken_answer_deployment_test hd_fleet hd_node)
+target_sources(broken_answer_deployment_test PRIVATE soak_deployment.cc)
+target_compile_definitions(broken_answer_deployment_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
+add_dependencies(broken_answer_deployment_test heatherdeckd)
--- a/testing/local_upstream_test.cc
+++ b/testing/local_upstream_test.cc
@@ -1,11 +1,14 @@
-// Tests of `may_have_been_sent` of a link to an upstream: it decides whether a request is sent again and what its
-// caller is told, so it must be false only if no byte of the request can have left the process.
+// Tests of a link to an upstream. `may_have_been_sent` decides whether a request is sent again and what its caller is
+// told, so it must be false only if no byte of the request can have left the process. The end of a response without a
+// length is complete only if the connection has not failed.
 #include "node/local_upstream.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include "kernel/kernel.h"
@@ -193,5 +196,125 @@
   });
 }
 
+/// Which operation the reset of a connection is reported to. The kernel reports it once; after that, reads end as if
+/// the upstream had closed the connection.
+enum class reset_report {
+  to_waiting_write,  ///< a read and a write wait when the connection is reset
+  to_next_write,     ///< a write begins after the reset, before any read
+  to_waiting_read,   ///< only a read waits when the connection is reset
+  to_next_read,      ///< a read begins after the reset, before any write
+};
+
+template <class Waiting>
+awaitable<std::string> read_until_failure(upstream_link& link, Waiting on_data, bool& complete) {
+  std::string received;
+  while (true) {
+    auto reading = link.read_body();
+    const auto data = co_await std::move(reading);
+    complete = data && data->empty();
+    if (!data || data->empty()) co_return received;
+    received += *data;
+    on_data();
+  }
+}
+
+class reset_response : public testing::TestWithParam<reset_report> {};
+
+// The part of a response without a length that preceded a reset was taken for the complete response if the reset was
+// reported to a write of the request's body.
+TEST_P(reset_response, without_a_length_is_incomplete) {
+  const reset_report report = GetParam();
+  connected_upstream c;
+  c.spawn([&] { return c.give_connection(); });
+  c.run([&]() -> awaitable<void> {
+    auto link = co_await c.open();
+    upstream_link& opened = **link;
+    bool write_ended = true;
+    const auto write = [&](std::size_t size) -> awaitable<void> {
+      write_ended = false;
+      auto sending = opened.send(std::string(size, 'x'), false);
+      (void)co_await std::move(sending);
+      write_ended = true;
+    };
+    co_await write(1);
+    boost::asio::write(c.upstream, boost::asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\npart")));
+    auto heading = opened.read_head();
+    const auto head = co_await std::move(heading);
+    EXPECT_TRUE(head && head->body == body_framing::streamed);
+    if (report == reset_report::to_waiting_write) {
+      c.spawn([&] { return write(4'000'000); });
+      co_await pause(c.k, 50ms);
+      EXPECT_FALSE(write_ended);
+    }
+    const bool reads_first = report != reset_report::to_next_write && report != reset_report::to_next_read;
+    if (!reads_first) {
+      c.reset();
+      co_await pause(c.k, 20ms);
+    }
+    if (report == reset_report::to_next_write) co_await write(1);
+    bool complete = false;
+    auto reading = read_until_failure(
+        opened,
+        [&] {
+          if (reads_first) boost::asio::post(c.k.io(), [&] { c.reset(); });
+        },
+        complete);
+    EXPECT_EQ(co_await std::move(reading), "part");
+    EXPECT_FALSE(complete);
+    opened.abort();
+    co_await pause(c.k, 20ms);
+    EXPECT_TRUE(write_ended);
+  });
+}
+
+// A write that fails at once is resumed later than a read that was waiting when the reset was processed. Which of them
+// the reset is reported to, and which is resumed first, depends on the handlers that run between the reset and the
+// write.
+TEST(reset_response_order, is_incomplete_whatever_runs_between_the_reset_and_the_write) {
+  constexpr int most_handlers_between = 8;
+  for (int handlers_between = 0; handlers_between <= most_handlers_between; ++handlers_between) {
+    SCOPED_TRACE(handlers_between);
+    connected_upstream c;
+    c.spawn([&] { return c.give_connection(); });
+    c.run([&]() -> awaitable<void> {
+      auto link = co_await c.open();
+      upstream_link& opened = **link;
+      auto sending = opened.send("x", false);
+      EXPECT_TRUE(co_await std::move(sending));
+      boost::asio::write(c.upstream, boost::asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\npart")));
+      auto heading = opened.read_head();
+      EXPECT_TRUE(co_await std::move(heading));
+      bool write_ended = false;
+      const auto write = [&]() -> awaitable<void> {
+        auto more = opened.send("x", false);
+        (void)co_await std::move(more);
+        write_ended = true;
+      };
+      std::function<void(int)> write_after = [&](int handlers) {
+        if (handlers == 0) return c.spawn(write);
+        boost::asio::post(c.k.io(), [&, handlers] { write_after(handlers - 1); });
+      };
+      bool complete = false;
+      auto reading = read_until_failure(
+          opened,
+          [&] {
+            boost::asio::post(c.k.io(), [&] {
+              c.reset();
+              write_after(handlers_between);
+            });
+          },
+          complete);
+      EXPECT_EQ(co_await std::move(reading), "part");
+      EXPECT_FALSE(complete);
+      co_await pause(c.k, 20ms);
+      EXPECT_TRUE(write_ended);
+    });
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(reports, reset_response,
+                         testing::Values(reset_report::to_waiting_write, reset_report::to_next_write,
+                                         reset_report::to_waiting_read, reset_report::to_next_read));
+
 }  // namespace
 }  // namespace heatherdeck
--- a/testing/proxy_harness.h
+++ b/testing/proxy_harness.h
@@ -156,10 +156,14 @@
     EXPECT_EQ(traffic->open_picks, 0U) << "a choice was not finished by finish_call";
   }
 
+  /// @return where the node listens for callers.
+  boost::asio::ip::tcp::endpoint address() const {
+    return {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(proxy->port())};
+  }
+
   awaitable<std::unique_ptr<h1_stream>> connect() {
     tcp_socket socket(k.io());
-    const boost::asio::ip::tcp::endpoint where(boost::asio::ip::address_v4::loopback(), proxy->port());
-    auto [ec] = co_await socket.async_connect(where, use_tuple);
+    auto [ec] = co_await socket.async_connect(address(), use_tuple);
     EXPECT_FALSE(ec) << ec.message();
     co_return std::make_unique<h1_stream>(std::move(socket));
   }
