Response heads: a line that begins with a blank is refused

What callers saw: an upstream sent a head in which the name of a field began with a blank or a tab. The caller got it as a response: with the line joined to the value of the field before it, or, if the line was the length or the coding of the body, with a body that was not the upstream's (the chunks' own framing, or all data up to the end of the connection).

Cause: Beast joins such a line to the field before it (obsolete line folding) and hands on one field, so a damaged name can't be told from a folded value behind the parser. It refuses blanks and control bytes anywhere else in a name.

Change: `read_response_head` looks at the data that the parser has consumed and refuses a continued line, as RFC 9112, 5.2, allows a proxy. The local upstream and `http_call` read their heads with it. The attempt has failed with outcome unknown: 502, or another attempt where the route allows it. Requests are read as before.

--- a/node/h1_stream.h
+++ b/node/h1_stream.h
@@ -25,6 +25,7 @@
 
 #include "kernel/mailbox.h"
 #include "node/message_head.h"
+#include "wire/response_head.h"
 
 namespace heatherdeck {
 
@@ -97,9 +98,14 @@
   void skip_body() { parser_.skip(true); }
 
   awaitable<boost::system::error_code> read_head() {
-    auto [ec, size] =
-        co_await boost::beast::http::async_read_header(stream_->socket, stream_->buffer, parser_, use_tuple);
-    co_return ec;
+    if constexpr (is_request) {
+      auto [ec, size] =
+          co_await boost::beast::http::async_read_header(stream_->socket, stream_->buffer, parser_, use_tuple);
+      co_return ec;
+    } else {
+      auto reading = read_response_head(stream_->socket, stream_->buffer, parser_);
+      co_return co_await std::move(reading);
+    }
   }
 
   /// Parses a head that the stream's buffer holds completely. Does not wait, and leaves the buffer unchanged.
--- a/testing/broken_answer_deployment_test.cc
+++ b/testing/broken_answer_deployment_test.cc
@@ -33,6 +33,8 @@
       {"/a/000", "HTTP/1.1 000 Broken", ""},
       {"/a/blank-in-name", "HTTP/1.1 200 OK", "X Detail: 1\r\n"},
       {"/a/blank-after-name", "HTTP/1.1 200 OK", "X-Detail : 1\r\n"},
+      {"/a/blank-before-name", "HTTP/1.1 200 OK", " X-Detail: 1\r\n"},
+      {"/a/blank-before-coding", "HTTP/1.1 200 OK", " Transfer-Encoding: chunked\r\n"},
       {"/a/control-byte-in-name", "HTTP/1.1 200 OK", "X\x01: 1\r\n"},
   };
   return all;
--- a/testing/upload_reset_test.cc
+++ b/testing/upload_reset_test.cc
@@ -37,6 +37,7 @@
     early_upstream upstream{.tested = c};
     proxy_harness node(upstream.script(), 60s, false, dialect_of(dialect_name::platform));
     expect_incomplete(node, upstream);
+    EXPECT_EQ(node.upstream_connections, 1U) << "the request must not be repeated: its answer had begun";
     ASSERT_FALSE(node.traffic->finished.empty());
     EXPECT_EQ(node.traffic->finished.back().outcome, call_outcome::connection_failed) << describe(c);
   }
--- a/testing/wire.cmake
+++ b/testing/wire.cmake
@@ -1,4 +1,5 @@
 hd_test(codec_test hd_wire)
+hd_test(http_client_test hd_wire)
 hd_test(h2_test hd_wire)
 hd_test(h2_session_test hd_wire)
 hd_test(mesh_test hd_wire)
--- a/wire/http_client.cc
+++ b/wire/http_client.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include "wire/endpoint.h"
+#include "wire/response_head.h"
 
 namespace heatherdeck {
 namespace {
@@ -84,7 +85,12 @@
   if (write_error) co_return no_response;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
-  auto [read_error, read_size] = co_await http::async_read(*socket, buffer, parser, use_tuple);
+  auto reading_head = read_response_head(*socket, buffer, parser);
+  boost::system::error_code read_error = co_await std::move(reading_head);
+  if (!read_error) {
+    auto [body_error, size] = co_await http::async_read(*socket, buffer, parser, use_tuple);
+    read_error = body_error;
+  }
   if (read_error) {
     if (expired) {
       co_return error{error_kind::timeout, "no response from " + address + " within the timeout", no_response.remedy,
