local_upstream: a response in an unknown transfer coding is refused

What callers saw: a response whose transfer coding was anything but chunks (gzip, a damaged name such as "xchunked", or a list) came without its coding, with the coded bytes, or the chunks' own framing, as its body.

Cause: `transfer-encoding` concerns one connection and is not passed on, and Beast takes the data up to the end of the connection for the body if chunks are not the last coding.

--- a/node/local_upstream.cc
+++ b/node/local_upstream.cc
@@ -127,11 +127,25 @@
   return head;
 }
 
+// Chunks are decoded; bytes in any other transfer coding are not the body.
+bool has_unknown_coding(h1_reader<false>& reader) {
+  const auto& message = reader.message();
+  constexpr auto field = boost::beast::http::field::transfer_encoding;
+  const auto coding = message[field];
+  return message.count(field) != 0 && lower_case({coding.data(), coding.size()}) != "chunked";
+}
+
 outcome<response_head> parse_response_head(h1_reader<false>& reader, response_head head, bool bodiless, response_id id,
                                            bool first_on_connection, const http_dialect& dialect) {
   const outcome<void> read = read_execution_fields(head, id, first_on_connection, dialect);
   if (!read) return read.failure();
   if (bodiless || reader.done()) return head;
+  if (has_unknown_coding(reader)) {
+    return error{error_kind::bad_message,
+                 "the upstream's response has an unknown transfer coding",
+                 "let the upstream use no transfer coding but chunked",
+                 {}};
+  }
   const auto length = reader.parser().content_length();
   head.body = length ? body_framing::sized : body_framing::streamed;
   head.content_length = length.value_or(0);
--- a/testing/proxy_test.cc
+++ b/testing/proxy_test.cc
@@ -124,6 +124,38 @@
   }
 }
 
+// The node decodes chunks only, and passes no coding on: the caller got the coded bytes as the body.
+TEST(proxy, response_in_an_unknown_transfer_coding_is_invalid) {
+  struct tested_coding {
+    const char* value;
+    bool valid;
+  };
+  const tested_coding codings[] = {{"gzip", false},
+                                   {"identity", false},
+                                   {"chunked, gzip", false},
+                                   {"gzip, chunked", false},
+                                   {"xchunked", false},
+                                   {"chunked x", false},
+                                   {"", false},
+                                   {"chunked;level=1", false},
+                                   {"Chunked", true}};
+  std::string coding;
+  proxy_harness h([&](tcp_socket socket) -> awaitable<void> {
+    h1_stream stream(std::move(socket));
+    if (!co_await read_whole_request(stream)) co_return;
+    co_await proxy_harness::send(stream,
+                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  });
+  for (const tested_coding& c : codings) {
+    coding = c.value;
+    h.run([&]() -> awaitable<void> {
+      const auto response = co_await h.call("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+      EXPECT_EQ(response.result_int(), c.valid ? 200U : 502U) << c.value;
+      EXPECT_EQ(response.body() == "ok", c.valid) << c.value;
+    });
+  }
+}
+
 // A message that can be parsed in two ways lets a caller smuggle a second request past the routes.
 TEST(proxy, rejects_ambiguous_and_malformed_requests_without_contacting_an_upstream) {
   const std::string start = "POST / HTTP/1.1\r\nHost: a\r\n";
