--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -409,6 +409,32 @@
   });
 }
 
+// The message of a peer that stops within it must not be read as a shorter one.
+TEST(h2, length_prefixed_message_that_breaks_off_is_not_delivered) {
+  const std::string message = std::string("\0\0\0\x0a", 4) + "0123456789";
+  for (const bool reset : {false, true}) {
+    for (std::size_t size = 0; size < message.size(); ++size) {
+      connected_pair pair;
+      pair.spawn([&]() -> awaitable<void> {
+        auto arrived = co_await pair.requests.receive();
+        const header_list headers = {{":status", "200"}};
+        (void)co_await arrived->stream->send_headers(headers, false);
+        std::string sent = message.substr(0, size);
+        (void)co_await arrived->stream->write(std::move(sent), !reset);
+        if (reset) arrived->stream->reset(8);
+        (void)co_await arrived->stream->wait_closed();
+      });
+      pair.run([&]() -> awaitable<void> {
+        auto stream = pair.client.open(stream_kind::subscribe, request_headers, false);
+        auto got = co_await stream->read_frame();
+        EXPECT_FALSE(got) << size << (reset ? " bytes, reset" : " bytes, ended");
+        if (got) co_return;
+        EXPECT_EQ(got.failure().kind, error_kind::closed);
+      });
+    }
+  }
+}
+
 // Streams of which nothing was sent may be retried; the others may have been processed.
 TEST(h2, lost_connection_reports_whether_a_stream_was_sent) {
   connected_pair pair;
