--- a/consensus/consensus_task.cc
+++ b/consensus/consensus_task.cc
@@ -201,6 +201,10 @@
   step(proposal_received{id, std::move(request.payload)});
 }
 
+void consensus_service::task::on_request(forward_command request) {
+  if (!failure_ && undelivered_.size() <= max_undelivered) step(command_forwarded{std::move(request.payload)});
+}
+
 void consensus_service::task::on_request(confirm_read request) {
   if (failure_) return request.answer(*failure_);
   const std::uint64_t id = next_id_++;
--- a/consensus/consensus_task.h
+++ b/consensus/consensus_task.h
@@ -76,6 +76,7 @@
   void handle(image_received message);
 
   void on_request(propose_command request);
+  void on_request(forward_command request);
   void on_request(confirm_read request);
   void on_request(get_consensus_status request);
   void on_request(change_membership request);
--- a/consensus/raft_core.cc
+++ b/consensus/raft_core.cc
@@ -94,35 +94,51 @@
     void operator()(const snapshot_response& body) const { core.on_snapshot_response(message, body); }
     void operator()(const read_request& body) const { core.on_read_request(message, body); }
     void operator()(const read_response& body) const { core.on_read_response(body); }
+    void operator()(const forwarded_command& body) const { core.on_forwarded_command(body); }
   };
   std::visit(dispatch{*this, m}, m.body);
 }
 
 void raft_core::handle(proposal_received event) {
-  error refused;
-  if (state_ != state::leader) {
-    refused = not_leader_error();
-  } else if (proposals_.size() >= config_.max_pending) {
-    refused = {error_kind::overloaded, "too many proposals are waiting to be committed", "try again later", {}};
-  } else if (voter_count(log_.voters()) < config_.min_voters) {
-    refused = {error_kind::no_quorum,
-               fmt::format("the log has {} voters, fewer than the {} that a change needs", voter_count(log_.voters()),
-                           config_.min_voters),
-               "start more control hosts, then try again",
-               {}};
-  } else if (event.payload.size() > config_.max_command_bytes) {
-    refused = {error_kind::limit,
-               "the command exceeds the size limit of one message",
-               "split the change into several submissions",
-               {}};
-  } else {
-    proposals_[log_.last_index() + 1] = event.id;
-    append_entry({hard_state_.term, log_.last_index() + 1, entry_kind::command, std::move(event.payload)},
-                 std::nullopt);
-    replicate_all(false);
+  if (std::optional<error> refused = check_command(event.payload)) {
+    actions_.emplace_back(answer_proposal{event.id, std::move(*refused)});
     return;
   }
-  actions_.emplace_back(answer_proposal{event.id, refused});
+  proposals_[log_.last_index() + 1] = event.id;
+  append_command(std::move(event.payload));
+}
+
+void raft_core::handle(command_forwarded event) {
+  if (state_ == state::leader) return on_forwarded_command({std::move(event.payload)});
+  const raft_member* leader = leader_.empty() ? nullptr : find_member(log_.voters(), leader_);
+  if (leader == nullptr) return;
+  send(make_message(leader->host_id, leader->store_id, hard_state_.term, forwarded_command{std::move(event.payload)}));
+}
+
+std::optional<error> raft_core::check_command(const std::string& payload) const {
+  if (state_ != state::leader) return not_leader_error();
+  if (log_.last_index() - commit_index_ >= config_.max_pending) {
+    return error{error_kind::overloaded, "too many entries are waiting to be committed", "try again later", {}};
+  }
+  if (voter_count(log_.voters()) < config_.min_voters) {
+    return error{error_kind::no_quorum,
+                 fmt::format("the log has {} voters, fewer than the {} that a change needs", voter_count(log_.voters()),
+                             config_.min_voters),
+                 "start more control hosts, then try again",
+                 {}};
+  }
+  if (payload.size() > config_.max_command_bytes) {
+    return error{error_kind::limit,
+                 "the command exceeds the size limit of one message",
+                 "split the change into several submissions",
+                 {}};
+  }
+  return std::nullopt;
+}
+
+void raft_core::append_command(std::string payload) {
+  append_entry({hard_state_.term, log_.last_index() + 1, entry_kind::command, std::move(payload)}, std::nullopt);
+  replicate_all(false);
 }
 
 void raft_core::handle(read_received event) {
--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -96,12 +96,15 @@
   void handle(timer_expired);
   void handle(message_received event);
   void handle(proposal_received event);
+  void handle(command_forwarded event);
   void handle(read_received event);
   void handle(membership_change event);
   void handle(hosts_discovered event);
   void handle(persisted event);
   void handle(image_taken event);
   void finish_step();
+  std::optional<error> check_command(const std::string& payload) const;
+  void append_command(std::string payload);
   void append_membership(const std::vector<raft_member>& voters);
   void append_entry(log_entry entry, const std::optional<std::vector<raft_member>>& voters);
   void truncate_after(std::uint64_t index);
@@ -149,6 +152,7 @@
   void start_read_round();
   void confirm_reads();
   void on_read_request(const raft_message& message, const read_request& request);
+  void on_forwarded_command(const forwarded_command& command);
   outcome<std::vector<raft_member>> voters_after(const membership_change& change) const;
 
   // raft_membership.cc: membership changes without an operator
--- a/consensus/raft_leader.cc
+++ b/consensus/raft_leader.cc
@@ -170,6 +170,10 @@
   start_read_round();
 }
 
+void raft_core::on_forwarded_command(const forwarded_command& command) {
+  if (!check_command(command.payload)) append_command(command.payload);
+}
+
 // Membership changes.
 
 outcome<std::vector<raft_member>> raft_core::voters_after(const membership_change& change) const {
--- a/consensus/raft_types.h
+++ b/consensus/raft_types.h
@@ -114,6 +114,11 @@
   std::string payload;
 };
 
+/// A command for the leader, whichever host that is. Appended without an answer, or lost.
+struct command_forwarded {
+  std::string payload;
+};
+
 /// A request to confirm a linearizable read; `id` is returned in `answer_read`.
 struct read_received {
   std::uint64_t id = 0;
@@ -142,8 +147,8 @@
   std::string bytes;
 };
 
-using raft_event = std::variant<timer_expired, message_received, proposal_received, read_received, membership_change,
-                                hosts_discovered, persisted, image_taken>;
+using raft_event = std::variant<timer_expired, message_received, proposal_received, command_forwarded, read_received,
+                                membership_change, hosts_discovered, persisted, image_taken>;
 
 // Actions: outputs of raft_core::step.
 
--- a/control/ledger.cc
+++ b/control/ledger.cc
@@ -165,6 +165,17 @@
   return finish(capture([&] { return apply_withdrawal(index, command); }));
 }
 
+command_result ledger::apply_command(std::uint64_t index, const record_departure& command) {
+  if (!departure_log::is_valid(command)) {
+    return refused({error_kind::usage,
+                    "the name of the host or of the target is empty or too long",
+                    "use 1 to " + std::to_string(departure_log::max_name_bytes) + " bytes",
+                    {}});
+  }
+  content_.departures.record(index, command);
+  return {{epoch_, index}, {}, {}};
+}
+
 result<ledger::candidate> ledger::make_candidate(std::uint64_t index) const {
   const version next{epoch_, index};
   if (next <= content_.document.document_version) {
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -1,6 +1,6 @@
 /// @file
-/// The replicated state of the control hosts (the document and the stored answers) as a pure, deterministic state
-/// machine: it applies committed commands and returns answers.
+/// The replicated state of the control hosts (the document, the stored answers and the departures) as a pure,
+/// deterministic state machine: it applies committed commands and returns answers.
 ///
 ///     ledger state(epoch);
 ///     command_result answer = state.apply(entry.index, command);    // the same result on every control host
@@ -14,7 +14,8 @@
 /// - a submission is accepted when every base revision is current, the whole resulting document compiles and no edited
 ///   section offers a withdrawn version;
 /// - a new entry of a rollouts section starts a rollout at share 0; removing the entry ends it;
-/// - a rollout step is refused when the rollout has changed since the document version on which it was decided.
+/// - a rollout step is refused when the rollout has changed since the document version on which it was decided;
+/// - a departure changes no document.
 #pragma once
 
 #include <cstddef>
@@ -25,6 +26,7 @@
 #include <string>
 #include <vector>
 
+#include "control/departure_log.h"
 #include "kernel/result.h"
 #include "model/compiled_document.h"
 #include "model/document_compiler.h"
@@ -47,6 +49,7 @@
   std::map<std::string, version> rollout_changed;  ///< by service: version that last changed the rollout
   document_history history;
   std::map<std::string, std::deque<stored_answer>> answers;  ///< by operator, oldest first
+  departure_log departures;
 };
 
 class ledger {
@@ -81,6 +84,7 @@
   const document_state& document() const { return content_.document; }
   /// @return the compiled document; null while there is none.
   const compiled_document_ptr& compiled() const { return compiled_; }
+  const departure_log& departures() const { return content_.departures; }
   const document_history& history() const { return content_.history; }
   const ledger_content& content() const { return content_; }
 
@@ -95,6 +99,7 @@
   command_result apply_command(std::uint64_t index, const submission& command);
   command_result apply_command(std::uint64_t index, const set_rollout_step& command);
   command_result apply_command(std::uint64_t index, const withdraw_version& command);
+  command_result apply_command(std::uint64_t index, const record_departure& command);
 
   result<candidate> make_candidate(std::uint64_t index) const;
   result<candidate> apply_edits(std::uint64_t index, const submission& command);
--- a/control/ledger_image.cc
+++ b/control/ledger_image.cc
@@ -1,7 +1,7 @@
 // An image is a format name followed by fields in a fixed order; documents and answers are encoded by wire/codec.h.
 //
 // Invariant: lengths and counts are checked against the remaining bytes before memory is allocated. Cost: linear; an
-// image is the document plus about 100 bytes for each stored answer and each recent change.
+// image is the document plus about 100 bytes for each stored answer, each recent change and each departure.
 #include "control/ledger_image.h"
 
 #include "wire/codec.h"
@@ -9,7 +9,9 @@
 namespace heatherdeck {
 namespace {
 
-constexpr std::string_view format_name = "heatherdeck image 1\n";
+constexpr std::string_view format_name = "heatherdeck image 2\n";
+// Written by earlier releases; without departures.
+constexpr std::string_view first_format_name = "heatherdeck image 1\n";
 
 class image_writer {
  public:
@@ -126,6 +128,36 @@
   return {};
 }
 
+departure_log read_departures(image_reader& in) {
+  departure_log::entry_map entries;
+  for (std::uint64_t hosts = in.count(); hosts != 0 && in.ok(); --hosts) {
+    std::vector<departure_log::entry>& list = entries[in.text()];
+    for (std::uint64_t left = in.count(); left != 0 && in.ok(); --left) {
+      departure_log::entry recorded;
+      recorded.departure.target = in.text();
+      recorded.departure.last.start_time_ms = in.number();
+      recorded.departure.last.sequence = in.number();
+      recorded.index = in.number();
+      list.push_back(std::move(recorded));
+    }
+  }
+  return departure_log::restore(std::move(entries));
+}
+
+void write_departures(const departure_log& departures, image_writer& out) {
+  out.put(static_cast<std::uint64_t>(departures.entries().size()));
+  for (const auto& [host, list] : departures.entries()) {
+    out.put(std::string_view(host));
+    out.put(static_cast<std::uint64_t>(list.size()));
+    for (const departure_log::entry& recorded : list) {
+      out.put(std::string_view(recorded.departure.target));
+      out.put(recorded.departure.last.start_time_ms);
+      out.put(recorded.departure.last.sequence);
+      out.put(recorded.index);
+    }
+  }
+}
+
 }  // namespace
 
 std::string encode_image(const ledger_content& content) {
@@ -151,11 +183,13 @@
       out.put(std::string_view(encode(stored.answer)));
     }
   }
+  write_departures(content.departures, out);
   return bytes;
 }
 
 result<ledger_content> decode_image(std::string_view bytes) {
-  if (!bytes.starts_with(format_name)) return corrupt_image();
+  const bool has_departures = bytes.starts_with(format_name);
+  if (!has_departures && !bytes.starts_with(first_format_name)) return corrupt_image();
   image_reader in(bytes.substr(format_name.size()));
   ledger_content content;
   content.applied = in.number();
@@ -171,6 +205,7 @@
   for (std::uint64_t left = in.count(); left != 0 && in.ok(); --left) changes.push_back(in.change());
   content.history = document_history::restore(oldest, std::move(changes));
   BOOST_LEAF_CHECK(read_answers(in, content));
+  if (has_departures) content.departures = read_departures(in);
   if (!in.ok() || !in.at_end()) return corrupt_image();
   return content;
 }
--- a/control/ledger_service.cc
+++ b/control/ledger_service.cc
@@ -115,6 +115,7 @@
                              {"rollouts", std::move(rollouts)},
                              {"withdrawn", std::move(withdrawn)},
                              {"stored_answers", answers},
+                             {"departures", state_.departures().size()},
                              {"steps_from", state_.history().oldest().text()},
                              {"proposals", proposed_.size()},
                              {"mailbox_depth", inbox_ ? inbox_->depth() : 0},
@@ -245,6 +246,45 @@
                        {}});
 }
 
+// The command has no answer of its own: it is recorded when this host has applied it, whichever host appended it.
+void ledger_service::handle(submit_departure message) {
+  if (!departure_log::is_valid(message.command)) {
+    message.answer(error{error_kind::usage,
+                         "the name of the host or of the target is empty or too long",
+                         "use 1 to " + std::to_string(departure_log::max_name_bytes) + " bytes",
+                         {}});
+    return;
+  }
+  if (state_.departures().contains(message.command)) {
+    message.answer(state_.applied());
+    return;
+  }
+  answer_departures();  // drops those that have waited too long
+  const ledger_command command = message.command;
+  if (pending_departures_.size() >= max_pending_departures || !consensus_.post(forward_command{encode(command)})) {
+    message.answer(error{error_kind::overloaded, "too many departures wait to be committed", "try again later", {}});
+    return;
+  }
+  pending_departures_.push_back({std::move(message), timer_service::now()});
+}
+
+void ledger_service::handle(get_departures message) {
+  host_departures found;
+  for (const std::string& host : message.hosts) {
+    if (auto list = state_.departures().of_host(host); !list.empty()) found[host] = std::move(list);
+  }
+  message.answer(std::move(found));
+}
+
+void ledger_service::answer_departures() {
+  const time_point now = timer_service::now();
+  std::erase_if(pending_departures_, [&](const pending_departure& pending) {
+    if (!state_.departures().contains(pending.request.command)) return now - pending.since > propose_timeout;
+    pending.request.answer(state_.applied());
+    return true;
+  });
+}
+
 // At start many entries are replayed in one message. The task yields after each entry: a new leader that sends no
 // heartbeats during the replay loses its lease (seen with 0.15 of a core: 0.6 s for 45 entries, and a second election).
 awaitable<void> ledger_service::apply_all(apply_entries message) {
@@ -256,6 +296,7 @@
   }
   notify_document_changed();
   answer_reads();
+  answer_departures();
 }
 
 void ledger_service::apply(const log_entry& entry) {
@@ -298,6 +339,7 @@
   answer_skipped();
   notify_document_changed();
   answer_reads();
+  answer_departures();
 }
 
 // Entries up to the index of the image were applied on another host; their answers can be found by id only.
--- a/control/ledger_service.h
+++ b/control/ledger_service.h
@@ -2,8 +2,9 @@
 /// Service "ledger": owns the replicated state of a control host.
 ///
 /// It proposes commands through the "consensus" service, applies committed entries in log order, answers a command once
-/// its entry has been applied on this host, and posts document_changed to those of "publisher", "rollout" and
-/// "operators" that run in the same process. Other services send it the messages in model/ledger_messages.h:
+/// its entry has been applied on this host, passes departures of targets to the leader, and posts document_changed to
+/// those of "publisher", "rollout" and "operators" that run in the same process. Other services send it the messages in
+/// model/ledger_messages.h:
 ///
 ///     BOOST_LEAF_AUTO(ledger, k.find<ledger_message>(to_name(service_name::ledger)));
 ///     outcome<command_result> answer = co_await ask<command_result>(timers, executor, ledger, 5s, make_submit);
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "control/ledger.h"
 #include "kernel/kernel.h"
@@ -36,6 +38,7 @@
   static constexpr std::size_t mailbox_capacity = 1024;
   static constexpr std::size_t max_proposals = 256;        ///< proposed and not yet known to be committed
   static constexpr std::size_t max_recent_answers = 1024;  ///< see recent_
+  static constexpr std::size_t max_pending_departures = 1024;
 
   /// @param s uses epoch.
   static result<std::unique_ptr<service>> make(const settings& s);
@@ -52,6 +55,10 @@
     std::optional<submission> change;
     reply<command_result> answer;
   };
+  struct pending_departure {
+    submit_departure request;
+    time_point since;
+  };
 
   explicit ledger_service(std::uint64_t epoch) : epoch_(epoch), state_(epoch) {}
 
@@ -60,6 +67,8 @@
   void handle(propose_system_command message);
   void handle(get_document message);
   void handle(find_submission message);
+  void handle(submit_departure message);
+  void handle(get_departures message);
   awaitable<void> apply_all(apply_entries message);
   void handle(install_ledger_image message);
   void handle(get_ledger_image message);
@@ -72,6 +81,7 @@
   void answer_skipped();
   void answer_from_store(const pending_command& pending, const error& otherwise);
   void answer_reads();
+  void answer_departures();
   void notify_document_changed();
   template <class Message, class Change>
   void deliver(const address<Message>& target, const Change& change);
@@ -88,6 +98,8 @@
   // was applied.
   std::deque<std::pair<std::uint64_t, command_result>> recent_;
 
+  std::vector<pending_departure> pending_departures_;  // not yet applied here
+
   kernel* kernel_ = nullptr;
   std::optional<mailbox<ledger_message>> inbox_;
   address<consensus_message> consensus_;
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -26,6 +26,8 @@
 constexpr auto tick_period = 500ms;
 constexpr auto confirmation_timeout = 2s;
 constexpr auto status_timeout = 400ms;
+// A node waits at most this long for the receipt of a departure.
+constexpr auto departure_timeout = 700ms;
 // During an election a confirmation fails at once; a new leader needs several round trips for its first commit, and a
 // few retries fit into them.
 constexpr auto confirmation_retry_delay = 50ms;
@@ -145,7 +147,7 @@
   const std::vector<std::uint64_t> waiting = std::exchange(running_confirmations_, {});
   const time_point now = timer_service::now();
   if (m.state) {
-    send(core_.set_document(*m.state, now));
+    send(core_.set_document(m.state->document, now));
   } else {
     log_event(log_level::debug, "confirmation_failed", {{"reason", m.state.failure().message()}});
   }
@@ -155,6 +157,7 @@
     if (!m.state && core_.may_await_confirmation(id, now)) {
       queued_confirmations_.push_back(id);
     } else if (const auto offer = core_.first_offer(id, m.state.has_value(), now)) {
+      if (m.state) send_departures(id, m.state->departures);
       send(*offer);
     }
   }
@@ -177,6 +180,10 @@
   send(core_.make_keepalives(quorum_, timer_service::now()));
 }
 
+void publisher_service::handle(departure_recorded&& m) {
+  send({m.subscription, std::make_shared<const control_message>(departure_receipt{m.report})});
+}
+
 void publisher_service::on_node_message(std::uint64_t id, const subscribe_request&) {
   log_error("second_subscribe_refused",
             {error_kind::bad_message, "a node subscribed twice on one stream", "report this as a defect", {}});
@@ -205,6 +212,38 @@
   if (permits_ && to != outgoing_.end()) permits_.post(permits_requested{id, request, to->second});
 }
 
+void publisher_service::on_node_message(std::uint64_t id, const departure_report& report) {
+  const auto peer = peers_.find(id);
+  if (peer == peers_.end()) return;
+  boost::asio::co_spawn(kernel_->executor(), record(id, {peer->second.node_id, report.departure}, report.id),
+                        boost::asio::detached);
+}
+
+// A node that gets no receipt in time reports the departure again.
+awaitable<void> publisher_service::record(std::uint64_t subscription, record_departure command, std::uint64_t report) {
+  const address<publisher_message> inbox = inbox_->address();
+  auto make = [&command](reply<std::uint64_t> answer) { return submit_departure{command, std::move(answer)}; };
+  const outcome<std::uint64_t> recorded =
+      co_await ask<std::uint64_t>(kernel_->timers(), kernel_->executor(), ledger_, departure_timeout, make);
+  if (!recorded) {
+    log_error("departure_not_recorded", recorded.failure(),
+              {{"node", command.host}, {"target", command.departure.target}});
+    co_return;
+  }
+  departure_recorded done{subscription, report};
+  (void)co_await inbox.send(std::move(done));
+}
+
+// The list comes before the offer, so that a node with a document has it.
+void publisher_service::send_departures(std::uint64_t id, const host_departures& departures) {
+  const auto peer = peers_.find(id);
+  if (peer == peers_.end() || !peer->second.want_departures) return;
+  const auto found = departures.find(peer->second.node_id);
+  departure_list list;
+  if (found != departures.end()) list.departures = found->second;
+  send({id, std::make_shared<const control_message>(std::move(list))});
+}
+
 void publisher_service::send(const publisher_core::offer& offer) {
   const auto found = outgoing_.find(offer.to);
   if (found == outgoing_.end()) return;
@@ -241,15 +280,34 @@
   if (confirming_) return;
   confirming_ = true;
   running_confirmations_ = std::exchange(queued_confirmations_, {});
-  boost::asio::co_spawn(kernel_->executor(), ask_confirmation(), boost::asio::detached);
+  std::vector<std::string> hosts;
+  for (const std::uint64_t id : running_confirmations_) {
+    if (const auto peer = peers_.find(id); peer != peers_.end()) hosts.push_back(peer->second.node_id);
+  }
+  boost::asio::co_spawn(kernel_->executor(), ask_confirmation(std::move(hosts)), boost::asio::detached);
 }
 
-awaitable<void> publisher_service::ask_confirmation() {
+// The departures are read after the document, so they are at least as recent as the confirmation.
+awaitable<void> publisher_service::ask_confirmation(std::vector<std::string> hosts) {
   const address<publisher_message> inbox = inbox_->address();
   auto make = [](reply<document_state_ptr> answer) { return get_document{true, std::move(answer)}; };
   outcome<document_state_ptr> state =
       co_await ask<document_state_ptr>(kernel_->timers(), kernel_->executor(), ledger_, confirmation_timeout, make);
-  confirmation_finished finished{std::move(state)};
+  confirmation_finished finished{outcome<confirmed_state>(confirmed_state{})};
+  if (!state) {
+    finished.state = state.failure();
+  } else {
+    auto make_request = [&hosts](reply<host_departures> answer) {
+      return get_departures{std::move(hosts), std::move(answer)};
+    };
+    outcome<host_departures> departures =
+        co_await ask<host_departures>(kernel_->timers(), kernel_->executor(), ledger_, status_timeout, make_request);
+    if (departures) {
+      finished.state = confirmed_state{std::move(*state), std::move(*departures)};
+    } else {
+      finished.state = departures.failure();
+    }
+  }
   (void)co_await inbox.send(std::move(finished));
 }
 
--- a/control/publisher_service.h
+++ b/control/publisher_service.h
@@ -45,7 +45,8 @@
 
   awaitable<void> run();
   awaitable<void> accept_streams();
-  awaitable<void> ask_confirmation();
+  awaitable<void> ask_confirmation(std::vector<std::string> hosts);
+  awaitable<void> record(std::uint64_t subscription, record_departure command, std::uint64_t report);
   awaitable<void> ask_quorum();
 
   void handle(publisher_tick&& m);
@@ -58,13 +59,16 @@
   void handle(confirmation_finished&& m);
   void handle(confirmation_retry_due&& m);
   void handle(quorum_reported&& m);
+  void handle(departure_recorded&& m);
   void on_node_message(std::uint64_t id, const subscribe_request& request);
   void on_node_message(std::uint64_t id, const applied_report& report);
   void on_node_message(std::uint64_t id, const refused_report& report);
   void on_node_message(std::uint64_t id, const evidence_report& report);
   void on_node_message(std::uint64_t id, const permit_request& request);
+  void on_node_message(std::uint64_t id, const departure_report& report);
 
   void send(const publisher_core::offer& offer);
+  void send_departures(std::uint64_t id, const host_departures& departures);
   void send(const std::vector<publisher_core::offer>& offers);
   void end_stream(std::uint64_t id);
   void begin_confirmation();
--- a/model/directory_messages.h
+++ b/model/directory_messages.h
@@ -123,13 +123,19 @@
   std::vector<target_departure> departures;
 };
 
+/// Sent by `subscriber` to `announcements`: all departures on this host that the control hosts had recorded when this
+/// process subscribed.
+struct departures_confirmed {
+  std::vector<target_departure> departures;
+};
+
 /// Sent by `traffic` to `announcements` when the upstream on this host states in a response that it is leaving.
 struct upstream_leaving {
   std::string target;
 };
 
 /// What other services tell `announcements`.
-using announcement_notice = std::variant<upstream_leaving, departures_adopted>;
+using announcement_notice = std::variant<upstream_leaving, departures_adopted, departures_confirmed>;
 
 /// Sent by `proxy` when the process begins its graceful shutdown; sets `member_record::draining`.
 struct announce_draining {};
--- a/model/distribution_messages.h
+++ b/model/distribution_messages.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "kernel/error.h"
+#include "model/directory_messages.h"
 #include "model/document.h"
 #include "model/permit_messages.h"
 
@@ -27,6 +28,7 @@
   version held_version;  ///< version that the node has; none: no document
   digest held_digest;    ///< digest of that document
   bool want_confirmed = false;
+  bool want_departures = false;  ///< together with want_confirmed: send a departure_list first
 };
 
 /// The node has applied this version.
@@ -60,7 +62,14 @@
   std::vector<withdrawn_key> disabled_locally;  ///< versions that this node stopped using because of its own counts
 };
 
-using node_message = std::variant<subscribe_request, applied_report, refused_report, evidence_report, permit_request>;
+/// A target on the node's host drains or has left.
+struct departure_report {
+  std::uint64_t id = 0;  ///< returned in departure_receipt
+  target_departure departure;
+};
+
+using node_message =
+    std::variant<subscribe_request, applied_report, refused_report, evidence_report, permit_request, departure_report>;
 
 /// A new version, as the whole document.
 struct snapshot_offer {
@@ -87,6 +96,17 @@
   std::chrono::milliseconds retry_after{0};
 };
 
-using control_message = std::variant<keepalive, snapshot_offer, delta_offer, busy_notice, permit_answer>;
+/// The departure of the report with this id is in the replicated log: committed, and so on the disks of a quorum.
+struct departure_receipt {
+  std::uint64_t id = 0;
+};
+
+/// The recorded departures on the node's host. Precedes the confirmed first offer to a node that wants them.
+struct departure_list {
+  std::vector<target_departure> departures;
+};
+
+using control_message =
+    std::variant<keepalive, snapshot_offer, delta_offer, busy_notice, permit_answer, departure_receipt, departure_list>;
 
 }  // namespace heatherdeck
--- a/model/ledger_messages.h
+++ b/model/ledger_messages.h
@@ -7,12 +7,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "kernel/mailbox.h"
+#include "model/directory_messages.h"
 #include "model/document.h"
 #include "model/document_delta.h"
 #include "model/raft_messages.h"
@@ -51,7 +53,13 @@
   std::string reason;
 };
 
-using ledger_command = std::variant<submission, set_rollout_step, withdraw_version>;
+/// Records that a target drains or has left, for later processes of its host. Repeating it changes nothing.
+struct record_departure {
+  std::string host;  ///< node id of the process that the target announces itself to
+  target_departure departure;
+};
+
+using ledger_command = std::variant<submission, set_rollout_step, withdraw_version, record_departure>;
 
 /// The result of a command. For submissions it is stored in the replicated state.
 struct command_result {
@@ -91,6 +99,22 @@
   reply<command_result> answer;
 };
 
+/// Has a departure recorded through the leader, whichever host that is. Answered with the last applied index once this
+/// host has applied the entry; without an answer it may still be recorded, and it is safe to ask again.
+struct submit_departure {
+  record_departure command;
+  reply<std::uint64_t> answer;
+};
+
+/// The recorded departures by host, the oldest first.
+using host_departures = std::map<std::string, std::vector<target_departure>>;
+
+/// Asks for the recorded departures of some hosts, as far as this host has applied the log.
+struct get_departures {
+  std::vector<std::string> hosts;
+  reply<host_departures> answer;
+};
+
 /// From the consensus service of the same process: committed entries to apply, in log order.
 struct apply_entries {
   std::vector<log_entry> entries;
@@ -125,8 +149,9 @@
   reply<document_state_ptr> answer;
 };
 
-using ledger_message = std::variant<submit, propose_system_command, get_document, find_submission, apply_entries,
-                                    install_ledger_image, get_ledger_image, proposal_finished, read_confirmed>;
+using ledger_message =
+    std::variant<submit, propose_system_command, get_document, find_submission, submit_departure, get_departures,
+                 apply_entries, install_ledger_image, get_ledger_image, proposal_finished, read_confirmed>;
 
 /// Posted by the ledger service to `publisher`, `rollout` and `operators` after every change. One message may combine
 /// several changes; `history` makes a delta from any of the last 1,000 versions to `state`.
--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -65,9 +65,22 @@
   std::uint64_t id = 0;
 };
 
-/// The result of the publisher's request to the ledger for a state that a quorum has confirmed as current.
+/// What the ledger returned for a state that a quorum has confirmed as current, and for the departures of the hosts
+/// that wait for it.
+struct confirmed_state {
+  document_state_ptr document;
+  host_departures departures;
+};
+
+/// The result of the publisher's request to the ledger for a confirmed state.
 struct confirmation_finished {
-  outcome<document_state_ptr> state;
+  outcome<confirmed_state> state;
+};
+
+/// The departure that a node reported on this subscription has been recorded.
+struct departure_recorded {
+  std::uint64_t subscription = 0;
+  std::uint64_t report = 0;  ///< departure_report::id
 };
 
 /// Posted by a timer: the delay after a failed confirmation is over; try again.
@@ -78,9 +91,10 @@
   bool present = false;
 };
 
-using publisher_message = std::variant<publisher_tick, document_changed, get_subscribers, await_applied,
-                                       subscription_opened, subscription_message, subscription_closed,
-                                       confirmation_finished, confirmation_retry_due, quorum_reported>;
+using publisher_message =
+    std::variant<publisher_tick, document_changed, get_subscribers, await_applied, subscription_opened,
+                 subscription_message, subscription_closed, confirmation_finished, confirmation_retry_due,
+                 quorum_reported, departure_recorded>;
 
 /// Posted by `traffic` to `subscriber` once a second while there are call counts to report.
 struct send_evidence {
@@ -94,6 +108,13 @@
   permit_request request;
 };
 
+/// Posted by `announcements` to `subscriber`: reports a departure on this host to the control hosts. Answered once they
+/// have recorded it, with the time that this took; `timeout` when there is no receipt in time.
+struct report_departure {
+  target_departure departure;
+  reply<duration> answer;
+};
+
 /// Periodic timer of the subscriber.
 struct subscriber_tick {};
 
@@ -124,6 +145,6 @@
 };
 
 using subscriber_message = std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened,
-                                        reconnect_due, directory_changed, send_permit_request>;
+                                        reconnect_due, directory_changed, send_permit_request, report_departure>;
 
 }  // namespace heatherdeck
--- a/model/raft_messages.h
+++ b/model/raft_messages.h
@@ -104,8 +104,13 @@
   std::uint64_t index = 0;  ///< log index that must be applied before the read
 };
 
+/// A follower passes a command to the leader. There is no response: the log shows the command once it is committed.
+struct forwarded_command {
+  std::string payload;
+};
+
 using raft_body = std::variant<vote_request, vote_response, append_request, append_response, snapshot_chunk,
-                               snapshot_response, read_request, read_response>;
+                               snapshot_response, read_request, read_response, forwarded_command>;
 
 /// Envelope of every message between control hosts. Because of the store ids, a host whose disk was replaced is not
 /// taken for the member that it was before.
@@ -131,6 +136,12 @@
   reply<committed_position> answer;
 };
 
+/// Appends a command on the leader, whichever host that is. There is no answer, and the command may be lost or appended
+/// twice: for commands whose repetition changes nothing.
+struct forward_command {
+  std::string payload;
+};
+
 /// Asks for the log index that must be applied before a linearizable read: every entry committed before this request is
 /// at or below it.
 struct confirm_read {
@@ -184,7 +195,7 @@
   reply<committed_position> answer;
 };
 
-using consensus_message =
-    std::variant<propose_command, confirm_read, get_consensus_status, change_membership, directory_changed>;
+using consensus_message = std::variant<propose_command, forward_command, confirm_read, get_consensus_status,
+                                       change_membership, directory_changed>;
 
 }  // namespace heatherdeck
--- a/node/announcement_core.cc
+++ b/node/announcement_core.cc
@@ -220,14 +220,29 @@
     next.draining_since = drained_before ? found->second.draining_since : announced.order;
     add_departure(target, next.draining_since, result);
   }
-  if (found == targets_.end() || !(found->second.announced.endpoint == next.announced.endpoint)) {
-    result.endpoints.push_back(next.announced.endpoint);
+  if (!held_) {
+    if (found == targets_.end() || !(found->second.announced.endpoint == next.announced.endpoint)) {
+      result.endpoints.push_back(next.announced.endpoint);
+    }
+    next.reported = true;
+    report_load(next, result);
   }
-  result.loads.push_back({target, announced.load, {announced.warmup_left, announced.order.start_time_ms}});
   targets_[target] = std::move(next);
   return result;
 }
 
+void announcement_core::report_load(const lease_entry& entry, changes& result) {
+  const announcement& announced = entry.announced;
+  result.loads.push_back(
+      {announced.endpoint.target, announced.load, {announced.warmup_left, announced.order.start_time_ms}});
+}
+
+void announcement_core::report_gone(const lease_entry& entry, changes& result) {
+  if (!entry.reported) return;
+  result.endpoints.push_back(entry.announced.endpoint);
+  result.endpoints.back().state = upstream_state::gone;
+}
+
 // Announcements that give no order are accepted at any time, so a departure without one would have no effect.
 void announcement_core::add_departure(const std::string& target, const announcement_order& last, changes& result) {
   if (last != announcement_order{}) result.departures.push_back({target, last});
@@ -239,7 +254,7 @@
   if (found == targets_.end()) return result;
   found->second.leaving = true;
   endpoint_record& endpoint = found->second.announced.endpoint;
-  if (std::exchange(endpoint.state, upstream_state::draining) != upstream_state::draining) {
+  if (std::exchange(endpoint.state, upstream_state::draining) != upstream_state::draining && found->second.reported) {
     result.endpoints.push_back(endpoint);
   }
   return result;
@@ -285,8 +300,7 @@
                 "name an announced target: ?target=NAME", {});
   }
   changes result;
-  result.endpoints.push_back(found->second.announced.endpoint);
-  result.endpoints.back().state = upstream_state::gone;
+  report_gone(found->second, result);
   // Announcements that were sent before this request may still arrive, with sequence numbers that are not known here.
   announcement_order last = found->second.announced.order;
   if (last.start_time_ms != 0) last.sequence = any_sequence;
@@ -302,13 +316,23 @@
     const removed_target& removed = remember_removed({departure.target, departure.last, now, true});
     const auto found = targets_.find(departure.target);
     if (found == targets_.end() || !is_outdated(now, removed, found->second.announced.order)) continue;
-    result.endpoints.push_back(found->second.announced.endpoint);
-    result.endpoints.back().state = upstream_state::gone;
+    report_gone(found->second, result);
     targets_.erase(found);
   }
   return result;
 }
 
+announcement_core::changes announcement_core::release(time_point now, const std::vector<target_departure>& departures) {
+  changes result = adopt(now, departures);
+  held_ = false;
+  for (auto& [name, entry] : targets_) {
+    if (std::exchange(entry.reported, true)) continue;
+    result.endpoints.push_back(entry.announced.endpoint);
+    report_load(entry, result);
+  }
+  return result;
+}
+
 const announcement_core::removed_target& announcement_core::remember_removed(removed_target removed) {
   removed_targets_.push_back(std::move(removed));
   if (removed_targets_.size() > max_removed_targets) removed_targets_.pop_front();
@@ -319,8 +343,7 @@
   changes result;
   std::erase_if(targets_, [&](const auto& entry) {
     if (entry.second.expires_at > now) return false;
-    result.endpoints.push_back(entry.second.announced.endpoint);
-    result.endpoints.back().state = upstream_state::gone;
+    report_gone(entry.second, result);
     remember_removed({entry.first, entry.second.announced.order, now, false});
     // A silent target may come back; without a sequence it could not be told from one that does not.
     if (entry.second.announced.order.sequence != 0 && entry.second.announced.order.start_time_ms != 0)
@@ -340,7 +363,7 @@
                                  {"state", to_name(target_lease.announced.endpoint.state)},
                                  {"lease_left_ms", left}};
   }
-  return json::object{{"targets", std::move(targets)}};
+  return json::object{{"targets", std::move(targets)}, {"held", held_}};
 }
 
 }  // namespace heatherdeck
--- a/node/announcement_core.h
+++ b/node/announcement_core.h
@@ -22,6 +22,9 @@
 /// A removed target has left for good. The highest sequence of its announcements that are still on their way is not
 /// known, so all with the same `born` are ignored: only a later start brings it back. A target that does not give
 /// `born` stays away for the duration of a lease, since its new start cannot be told from a late announcement.
+///
+/// Earlier processes of the host may have acknowledged departures that this one does not know. Between `hold` and
+/// `release` no target is reported as a change, so that a late announcement of one that has left is not used meanwhile.
 #pragma once
 
 #include <deque>
@@ -74,6 +77,17 @@
   explicit announcement_core(duration period = milliseconds(500), std::string service = {})
       : lease_duration_(announcement_periods_per_lease * period), service_(std::move(service)) {}
 
+  /// From now on targets are recorded, but not reported, until `release`.
+  void hold() { held_ = true; }
+
+  /// Takes over all departures that earlier processes of this host have acknowledged, as `adopt` does, and reports the
+  /// targets that have announced themselves meanwhile.
+  /// @return the changes.
+  changes release(time_point now, const std::vector<target_departure>& departures);
+
+  /// @return true between `hold` and `release`.
+  bool is_held() const { return held_; }
+
   /// @return how long an announcement is valid.
   duration lease_duration() const { return lease_duration_; }
 
@@ -110,6 +124,7 @@
     announcement announced;
     time_point expires_at;
     bool leaving = false;                 ///< it has stated so in a response
+    bool reported = false;                ///< the caller knows its endpoint
     announcement_order draining_since{};  ///< the first announcement with the present state `draining`
   };
   /// A target that was removed or fell silent; remembered, so that a late announcement does not add it again.
@@ -125,11 +140,14 @@
   const removed_target& remember_removed(removed_target removed);
   bool is_outdated(time_point now, const removed_target& removed, const announcement_order& order) const;
   bool arrived_late(time_point now, const announcement& announced) const;
+  static void report_gone(const lease_entry& entry, changes& result);
+  static void report_load(const lease_entry& entry, changes& result);
 
   duration lease_duration_;
   std::string service_;
   std::map<std::string, lease_entry, std::less<>> targets_;
   std::deque<removed_target> removed_targets_;
+  bool held_ = false;
 };
 
 }  // namespace heatherdeck
--- a/node/announcement_service.cc
+++ b/node/announcement_service.cc
@@ -11,6 +11,7 @@
 
 #include "kernel/log.h"
 #include "kernel/overloaded.h"
+#include "model/publisher_messages.h"
 #include "model/service_names.h"
 #include "node/announcement_core.h"
 #include "node/pool_messages.h"
@@ -63,6 +64,8 @@
 
   awaitable<http_response> serve(http_request request);
   awaitable<outcome<void>> keep(target_departure departure);
+  awaitable<outcome<void>> confirm_copies(target_departure departure);
+  awaitable<outcome<void>> record(target_departure departure, duration limit);
   void handle(const announcement_tick&);
   void handle(const put_announcement& request);
   void handle(const remove_announcement& request);
@@ -79,6 +82,7 @@
   announcement_core core;
   std::map<std::string, endpoint_record> pending_endpoints;
   address<directory_message> directory;
+  address<subscriber_message> subscriber;
   address<traffic_message> traffic;
   address<pool_message> pool;
   subscription tick;
@@ -137,8 +141,18 @@
 }
 
 // A process of this host that is started again knows a departure only from other hosts, so the upstream gets its
-// acknowledgement when they have it.
+// acknowledgement when they have it: the members that are asked first, and the disks of the control hosts for the case
+// that all members end at once.
 awaitable<outcome<void>> announcement_service::state::keep(target_departure departure) {
+  const time_point end = timer_service::now() + departure_timeout;
+  auto confirming = confirm_copies(departure);
+  outcome<void> kept = co_await std::move(confirming);
+  if (!kept) co_return kept;
+  auto recording = record(departure, end - timer_service::now());
+  co_return co_await std::move(recording);
+}
+
+awaitable<outcome<void>> announcement_service::state::confirm_copies(target_departure departure) {
   if (!directory) co_return outcome<void>();
   auto make = [&](reply<std::size_t> answer) { return keep_departure{departure, std::move(answer)}; };
   auto asking = ask<std::size_t>(*timers, executor, directory, departure_timeout, std::move(make));
@@ -148,6 +162,22 @@
                   "send the request again", departure.target};
 }
 
+awaitable<outcome<void>> announcement_service::state::record(target_departure departure, duration limit) {
+  if (!subscriber) co_return outcome<void>();
+  auto make = [&](reply<duration> answer) { return report_departure{departure, std::move(answer)}; };
+  auto asking = ask<duration>(*timers, executor, subscriber, limit, std::move(make));
+  const outcome<duration> recorded = co_await std::move(asking);
+  if (recorded) {
+    const auto waited = std::chrono::duration_cast<milliseconds>(*recorded);
+    log_event(log_level::info, "departure_recorded", {{"target", departure.target}, {"waited_ms", waited.count()}});
+    co_return outcome<void>();
+  }
+  log_error("departure_not_recorded", recorded.failure(), {{"target", departure.target}});
+  co_return error{error_kind::unavailable,
+                  "the target is not used any more, but the control hosts have not recorded it yet",
+                  "send the request again", departure.target};
+}
+
 void announcement_service::state::handle(const announcement_tick&) {
   const announcement_response expired = apply_changes(core.tick(timer_service::now()));
   for (const target_departure& departure : expired.departures) {
@@ -173,7 +203,12 @@
   (void)apply_changes(std::visit(
       overloaded_handlers{
           [&](const upstream_leaving& stated) { return core.mark_leaving(stated.target); },
-          [&](const departures_adopted& adopted) { return core.adopt(timer_service::now(), adopted.departures); }},
+          [&](const departures_adopted& adopted) { return core.adopt(timer_service::now(), adopted.departures); },
+          [&](const departures_confirmed& confirmed) {
+            log_event(log_level::info, "departures_confirmed",
+                      {{"departures", confirmed.departures.size()}, {"first", core.is_held()}});
+            return core.release(timer_service::now(), confirmed.departures);
+          }},
       notice));
 }
 
@@ -250,6 +285,10 @@
   if (k.has(to_name(service_name::pool))) {
     BOOST_LEAF_ASSIGN(state_->pool, k.find<pool_message>(to_name(service_name::pool)));
   }
+  if (k.has(to_name(service_name::subscriber))) {
+    BOOST_LEAF_ASSIGN(state_->subscriber, k.find<subscriber_message>(to_name(service_name::subscriber)));
+    state_->core.hold();
+  }
   const std::weak_ptr<state> weak = state_;
   auto serve = [weak](http_request request) -> awaitable<http_response> {
     const auto self = weak.lock();
--- a/node/announcement_service.h
+++ b/node/announcement_service.h
@@ -9,11 +9,16 @@
 /// DELETE needs no NAME when only one target is announced.
 ///
 /// A successful response is {"lease_ms": N}. That a target drains or has left is acknowledged once other members have
-/// confirmed to "directory" that they know it, so that it holds for a later process of this host too; without a
-/// confirmation the response is 503 after 0.7 s, and the upstream sends the request again.
+/// confirmed to "directory" that they know it, and the control hosts to "subscriber" that they have recorded it, so
+/// that it holds for a later process of this host too, even if all processes end. Without these confirmations the
+/// response is 503 after 0.7 s, and the upstream sends the request again.
+///
+/// If "subscriber" runs in the process, targets are reported only after it has passed on the departures that the
+/// control hosts had recorded.
 ///
 /// Listens on `upstream_listen`. Posts endpoints to "directory", load to "traffic" and connection limits to "pool", as
-/// far as these run in the process. Gets `announcement_notice` from "traffic" and "directory".
+/// far as these run in the process. Gets `announcement_notice` from "traffic", "directory" and
+/// "subscriber".
 #pragma once
 
 #include <memory>
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -110,7 +110,7 @@
 }
 
 subscribe_request subscriber_core::request() const {
-  return {node_id_, zone_, state_.document_version, digest_, !has_document()};
+  return {node_id_, zone_, state_.document_version, digest_, !has_document(), !has_document()};
 }
 
 subscriber_core::actions subscriber_core::on_message(const control_message& message, time_point now) {
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -117,7 +117,10 @@
   actions on_offer(const snapshot_offer& offer);
   actions on_offer(const delta_offer& offer);
   actions on_offer(const busy_notice& notice);
-  static actions on_offer(const permit_answer&) { return {}; }  // goes to "traffic"
+  // Responses to requests of other services; the service passes them on.
+  static actions on_offer(const permit_answer&) { return {}; }
+  static actions on_offer(const departure_receipt&) { return {}; }
+  static actions on_offer(const departure_list&) { return {}; }
   bool should_accept(const version& offered);
   bool is_unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -43,6 +43,9 @@
 result<void> subscriber_service::start(kernel& k) {
   BOOST_LEAF_ASSIGN(mesh_, k.find<mesh_message>(to_name(service_name::mesh)));
   BOOST_LEAF_ASSIGN(traffic_, k.find<traffic_message>(to_name(service_name::traffic)));
+  if (k.has(to_name(service_name::announcements))) {
+    BOOST_LEAF_ASSIGN(announcements_, k.find<announcement_notice>(to_name(service_name::announcements)));
+  }
   tick_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   schedule_attempt(std::nullopt);
@@ -123,6 +126,11 @@
   log_event(log_level::info, "subscribed", {{"source", core_.source()}, {"version", core_.held_version().text()}});
   node_message request = core_.request();
   co_await write(std::move(request));
+  expire_reports();
+  for (const departure_report& report : departures_.unanswered()) {
+    node_message message = report;
+    co_await write(std::move(message));
+  }
 }
 
 awaitable<void> subscriber_service::handle(source_closed m) {
@@ -139,17 +147,16 @@
     disconnect("a message could not be decoded", std::nullopt);
     co_return;
   }
-  // An answer may come before the first offer, whose meaning depends on being the first.
-  if (const auto* permits = std::get_if<permit_answer>(&*message)) {
-    traffic_.post(*permits);
-    co_return;
-  }
+  auto passing = pass_on(*message);
+  if (co_await std::move(passing)) co_return;
   const bool had_quorum = core_.source_has_quorum();
   subscriber_core::actions r = core_.on_message(*message, timer_service::now());
   if (core_.source_has_quorum() != had_quorum) {
     log_event(log_level::info, "source_quorum", {{"source", core_.source()}, {"present", !had_quorum}});
   }
   if (r.document) {
+    // A control host of an earlier release sends no list.
+    if (!departures_confirmed_) co_await confirm_departures({});
     update_document next{r.document};
     (void)co_await traffic_.send(std::move(next));
     log_event(log_level::info, "document_applied",
@@ -163,6 +170,32 @@
   arm_leave_timer();
 }
 
+// Messages for other services may come before the first offer, whose meaning depends on being the first.
+// @return false if the message is for the core.
+awaitable<bool> subscriber_service::pass_on(const control_message& message) {
+  if (const auto* permits = std::get_if<permit_answer>(&message)) {
+    traffic_.post(*permits);
+    co_return true;
+  }
+  if (const auto* receipt = std::get_if<departure_receipt>(&message)) {
+    on_receipt(*receipt);
+    co_return true;
+  }
+  const auto* list = std::get_if<departure_list>(&message);
+  if (list == nullptr) co_return false;
+  std::vector<target_departure> departures = list->departures;
+  co_await confirm_departures(std::move(departures));
+  co_return true;
+}
+
+awaitable<void> subscriber_service::confirm_departures(std::vector<target_departure> departures) {
+  departures_confirmed_ = true;
+  if (!announcements_) co_return;
+  announcement_notice notice = departures_confirmed{std::move(departures)};
+  // A closed mailbox means that the service has stopped.
+  (void)co_await announcements_.send(std::move(notice));
+}
+
 // The periodic tick alone would add up to its period to the wait at a host without a quorum.
 void subscriber_service::arm_leave_timer() {
   const std::optional<time_point> leave_at = core_.leave_time();
@@ -177,6 +210,7 @@
 awaitable<void> subscriber_service::handle(subscriber_tick) {
   const std::string reason = core_.check_connection(timer_service::now());
   if (!reason.empty()) disconnect(reason, std::nullopt);
+  expire_reports();
   co_return;
 }
 
@@ -196,6 +230,33 @@
   co_await write(std::move(message));
 }
 
+awaitable<void> subscriber_service::handle(report_departure m) {
+  if (departures_.is_recorded(m.departure)) {
+    m.answer(duration::zero());
+    co_return;
+  }
+  expire_reports();
+  const std::optional<departure_report> report = departures_.add(timer_service::now(), m.departure);
+  if (!report) {
+    m.answer(error{error_kind::overloaded, "too many departures wait to be recorded", "send the request again", {}});
+    co_return;
+  }
+  departure_answers_[report->id] = std::move(m.answer);
+  node_message message = *report;
+  co_await write(std::move(message));
+}
+
+void subscriber_service::on_receipt(const departure_receipt& receipt) {
+  const std::optional<time_point> since = departures_.confirm(receipt.id);
+  if (!since) return;
+  departure_answers_.at(receipt.id)(timer_service::now() - *since);
+  departure_answers_.erase(receipt.id);
+}
+
+void subscriber_service::expire_reports() {
+  for (const std::uint64_t id : departures_.expire(timer_service::now())) departure_answers_.erase(id);
+}
+
 awaitable<void> subscriber_service::write(node_message message) {
   if (!stream_) co_return;
   const std::shared_ptr<h2_stream> stream = stream_;
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -3,10 +3,13 @@
 ///
 /// Keeps one stream to a control host, chosen by subscriber_core, which also decides on every received message.
 /// Requires the services "mesh" (opens streams to control hosts) and "traffic" (receives each accepted document).
-/// Publishes address<subscriber_message>: "traffic" posts its evidence reports there, which go to the control host on
-/// the same stream, and "directory" posts the list of members. Not ready until the first document has been accepted.
+/// Publishes address<subscriber_message>: "traffic" posts its evidence reports there and "announcements" the departures
+/// to record, which go to the control host on the same stream, and "directory" posts the list of members. Not ready
+/// until the first document has been accepted. "announcements", if it runs in the process, gets the recorded departures
+/// before "traffic" gets the first document.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,6 +18,7 @@
 #include "model/publisher_messages.h"
 #include "model/settings.h"
 #include "model/traffic_messages.h"
+#include "node/departure_reporter.h"
 #include "node/subscriber_core.h"
 #include "wire/mesh_messages.h"
 
@@ -46,6 +50,11 @@
   awaitable<void> handle(source_opened m);
   awaitable<void> handle(reconnect_due m);
   awaitable<void> handle(send_permit_request m);
+  awaitable<void> handle(report_departure m);
+  awaitable<bool> pass_on(const control_message& message);
+  awaitable<void> confirm_departures(std::vector<target_departure> departures);
+  void on_receipt(const departure_receipt& receipt);
+  void expire_reports();
   awaitable<void> write(node_message message);
   void disconnect(const std::string& reason, std::optional<milliseconds> retry_after);
   void schedule_attempt(std::optional<milliseconds> retry_after);
@@ -56,8 +65,12 @@
   std::unique_ptr<mailbox<subscriber_message>> inbox_;
   address<mesh_message> mesh_;
   address<traffic_message> traffic_;
+  address<announcement_notice> announcements_;
   std::shared_ptr<h2_stream> stream_;  ///< shared with the coroutine that reads it; null when not subscribed
   std::uint64_t generation_ = 0;       ///< number of the present connection attempt
+  departure_reporter departures_;
+  std::map<std::uint64_t, reply<duration>> departure_answers_;  ///< by the id of the report
+  bool departures_confirmed_ = false;                           ///< "announcements" has got the recorded departures
   subscription tick_;
   subscription retry_;
   subscription leave_;
--- a/testing/announcement_test.cc
+++ b/testing/announcement_test.cc
@@ -180,6 +180,44 @@
 }
 
 // A target that was only silent announces itself again with a higher sequence and is used again at once.
+// After all processes have ended, a late announcement may be the first thing that a new process hears of a target.
+TEST(announcement, targets_are_not_reported_before_the_recorded_departures_are_known) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  core.hold();
+  for (const std::string target : {"i-1", "i-2"}) {
+    const auto changes = core.put(now, make_announcement(target, "ready", 100, 4));
+    ASSERT_TRUE(changes);
+    EXPECT_TRUE(changes->endpoints.empty());
+    EXPECT_TRUE(changes->loads.empty());
+  }
+  EXPECT_TRUE(core.mark_leaving("i-2").endpoints.empty());
+  auto changes = core.release(now + 1s, {{"i-1", {100, 6}}});
+  ASSERT_EQ(changes.endpoints.size(), 1U);
+  EXPECT_EQ(changes.endpoints[0].target, "i-2");
+  EXPECT_EQ(changes.endpoints[0].state, upstream_state::draining);
+  EXPECT_EQ(changes.loads.size(), 1U);
+  EXPECT_FALSE(core.is_held());
+  const auto later = core.put(now + 1s, make_announcement("i-1", "ready", 200, 1));
+  ASSERT_TRUE(later);
+  EXPECT_EQ(later->endpoints.size(), 1U) << "a later start is used at once";
+}
+
+// Others have never heard of these targets, so they must not hear that they are gone either.
+TEST(announcement, target_that_leaves_before_it_was_reported_is_kept_as_a_departure_only) {
+  announcement_core core(1500ms);
+  const time_point now{1h};
+  core.hold();
+  for (const std::string target : {"i-1", "i-2"})
+    ASSERT_TRUE(core.put(now, make_announcement(target, "ready", 100, 4)));
+  const auto removed = core.remove(now, "i-1");
+  ASSERT_TRUE(removed);
+  EXPECT_TRUE(removed->endpoints.empty());
+  EXPECT_EQ(removed->departures.size(), 1U);
+  EXPECT_TRUE(core.tick(now + 6s).endpoints.empty());
+  EXPECT_TRUE(core.release(now + 7s, {}).endpoints.empty());
+}
+
 TEST(announcement, silent_target_comes_back) {
   announcement_core core(1500ms);
   const time_point now{1h};
--- a/testing/codec_test.cc
+++ b/testing/codec_test.cc
@@ -105,7 +105,8 @@
                                    snapshot_chunk{9, 2, 65536, 1, std::string("\x00\xfe", 2), true},
                                    snapshot_response{9, 65538, 1},
                                    read_request{5},
-                                   read_response{5, true, 9}};
+                                   read_response{5, true, 9},
+                                   forwarded_command{std::string("\x00\xfe", 2)}};
   std::vector<sample> samples = {
       make_sample("state", sample_state()),
       make_sample("delta", sample_delta()),
@@ -122,9 +123,13 @@
       make_sample("submission", ledger_command(change)),
       make_sample("step", ledger_command(set_rollout_step{"certdesk", "v2", 500, rollout_status::done, {1, 4}})),
       make_sample("withdraw", ledger_command(withdraw_version{"certdesk", "v2", "slow"})),
+      make_sample("departure", ledger_command(record_departure{"n", {"certdesk-1", {1764835198000, 7}}})),
+      make_sample("departure report", node_message(departure_report{3, {"certdesk-1", {1764835198000, 7}}})),
+      make_sample("departure receipt", control_message(departure_receipt{3})),
+      make_sample("departures", control_message(departure_list{{{"certdesk-1", {1764835198000, 7}}, {"b", {1, 2}}}})),
       make_sample("accepted", command_result{{1, 18}, {}, {}}),
       make_sample("refused", command_result{{}, {{1, 17}, {}}, refusal}),
-      make_sample("subscribe", node_message(subscribe_request{"n", "dar-1", {1, 2}, {3, 4}, true})),
+      make_sample("subscribe", node_message(subscribe_request{"n", "dar-1", {1, 2}, {3, 4}, true, true})),
       make_sample("applied", node_message(applied_report{{1, 2}})),
       make_sample("refused offer", node_message(refused_report{{1, 2}, refusal})),
       make_sample("evidence message", node_message(evidence)),
--- a/testing/control_service_test.cc
+++ b/testing/control_service_test.cc
@@ -165,6 +165,32 @@
   });
 }
 
+// The receipt of a departure must mean that it is committed, and never come before that.
+TEST_F(control_service, departure_is_answered_once_it_is_committed) {
+  run([this]() -> awaitable<void> {
+    const auto ledger = *capture([&] { return k.find<ledger_message>(to_name(service_name::ledger)); });
+    const record_departure command{"n1", {"i-1", {100, 7}}};
+    const auto submit_command = [&](reply<std::uint64_t> answer) {
+      return submit_departure{command, std::move(answer)};
+    };
+    const duration limit = 500ms;
+    log->mode = commit_mode::not_leader;
+    auto refused = co_await ask<std::uint64_t>(k.timers(), k.executor(), ledger, limit, submit_command);
+    EXPECT_FALSE(refused) << "no leader has taken it";
+    log->mode = commit_mode::commit;
+    auto recorded = co_await ask<std::uint64_t>(k.timers(), k.executor(), ledger, limit, submit_command);
+    EXPECT_TRUE(recorded);
+    log->mode = commit_mode::not_leader;
+    recorded = co_await ask<std::uint64_t>(k.timers(), k.executor(), ledger, limit, submit_command);
+    EXPECT_TRUE(recorded) << "it is recorded already";
+    const auto get = [](reply<host_departures> answer) { return get_departures{{"n1", "n2"}, std::move(answer)}; };
+    const auto found = co_await ask<host_departures>(k.timers(), k.executor(), ledger, limit, get);
+    EXPECT_TRUE(found);
+    const host_departures wanted{{"n1", {command.departure}}};
+    EXPECT_EQ(found ? *found : host_departures{}, wanted);
+  });
+}
+
 TEST_F(control_service, refuses_changes_that_are_not_signed_or_not_owned) {
   run([this]() -> awaitable<void> {
     submission altered = change("id-1", {services_edit});
--- a/testing/fleet.cmake
+++ b/testing/fleet.cmake
@@ -38,3 +38,8 @@
 target_sources(broken_response_deployment_test PRIVATE soak_deployment.cc)
 target_compile_definitions(broken_response_deployment_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
 add_dependencies(broken_response_deployment_test heatherdeckd)
+
+hd_test(departure_deployment_test hd_fleet hd_node)
+target_sources(departure_deployment_test PRIVATE soak_deployment.cc)
+target_compile_definitions(departure_deployment_test PRIVATE HD_BUILD_FOLDER="${CMAKE_BINARY_DIR}")
+add_dependencies(departure_deployment_test heatherdeckd)
--- a/testing/ledger_test.cc
+++ b/testing/ledger_test.cc
@@ -206,6 +206,58 @@
   }
 }
 
+record_departure left(const std::string& host, const std::string& target, std::uint64_t sequence) {
+  return {host, {target, {1000, sequence}}};
+}
+
+// A control host that starts from an image must know the departures that were acknowledged before.
+TEST(ledger, departures_survive_a_restore_and_change_no_document) {
+  host h = started();
+  const version before = h.state.document().document_version;
+  ASSERT_TRUE(h.apply(left("n1", "i-1", 5)).ok());
+  ASSERT_TRUE(h.apply(left("n1", "i-1", 7)).ok());
+  ASSERT_TRUE(h.apply(left("n1", "i-1", 6)).ok()) << "a report that came late";
+  ASSERT_TRUE(h.apply(left("n2", "i-1", 1)).ok());
+  EXPECT_FALSE(h.apply(left("", "i-1", 1)).ok());
+  EXPECT_FALSE(h.apply(left("n1", std::string(departure_log::max_name_bytes + 1, 'x'), 1)).ok());
+  EXPECT_EQ(h.state.document().document_version, before);
+  const auto content = capture([&] { return decode_image(encode_image(h.state.content())); });
+  ASSERT_TRUE(content) << content.failure().message();
+  const std::vector<target_departure> wanted{{"i-1", {1000, 7}}};
+  EXPECT_EQ(content->departures.of_host("n1"), wanted);
+  EXPECT_EQ(content->departures.size(), 2U);
+  EXPECT_TRUE(content->departures.contains(left("n1", "i-1", 6)));
+  EXPECT_FALSE(content->departures.contains(left("n1", "i-1", 8)));
+}
+
+// An image of the release before departures were recorded.
+TEST(ledger, image_of_an_earlier_release_is_read) {
+  std::string bytes = encode_image(started().state.content());
+  constexpr std::size_t no_departures_bytes = 8;
+  bytes.replace(bytes.find("image 2"), 7, "image 1");
+  bytes.resize(bytes.size() - no_departures_bytes);
+  const auto content = capture([&] { return decode_image(bytes); });
+  ASSERT_TRUE(content) << content.failure().message();
+  EXPECT_EQ(content->document, started().state.document());
+  EXPECT_EQ(content->departures.size(), 0U);
+}
+
+// The replicated state must not grow with each target that has ever left.
+TEST(departure_log, drops_the_oldest_departures_above_its_bounds) {
+  departure_log departures;
+  for (std::uint64_t i = 1; i <= departure_log::max_per_host + 2; ++i)
+    departures.record(i, left("n", "i-" + std::to_string(i), 1));
+  EXPECT_EQ(departures.size(), departure_log::max_per_host);
+  EXPECT_EQ(departures.of_host("n").front().target, "i-3");
+  std::uint64_t index = 1000;
+  for (std::size_t host = 0; departures.size() < departure_log::max_departures; ++host)
+    departures.record(++index, left("h" + std::to_string(host), "i", 1));
+  departures.record(++index, left("last", "i", 1));
+  EXPECT_EQ(departures.size(), departure_log::max_departures);
+  EXPECT_EQ(departures.of_host("n").front().target, "i-4");
+  EXPECT_EQ(departures.of_host("last").size(), 1U);
+}
+
 // Versions after a restore must be newer than any version that nodes have; an epoch below that of the image would break
 // this.
 TEST(ledger, epoch_in_the_settings_must_not_be_lower_than_in_the_image) {
--- a/testing/raft_core_test.cc
+++ b/testing/raft_core_test.cc
@@ -162,6 +162,47 @@
   EXPECT_EQ(core->term(), 5U);
 }
 
+// A command may be given to any host; with several leaders known over time it must reach the present one only.
+TEST_F(raft_core_test, follower_forwards_a_command_to_the_leader) {
+  start();
+  step(command_forwarded{"x"});
+  EXPECT_TRUE(actions_of<send_message>().empty()) << "no leader is known";
+  receive("b", append_request{1, 1, 0, 1, {{5, 2, entry_kind::noop, {}}}}, 5);
+  step(command_forwarded{"x"});
+  ASSERT_EQ(actions_of<send_message>().size(), 1U);
+  EXPECT_EQ(actions_of<send_message>()[0].message.to, "b");
+  ASSERT_EQ(sent_bodies<forwarded_command>().size(), 1U);
+  EXPECT_EQ(sent_bodies<forwarded_command>()[0].payload, "x");
+  receive("c", forwarded_command{"y"}, 5);
+  EXPECT_TRUE(actions_of<send_message>().empty()) << "a host that is not the leader passes nothing on";
+}
+
+TEST_F(raft_core_test, leader_appends_commands_of_other_hosts) {
+  start();
+  become_leader();
+  persist_everything();
+  acknowledge("b", core->log().last_index());
+  const std::uint64_t before = core->log().last_index();
+  receive("b", forwarded_command{"x"});
+  step(command_forwarded{"y"});
+  ASSERT_EQ(core->log().last_index(), before + 2);
+  EXPECT_EQ(core->log().at(before + 1).payload, "x");
+  EXPECT_EQ(core->log().at(before + 2).payload, "y");
+  persist_everything();
+  acknowledge("b", before + 2);
+  EXPECT_EQ(core->commit_index(), before + 2);
+  EXPECT_TRUE(actions_of<answer_proposal>().empty());
+}
+
+// Commands without an answer must not fill the log of a leader that has lost its quorum.
+TEST_F(raft_core_test, forwarded_commands_are_bounded_while_nothing_is_committed) {
+  start();
+  become_leader();
+  const std::uint64_t before = core->log().last_index();
+  for (std::size_t i = 0; i < 2 * raft_config{}.max_pending; ++i) receive("b", forwarded_command{"x"});
+  EXPECT_LE(core->log().last_index() - before, raft_config{}.max_pending);
+}
+
 // Two overlapping membership changes could create two disjoint quorums.
 TEST_F(raft_core_test, second_membership_change_is_refused_until_the_first_is_committed) {
   start();
--- a/testing/single_host_control.h
+++ b/testing/single_host_control.h
@@ -63,6 +63,11 @@
     if (mode == commit_mode::commit) message.answer(committed_position{index_, 1});
   }
   void handle(const directory_changed&) {}
+  void handle(forward_command message) {
+    if (mode == commit_mode::not_leader) return;
+    ++index_;
+    ledger_.post(apply_entries{{{1, index_, entry_kind::command, message.payload}}});
+  }
   void handle(confirm_read message) { message.answer(index_); }
   void handle(get_consensus_status message) {
     consensus_status status;
--- a/wire/codec_distribution.cc
+++ b/wire/codec_distribution.cc
@@ -44,6 +44,7 @@
   write_version(from.held_version, body, &pb::SubscribeRequest::mutable_have);
   write(from.held_digest, *body.mutable_have_digest());
   body.set_want_confirmed(from.want_confirmed);
+  body.set_want_departures(from.want_departures);
 }
 
 void write_body(const applied_report& from, pb::NodeMessage& to) { *to.mutable_applied() = make_version(from.applied); }
@@ -80,14 +81,26 @@
 
 void write_body(const permit_answer& from, pb::ControlMessage& to) { write(from, *to.mutable_permits()); }
 
+void write_body(const departure_report& from, pb::NodeMessage& to) {
+  to.mutable_departure()->set_id(from.id);
+  write(from.departure, *to.mutable_departure()->mutable_departure());
+}
+
+void write_body(const departure_receipt& from, pb::ControlMessage& to) { to.set_departure_receipt(from.id); }
+
+void write_body(const departure_list& from, pb::ControlMessage& to) {
+  write_all(from.departures, *to.mutable_departures(), &pb::DepartureList::add_departures);
+}
+
 }  // namespace
 
 void read(const pb::NodeMessage& from, node_message& to, decode_context& context) {
   switch (from.body_case()) {
     case pb::NodeMessage::kSubscribe: {
       const auto& body = from.subscribe();
-      to = subscribe_request{body.node_id(), body.availability_zone(), read_version(body.have()),
-                             read_digest(body.have_digest()), body.want_confirmed()};
+      to = subscribe_request{
+          body.node_id(),        body.availability_zone(), read_version(body.have()), read_digest(body.have_digest()),
+          body.want_confirmed(), body.want_departures()};
       return;
     }
     case pb::NodeMessage::kApplied:
@@ -111,6 +124,12 @@
       to = std::move(request);
       return;
     }
+    case pb::NodeMessage::kDeparture: {
+      departure_report report{from.departure().id(), {}};
+      read(from.departure().departure(), report.departure, context);
+      to = std::move(report);
+      return;
+    }
     case pb::NodeMessage::BODY_NOT_SET:
       context.set_error("the message has no body that this release knows");
   }
@@ -143,6 +162,15 @@
       to = std::move(answer);
       return;
     }
+    case pb::ControlMessage::kDepartureReceipt:
+      to = departure_receipt{from.departure_receipt()};
+      return;
+    case pb::ControlMessage::kDepartures: {
+      departure_list list;
+      read_all(from.departures().departures(), list.departures, context);
+      to = std::move(list);
+      return;
+    }
     case pb::ControlMessage::BODY_NOT_SET:
       context.set_error("the message has no body that this release knows");
   }
--- a/wire/codec_ledger.cc
+++ b/wire/codec_ledger.cc
@@ -35,6 +35,12 @@
   body.set_reason(from.reason);
 }
 
+void write_body(const record_departure& from, pb::LedgerCommand& to) {
+  auto& body = *to.mutable_record_departure();
+  body.set_host(from.host);
+  write(from.departure, *body.mutable_departure());
+}
+
 submission read_submission(const pb::Submission& from, decode_context& context) {
   submission to{from.id(), from.operator_name(), {}, from.signature()};
   if (from.edits_size() > static_cast<int>(max_sections)) {
@@ -75,6 +81,12 @@
       to = withdraw_version{body.service(), body.upstream_version(), body.reason()};
       return;
     }
+    case pb::LedgerCommand::kRecordDeparture: {
+      record_departure command{from.record_departure().host(), {}};
+      read(from.record_departure().departure(), command.departure, context);
+      to = std::move(command);
+      return;
+    }
     case pb::LedgerCommand::BODY_NOT_SET:
       context.set_error("the command has no body that this release knows");
   }
--- a/wire/codec_raft.cc
+++ b/wire/codec_raft.cc
@@ -76,6 +76,8 @@
   body.set_index(from.index);
 }
 
+void write_body(const forwarded_command& from, pb::RaftMessage& to) { to.set_forwarded_command(from.payload); }
+
 append_request read_append(const pb::AppendRequest& from, decode_context& context) {
   append_request to;
   to.previous_index = from.previous_index();
@@ -114,6 +116,8 @@
       const auto& body = from.read_answer();
       return read_response{body.id(), body.confirmed(), body.index()};
     }
+    case pb::RaftMessage::kForwardedCommand:
+      return forwarded_command{from.forwarded_command()};
     case pb::RaftMessage::BODY_NOT_SET:
       break;
   }
