Try several control hosts at a time while none responds

Cause: a node asked one control host at a time. A frozen process still accepts connections, so each attempt took its limit of 2 s, and a host that had just been silent was tried first again.

Change: source_race. Every 0.3 s without a response as many more attempts begin as were made already; the first host to send response headers is used, and only it is asked for the document. Silent hosts are tried after the others, until the end of the list.

Why it works: all n hosts are tried within 0.3 s x ceil(log2 n), so the search no longer is a sum over hosts.

--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -132,19 +132,23 @@
 
 class h2_stream;
 
-/// A stream to a source is open; from now on the subscriber writes to it.
+/// A control host has responded on a stream; from now on the subscriber writes to it.
 struct source_opened {
   std::uint64_t generation = 0;
   std::shared_ptr<h2_stream> stream;
 };
 
+/// Posted by a timer: no control host has responded to the attempts under way.
+struct race_step_due {};
+
 /// Posted by a timer: the delay before the next connection attempt is over.
 struct reconnect_due {
   std::uint64_t generation = 0;
-  std::string mesh_address;  ///< control host to connect to
+  std::string host_id;  ///< control host to connect to
+  std::string mesh_address;
 };
 
 using subscriber_message = std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened,
-                                        reconnect_due, directory_changed, send_permit_request, report_departure>;
+                                        race_step_due, reconnect_due, directory_changed, send_permit_request, report_departure>;
 
 }  // namespace heatherdeck
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -45,10 +45,12 @@
 }
 
 void subscriber_core::sort_sources() {
-  std::sort(sources_.begin(), sources_.end(), [this](const candidate& a, const candidate& b) {
-    return std::tuple(a.distance, hash64(node_id_ + "/" + a.host_id)) <
-           std::tuple(b.distance, hash64(node_id_ + "/" + b.host_id));
-  });
+  const auto order = [this](const candidate& c) { return std::tuple(c.distance, hash64(node_id_ + "/" + c.host_id)); };
+  const auto nearer = [&](const candidate& a, const candidate& b) { return order(a) < order(b); };
+  std::sort(sources_.begin(), sources_.end(), nearer);
+  nearest_host_id_ = sources_.empty() ? std::string() : sources_.front().host_id;
+  std::stable_partition(sources_.begin(), sources_.end(),
+                        [this](const candidate& c) { return !silent_hosts_.contains(c.host_id); });
 }
 
 void subscriber_core::set_members(const std::vector<member_record>& members) {
@@ -66,6 +68,7 @@
       });
   if (same) return;
   sources_ = std::move(known);
+  silent_hosts_.clear();
   sort_sources();
   next_index_ = 0;
 }
@@ -74,15 +77,20 @@
   return milliseconds(std::uniform_int_distribution<std::int64_t>(0, max_delay.count())(random_));
 }
 
+void subscriber_core::begin_round() {
+  next_index_ = 0;
+  if (!hosts_without_quorum_.empty()) ++rounds_without_quorum_;
+  hosts_without_quorum_.clear();
+  if (silent_hosts_.empty()) return;
+  silent_hosts_.clear();
+  sort_sources();
+}
+
 // A host that has stated that it has no quorum is skipped until the end of the list only: after an election all hosts
 // have stated it, and the lost ones among them never will.
 const subscriber_core::candidate& subscriber_core::next_source() {
   for (;;) {
-    if (next_index_ >= sources_.size()) {
-      next_index_ = 0;
-      if (!hosts_without_quorum_.empty()) ++rounds_without_quorum_;
-      hosts_without_quorum_.clear();
-    }
+    if (next_index_ >= sources_.size()) begin_round();
     const candidate& next = sources_[next_index_++];
     if (!hosts_without_quorum_.contains(next.host_id)) return next;
   }
@@ -101,8 +109,27 @@
   return {s.host_id, s.mesh_address, delay};
 }
 
-void subscriber_core::on_connected(time_point now) {
-  source_ = attempted_host_id_;
+std::optional<subscriber_core::attempt> subscriber_core::next_parallel_attempt(const source_race& race) {
+  const std::size_t first = next_index_;
+  for (std::size_t i = 0; i < sources_.size(); ++i) {
+    const candidate& next = sources_[(first + i) % sources_.size()];
+    if (race.has_tried(next.host_id) || hosts_without_quorum_.contains(next.host_id)) continue;
+    next_index_ = std::min(first + i + 1, sources_.size());
+    return attempt{next.host_id, next.mesh_address, {}};
+  }
+  return std::nullopt;
+}
+
+// The search goes on from the front of the new order; hosts without a quorum are skipped as before.
+void subscriber_core::note_silent(const std::string& host_id) {
+  if (!silent_hosts_.insert(host_id).second) return;
+  sort_sources();
+  next_index_ = 0;
+}
+
+void subscriber_core::on_connected(const std::string& host_id, time_point now) {
+  source_ = attempted_host_id_ = host_id;
+  if (silent_hosts_.erase(host_id) != 0) sort_sources();
   leave_at_.reset();
   last_message_at_ = now;
   first_message_ = true;
@@ -124,15 +151,20 @@
 void subscriber_core::on_disconnected() {
   if (!source_.empty()) ++counts_.disconnects;
   source_.clear();
-  // After a host that had a quorum the search restarts at the nearest one, or at the second if this was the nearest.
-  if (quorum_seen_) next_index_ = at_nearest() ? 1 : 0;
+  // After a host that had a quorum the search restarts at the first one, or at the second if this was the first.
+  if (quorum_seen_) next_index_ = attempted_host_id_ == sources_.front().host_id ? 1 : 0;
 }
 
 std::string subscriber_core::check_connection(time_point now) {
   if (source_.empty()) return {};
   if (std::string reason = check_quorum(now); !reason.empty()) return reason;
-  if (now - last_message_at_ > max_silent_periods * keepalive_) return "no message for two keep-alive periods";
+  if (now - last_message_at_ > max_silent_periods * keepalive_) {
+    note_silent(source_);
+    return "no message for two keep-alive periods";
+  }
   if (!at_nearest() && now >= retry_nearest_at_) {
+    silent_hosts_.clear();
+    sort_sources();
     next_index_ = 0;
     return "the nearest control host is tried again";
   }
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -3,7 +3,8 @@
 /// Called by `subscriber_service`.
 ///
 ///     BOOST_LEAF_AUTO(core, subscriber_core::make(settings, seed));
-///     subscriber_core::attempt next = core.next_attempt();      // connect after next.delay, send core.request()
+///     subscriber_core::attempt next = core.next_attempt();      // connect after next.delay
+///     core.on_connected(host_id, now);                          // the first host to respond; send core.request()
 ///     subscriber_core::actions r = core.on_message(message, now);
 ///     if (r.document) traffic.post(update_document{r.document});
 ///
@@ -27,6 +28,7 @@
 #include "model/distribution_messages.h"
 #include "model/document_compiler.h"
 #include "model/settings.h"
+#include "node/source_race.h"
 
 namespace heatherdeck {
 
@@ -67,8 +69,16 @@
   ///         a document and after a host without a quorum, where the node has waited on the old stream.
   attempt next_attempt();
 
-  /// Called when the stream to the control host of the last attempt is open.
-  void on_connected(time_point now);
+  /// @return one more host to connect to at once, because those of the race have not responded yet; nothing if there is
+  ///         no other.
+  std::optional<attempt> next_parallel_attempt(const source_race& race);
+
+  /// Called when a control host has responded to an attempt.
+  void on_connected(const std::string& host_id, time_point now);
+
+  /// Called for a host that has not responded for a while, although an attempt to reach it is under way. It is tried
+  /// after the others, until the end of the list.
+  void note_silent(const std::string& host_id);
 
   /// @return the first message on a new stream.
   subscribe_request request() const;
@@ -125,8 +135,9 @@
   bool is_unconfirmed(const version& offered) const;
   void confirm(const version& confirmed);
   const candidate& next_source();
-  /// @return whether the host of the last attempt is the nearest of the present list.
-  bool at_nearest() const { return attempted_host_id_ == sources_.front().host_id; }
+  void begin_round();
+  /// @return whether the host of the open stream, or of the last attempt, is the nearest one.
+  bool at_nearest() const { return attempted_host_id_ == nearest_host_id_; }
   void note_confirmation(const version& offered, bool confirmed);
   void mark_quorum_seen();
   void mark_quorum_missing();
@@ -141,12 +152,14 @@
   milliseconds keepalive_;
   std::mt19937_64 random_;
   std::vector<candidate> sources_;
-  std::string attempted_host_id_;      ///< id of the host of the last attempt
-  std::size_t next_index_ = 0;         ///< index into sources_ of the next attempt; its size: the round is over
-  std::uint32_t failed_attempts_ = 0;  ///< attempts since a control host last showed that it has a quorum
-  bool first_message_ = true;          ///< nothing has arrived on the present stream yet
-  bool quorum_seen_ = false;           ///< the control host of the last attempt has shown that it has a quorum
-  std::string source_;                 ///< id of the control host of the open stream; empty when there is none
+  std::string nearest_host_id_;
+  std::set<std::string> silent_hosts_;  ///< sorted to the end of sources_
+  std::string attempted_host_id_;       ///< id of the host of the last attempt, or of the one that has responded
+  std::size_t next_index_ = 0;          ///< index into sources_ of the next attempt; its size: the round is over
+  std::uint32_t failed_attempts_ = 0;   ///< attempts since a control host last showed that it has a quorum
+  bool first_message_ = true;           ///< nothing has arrived on the present stream yet
+  bool quorum_seen_ = false;            ///< the control host of the last attempt has shown that it has a quorum
+  std::string source_;                  ///< id of the control host of the open stream; empty when there is none
   time_point last_message_at_;
   std::optional<time_point> without_quorum_since_;  ///< when a host first stated that it has none; kept across streams
   std::optional<time_point> leave_at_;              ///< time to leave the present host because it has no quorum
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -1,7 +1,7 @@
-// One coroutine runs the core and writes to the stream; a second one opens and reads the stream and posts the frames as
-// messages to the first. Every connection attempt has a generation number, and messages of an earlier generation are
-// ignored, so a late frame of a closed stream changes nothing. Invariant: "traffic" receives documents in rising
-// version order. Cost when idle: one keep-alive message per period.
+// One coroutine runs the core and writes to the stream; one for each attempt opens and reads a stream and posts the
+// frames as messages to the first. Every connection attempt has a generation number, and messages of attempts that are
+// neither of the race nor of the stream in use are ignored, so a late frame of a closed stream changes nothing.
+// Invariant: "traffic" receives documents in rising version order. Cost when idle: one keep-alive message per period.
 #include "node/subscriber_service.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,7 +19,8 @@
 
 constexpr std::size_t inbox_capacity = 256;
 constexpr auto tick_period = 500ms;
-constexpr auto open_timeout = 2s;
+// Of one attempt; others are under way meanwhile.
+constexpr auto attempt_timeout = 2s;
 constexpr std::uint32_t h2_cancel = 8;
 
 }  // namespace
@@ -55,6 +56,7 @@
 void subscriber_service::stop() {
   tick_.cancel();
   retry_.cancel();
+  race_step_.cancel();
   leave_.cancel();
   inbox_->close();
   if (stream_) stream_->reset(h2_cancel);
@@ -72,34 +74,67 @@
 
 void subscriber_service::schedule_attempt(std::optional<milliseconds> retry_after) {
   const std::uint64_t generation = ++generation_;
+  race_.clear();
+  race_step_.cancel();
   subscriber_core::attempt next = core_.next_attempt();
   const milliseconds delay = retry_after.value_or(next.delay);
   log_event(log_level::info, "source_attempt", {{"source", next.host_id}, {"delay_ms", delay.count()}});
-  retry_ = kernel_->timers().after(delay, [inbox = inbox_->address(), generation, address = next.mesh_address] {
-    inbox.post(reconnect_due{generation, address});
+  retry_ = kernel_->timers().after(delay, [inbox = inbox_->address(), generation, next] {
+    inbox.post(reconnect_due{generation, next.host_id, next.mesh_address});
   });
 }
 
 awaitable<void> subscriber_service::handle(reconnect_due m) {
-  if (m.generation == generation_) {
-    boost::asio::co_spawn(kernel_->executor(), connect({{}, m.mesh_address, {}}, m.generation), boost::asio::detached);
+  if (m.generation != generation_) co_return;
+  race_.begin(timer_service::now());
+  begin_attempt(m.host_id, m.mesh_address);
+  arm_race_timer();
+}
+
+awaitable<void> subscriber_service::handle(race_step_due) {
+  for (std::size_t left = race_.due(timer_service::now()); left != 0; --left) {
+    const std::optional<subscriber_core::attempt> next = core_.next_parallel_attempt(race_);
+    if (!next) break;
+    log_event(log_level::info, "source_attempt", {{"source", next->host_id}, {"parallel", true}});
+    begin_attempt(next->host_id, next->mesh_address);
   }
+  if (!race_.empty()) arm_race_timer();
   co_return;
 }
 
-awaitable<void> subscriber_service::connect(subscriber_core::attempt next, std::uint64_t generation) {
+void subscriber_service::begin_attempt(const std::string& host_id, const std::string& mesh_address) {
+  const std::uint64_t generation = ++generation_;
+  race_.add(generation, host_id, timer_service::now());
+  boost::asio::co_spawn(kernel_->executor(), connect(mesh_address, generation), boost::asio::detached);
+}
+
+void subscriber_service::arm_race_timer() {
+  race_step_ = kernel_->timers().after(race_.next_step() - timer_service::now(),
+                                       [inbox = inbox_->address()] { inbox.post(race_step_due{}); });
+}
+
+// A frozen host accepts connections and streams, so only its response headers show that it runs.
+awaitable<void> subscriber_service::connect(std::string mesh_address, std::uint64_t generation) {
   const address<subscriber_message> inbox = inbox_->address();
-  auto make_request = [&next](reply<std::shared_ptr<h2_stream>> answer) {
-    return open_stream{next.mesh_address, stream_kind::subscribe, {}, false, std::move(answer)};
+  auto make_request = [&mesh_address](reply<std::shared_ptr<h2_stream>> answer) {
+    return open_stream{mesh_address, stream_kind::subscribe, {}, false, std::move(answer)};
   };
   outcome<std::shared_ptr<h2_stream>> stream = co_await ask<std::shared_ptr<h2_stream>>(
-      kernel_->timers(), kernel_->executor(), mesh_, open_timeout, make_request);
+      kernel_->timers(), kernel_->executor(), mesh_, attempt_timeout, make_request);
   if (!stream) {
     source_closed closed{generation, stream.failure()};
     (void)co_await inbox.send(std::move(closed));
     co_return;
   }
   std::shared_ptr<h2_stream> source_stream = *stream;
+  subscription limit = kernel_->timers().after(attempt_timeout, [source_stream] { source_stream->reset(h2_cancel); });
+  outcome<header_list> response = co_await source_stream->read_headers();
+  limit.cancel();
+  if (!response) {
+    source_closed closed{generation, response.failure()};
+    (void)co_await inbox.send(std::move(closed));
+    co_return;
+  }
   source_opened opened{generation, source_stream};
   (void)co_await inbox.send(std::move(opened));
   for (;;) {
@@ -115,13 +150,18 @@
 }
 
 awaitable<void> subscriber_service::handle(source_opened m) {
-  if (m.generation != generation_) {
+  if (!race_.contains(m.generation)) {
     m.stream->reset(h2_cancel);
     co_return;
   }
+  const time_point now = timer_service::now();
+  const std::string host_id = race_.host(m.generation);
+  for (const std::string& silent : race_.win(m.generation, now)) core_.note_silent(silent);
+  race_step_.cancel();
   stream_ = m.stream;
-  core_.on_connected(timer_service::now());
-  traffic_message permit_source = permit_source_changed{generation_};
+  stream_generation_ = m.generation;
+  core_.on_connected(host_id, now);
+  traffic_message permit_source = permit_source_changed{stream_generation_};
   (void)co_await traffic_.send(std::move(permit_source));
   log_event(log_level::info, "subscribed", {{"source", core_.source()}, {"version", core_.held_version().text()}});
   node_message request = core_.request();
@@ -134,13 +174,16 @@
 }
 
 awaitable<void> subscriber_service::handle(source_closed m) {
-  if (m.generation != generation_) co_return;
-  log_event(log_level::info, "source_closed", {{"source", core_.source()}, {"reason", m.reason.message()}});
+  const bool attempted = race_.contains(m.generation);
+  if (!attempted && m.generation != stream_generation_) co_return;
+  const std::string source = attempted ? race_.host(m.generation) : core_.source();
+  log_event(log_level::info, "source_closed", {{"source", source}, {"reason", m.reason.message()}});
+  if (race_.remove(m.generation) && !race_.empty()) co_return;
   disconnect("the stream was closed", std::nullopt);
 }
 
 awaitable<void> subscriber_service::handle(source_frame m) {
-  if (m.generation != generation_) co_return;
+  if (m.generation != stream_generation_) co_return;
   const outcome<control_message> message = capture([&] { return decode<control_message>(m.bytes); });
   if (!message) {
     log_error("bad_frame", message.failure(), {{"source", core_.source()}});
@@ -225,7 +268,7 @@
 }
 
 awaitable<void> subscriber_service::handle(send_permit_request m) {
-  if (m.stream != generation_) co_return;
+  if (m.stream != stream_generation_) co_return;
   node_message message = std::move(m.request);
   co_await write(std::move(message));
 }
@@ -276,6 +319,7 @@
   traffic_.post(permit_source_changed{0});
   if (stream_) stream_->reset(h2_cancel);
   stream_.reset();
+  stream_generation_ = 0;
   schedule_attempt(retry_after);
 }
 
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -1,7 +1,8 @@
 /// @file
 /// The service "subscriber" of a node: holds the accepted document and keeps it up to date.
 ///
-/// Keeps one stream to a control host, chosen by subscriber_core, which also decides on every received message.
+/// Keeps one stream to a control host, chosen by subscriber_core, which also decides on every received message. While
+/// no host responds, attempts to reach several of them are under way at a time (source_race).
 /// Requires the services "mesh" (opens streams to control hosts) and "traffic" (receives each accepted document).
 /// Publishes address<subscriber_message>: "traffic" posts its evidence reports there and "announcements" the departures
 /// to record, which go to the control host on the same stream, and "directory" posts the list of members. Not ready
@@ -19,6 +20,7 @@
 #include "model/settings.h"
 #include "model/traffic_messages.h"
 #include "node/departure_reporter.h"
+#include "node/source_race.h"
 #include "node/subscriber_core.h"
 #include "wire/mesh_messages.h"
 
@@ -40,7 +42,7 @@
   explicit subscriber_service(const settings& s) : core_(subscriber_core::make(s)) {}
 
   awaitable<void> run();
-  awaitable<void> connect(subscriber_core::attempt next, std::uint64_t generation);
+  awaitable<void> connect(std::string mesh_address, std::uint64_t generation);
 
   awaitable<void> handle(subscriber_tick m);
   awaitable<void> handle(directory_changed m);
@@ -49,6 +51,7 @@
   awaitable<void> handle(source_closed m);
   awaitable<void> handle(source_opened m);
   awaitable<void> handle(reconnect_due m);
+  awaitable<void> handle(race_step_due m);
   awaitable<void> handle(send_permit_request m);
   awaitable<void> handle(report_departure m);
   awaitable<bool> pass_on(const control_message& message);
@@ -58,6 +61,8 @@
   awaitable<void> write(node_message message);
   void disconnect(const std::string& reason, std::optional<milliseconds> retry_after);
   void schedule_attempt(std::optional<milliseconds> retry_after);
+  void begin_attempt(const std::string& host_id, const std::string& mesh_address);
+  void arm_race_timer();
   void arm_leave_timer();
 
   kernel* kernel_ = nullptr;
@@ -66,8 +71,11 @@
   address<mesh_message> mesh_;
   address<traffic_message> traffic_;
   address<announcement_notice> announcements_;
-  std::shared_ptr<h2_stream> stream_;  ///< shared with the coroutine that reads it; null when not subscribed
-  std::uint64_t generation_ = 0;       ///< number of the present connection attempt
+  std::shared_ptr<h2_stream> stream_;    ///< shared with the coroutine that reads it; null when not subscribed
+  std::uint64_t generation_ = 0;         ///< number of the last connection attempt
+  std::uint64_t stream_generation_ = 0;  ///< number of the attempt that led to stream_; 0 when not subscribed
+  source_race race_;
+  subscription race_step_;
   departure_reporter departures_;
   std::map<std::uint64_t, reply<duration>> departure_answers_;  ///< by the id of the report
   bool departures_confirmed_ = false;                           ///< "announcements" has got the recorded departures
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -140,8 +140,7 @@
 
 TEST(subscriber_core, first_document_must_be_confirmed) {
   subscriber_core core = subscriber_core::make(node_settings(1, 7));
-  core.next_attempt();
-  core.on_connected({});
+  core.on_connected(core.next_attempt().host_id, {});
   const document_state s = make_state(10, "100");
   EXPECT_EQ(core.on_message(snapshot_offer{s, digest_of(s), false}, {}).document, nullptr);
   EXPECT_FALSE(core.has_document());
@@ -155,16 +154,14 @@
   subscriber_core node = subscriber_core::make(node_settings(1, 7));
   const time_point now{};
   host.set_document(std::make_shared<document_state>(make_state(10, "100")), now);
-  node.next_attempt();
-  node.on_connected(now);
+  node.on_connected(node.next_attempt().host_id, now);
   ASSERT_FALSE(host.open(1, node.request(), now));
   const auto unconfirmed = host.first_offer(1, false, now);
   ASSERT_TRUE(unconfirmed);
   EXPECT_FALSE(node.on_message(*unconfirmed->message, now).disconnect_reason.empty());
   host.close(1);
   node.on_disconnected();
-  node.next_attempt();
-  node.on_connected(now);
+  node.on_connected(node.next_attempt().host_id, now);
   ASSERT_FALSE(host.open(2, node.request(), now));
   const auto confirmed = host.first_offer(2, true, now);
   ASSERT_TRUE(confirmed);
@@ -175,8 +172,7 @@
 // follower may lag.
 TEST(subscriber_core, periodic_keepalive_does_not_confirm_a_version) {
   subscriber_core node = subscriber_core::make(node_settings(1, 7));
-  node.next_attempt();
-  node.on_connected({});
+  node.on_connected(node.next_attempt().host_id, {});
   const document_state old = make_state(5, "100");
   node.on_message(keepalive{{}, false}, {});
   node.on_message(keepalive{{1, 5}, true}, {});
@@ -186,8 +182,7 @@
 
 TEST(subscriber_core, invalid_document_is_refused_as_a_whole) {
   subscriber_core core = subscriber_core::make(node_settings(1, 7));
-  core.next_attempt();
-  core.on_connected({});
+  core.on_connected(core.next_attempt().host_id, {});
   const document_state good = make_state(10, "100");
   ASSERT_NE(core.on_message(snapshot_offer{good, digest_of(good), true}, {}).document, nullptr);
   document_state bad = make_state(11, "110");
@@ -203,8 +198,7 @@
 // first change of the new leader late.
 TEST(subscriber_core, node_with_a_document_stays_during_an_election) {
   subscriber_core core = subscriber_core::make(node_settings(2, 7));
-  core.next_attempt();
-  core.on_connected({});
+  core.on_connected(core.next_attempt().host_id, {});
   const document_state state = make_state(10, "100");
   ASSERT_NE(core.on_message(snapshot_offer{state, digest_of(state), true}, {}).document, nullptr);
   const time_point lost{1s};
@@ -238,8 +232,7 @@
   s.control_hosts.front().availability_zone = "mwanza-1";
   s.control_hosts.front().region = "mwanza";
   subscriber_core core = subscriber_core::make(s);
-  core.next_attempt();
-  core.on_connected({});
+  core.on_connected(core.next_attempt().host_id, {});
   const document_state state = make_state(10, "100");
   ASSERT_NE(core.on_message(snapshot_offer{state, digest_of(state), true}, {}).document, nullptr);
   std::vector<member_record> hosts(3);
@@ -257,12 +250,10 @@
 
 TEST(subscriber_core, disconnects_from_a_host_without_quorum_or_messages) {
   subscriber_core core = subscriber_core::make(node_settings(2, 7));
-  core.next_attempt();
-  core.on_connected({});
+  core.on_connected(core.next_attempt().host_id, {});
   EXPECT_FALSE(core.on_message(keepalive{{1, 10}, false}, {}).disconnect_reason.empty());
   core.on_disconnected();
-  core.next_attempt();
-  core.on_connected(time_point{} + 1s);
+  core.on_connected(core.next_attempt().host_id, time_point{} + 1s);
   EXPECT_TRUE(core.check_connection(time_point{} + 10s).empty());
   EXPECT_FALSE(core.check_connection(time_point{} + 12s).empty());
 }
@@ -318,10 +309,10 @@
       hosts_[host_].close(stream_);
       node_->on_disconnected();
     }
-    node_->next_attempt();
+    const std::string host_id = node_->next_attempt().host_id;
     host_ = random_below(host_count);
     stream_ = next_stream_++;
-    node_->on_connected(now_);
+    node_->on_connected(host_id, now_);
     const subscribe_request request = node_->request();
     if (hosts_[host_].open(stream_, request, now_)) return;
     bool confirmed = !request.want_confirmed || stale_hosts_confirm_;
