Operators' client: begin with the control host that responds first

Operators: with five of six control hosts frozen a read took 50.0 s, 10 s for each frozen host. Cause: the hosts were tried in turn, each with the whole time limit; a frozen host accepts connections. The same class of fault as in nodes (docs/incidents/silent-control-hosts.md). Change: unless the first host has just responded, all hosts are asked at once and the first to respond is used. The request itself still goes to one host at a time. control_client_test failed before (50.0 s for the read; the submission was not played to its end), passes now.

--- a/cli/control_client.cc
+++ b/cli/control_client.cc
@@ -22,6 +22,7 @@
 // Delay after all hosts were tried. An election takes about 1.5 s, so several rounds of retries fall within one.
 constexpr duration retry_delay = 300ms;
 constexpr duration submit_attempt_timeout = 10s;
+constexpr duration probe_timeout = 2s;
 
 outcome<boost::json::value> parse_response_body(const http_response& answer) {
   outcome<boost::json::value> body = capture([&] { return parse_json(answer.body); });
@@ -86,6 +87,18 @@
   answer(response ? parse_response_body(*response) : outcome<boost::json::value>(response.failure()));
 }
 
+using probe_channel = boost::asio::experimental::channel<void(boost::system::error_code, std::string)>;
+
+/// Sends the host's address to the channel if it responds, or else an empty text.
+awaitable<void> probe_host(timer_service& timers, executor_type executor, std::string host,
+                           std::shared_ptr<probe_channel> responses) {
+  // Without a name the call is refused at once. Any response shows that the host runs.
+  const http_request request{"GET", "/v1/section", {}, {}, {}};
+  const outcome<http_response> response = co_await http_call(timers, executor, host, request, probe_timeout);
+  if (!response) host.clear();
+  responses->try_send(boost::system::error_code{}, std::move(host));
+}
+
 }  // namespace
 
 result<std::vector<std::string>> parse_control_addresses(const std::string& list) {
@@ -114,6 +127,22 @@
   (void)ec;
 }
 
+awaitable<void> control_client::prefer_responsive_host() {
+  if (responsive_ || hosts_.size() == 1) co_return;
+  const std::size_t probes = hosts_.size();
+  auto responses = std::make_shared<probe_channel>(executor_, probes);
+  for (const std::string& host : hosts_) {
+    boost::asio::co_spawn(executor_, probe_host(timers_, executor_, host, responses), boost::asio::detached);
+  }
+  for (std::size_t i = 0; i < probes; ++i) {
+    auto [ec, host] = co_await responses->async_receive(use_tuple);
+    if (ec || host.empty()) continue;
+    move_to_front(host);
+    responsive_ = true;
+    co_return;
+  }
+}
+
 void control_client::move_to_front(const std::string& host) {
   const auto found = std::find(hosts_.begin(), hosts_.end(), host);
   if (found == hosts_.end()) {
@@ -129,8 +158,10 @@
   const std::size_t number = hosts_.size();
   error last;
   for (std::size_t i = 0; i < number; ++i) {
+    co_await prefer_responsive_host();
     const std::string host = hosts_.front();
     const outcome<http_response> answer = co_await http_call(timers_, executor_, host, request, timeout);
+    responsive_ = answer.has_value();
     if (answer) co_return parse_response_body(*answer);
     last = answer.failure();
     rotate_hosts();
@@ -174,9 +205,11 @@
   error last{
       error_kind::unreachable, "the timeout ended before a control host was contacted", "use a longer --timeout_s", {}};
   for (std::size_t attempts = 1; timer_service::now() < end; ++attempts) {
+    co_await prefer_responsive_host();
     const duration attempt = std::min<duration>(submit_attempt_timeout, end - timer_service::now());
     const std::string host = hosts_.front();
     const outcome<http_response> answer = co_await http_call(timers_, executor_, host, request, attempt);
+    responsive_ = answer.has_value();
     submission_result result = parse_submission_result(answer);
     if (result.answer.ok()) co_return result;
     last = result.answer.refusal;
--- a/cli/control_client.h
+++ b/cli/control_client.h
@@ -6,9 +6,10 @@
 ///     outcome<boost::json::value> body = co_await client.get({"GET", "/v1/document"}, 10s);
 ///     outcome<submission_result> answer = co_await client.submit(change, 30s);
 ///
-/// `get` tries the hosts in turn until one answers. `submit` follows a not_leader refusal to the leader and retries
-/// with the same submission id after a lost response, so a change is never made twice. Used by the commands, on their
-/// event loop.
+/// Both calls begin with the host that responds first, so that frozen hosts, which accept connections and never
+/// respond, cost no time each. `get` tries the hosts in turn until one answers. `submit` follows a not_leader refusal
+/// to the leader and retries with the same submission id after a lost response, so a change is never made twice. Used
+/// by the commands, on their event loop.
 #pragma once
 
 #include <string>
@@ -38,7 +39,7 @@
   control_client(timer_service& timers, executor_type executor, std::vector<std::string> hosts)
       : timers_(timers), executor_(std::move(executor)), hosts_(std::move(hosts)) {}
 
-  /// Tries the hosts in turn, beginning with the one that answered last.
+  /// Tries the hosts in turn, beginning with the one that answered last, or with the first to respond to a probe.
   /// @param timeout for each host.
   /// @return the body of the first response; the host's own error when it refused; `unreachable` when none answered.
   awaitable<outcome<boost::json::value>> get(http_request request, duration timeout);
@@ -57,12 +58,14 @@
   awaitable<void> discover_hosts(duration timeout);
 
  private:
+  awaitable<void> prefer_responsive_host();
   void move_to_front(const std::string& host);
   void rotate_hosts();
 
   timer_service& timers_;
   executor_type executor_;
   std::vector<std::string> hosts_;  // in the order in which they are tried
+  bool responsive_ = false;         // the first of hosts_ has responded to the last call or probe
 };
 
 /// Parses a response body, or passes on the error of the call.
--- a/testing/distribution.cmake
+++ b/testing/distribution.cmake
@@ -1,3 +1,5 @@
 hd_test(distribution_test hd_control hd_node)
 hd_test(minority_cut_test hd_control hd_node)
 hd_test(silent_source_test hd_control hd_node)
+hd_test(control_client_test hd_model hd_wire)
+target_sources(control_client_test PRIVATE ${CMAKE_SOURCE_DIR}/cli/control_client.cc)
