--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -148,7 +148,8 @@
   std::string mesh_address;
 };
 
-using subscriber_message = std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened,
-                                        race_step_due, reconnect_due, directory_changed, send_permit_request, report_departure>;
+using subscriber_message =
+    std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened, race_step_due,
+                 reconnect_due, directory_changed, send_permit_request, report_departure>;
 
 }  // namespace heatherdeck
