--- a/testing/control_client_test.cc
+++ b/testing/control_client_test.cc
@@ -42,9 +42,9 @@
   template <class Body>
   duration run(Body body) {
     const time_point begin = timer_service::now();
-    bool done = false;
-    boost::asio::co_spawn(k.io(), body(), [&](std::exception_ptr) { done = true; });
-    while (!done) k.io().run_one();
+    boost::asio::co_spawn(k.io(), body(), [this](std::exception_ptr) { k.io().stop(); });
+    k.io().run();
+    k.io().restart();
     return timer_service::now() - begin;
   }
 
--- a/testing/departure_deployment_test.cc
+++ b/testing/departure_deployment_test.cc
@@ -38,7 +38,7 @@
   bool loses_disk = false;  ///< the first control host starts again with an empty data folder
 };
 
-void PrintTo(const departure_case& c, std::ostream* out) { *out << c.name; }
+std::ostream& operator<<(std::ostream& out, const departure_case& c) { return out << c.name; }
 
 class departure_deployment : public testing::TestWithParam<departure_case> {
  protected:
