Log each step from an acknowledged version to its use at a node

New lines: document_offered and document_confirmed (control host), offer_ignored and document_in_force (node); raft_role also when only the leader changes. A stream that a node cancels before its first message is an information, subscription_cancelled, not an error: since each host that isn't the first to respond sees one. No decision changes.

--- a/consensus/consensus_dump.cc
+++ b/consensus/consensus_dump.cc
@@ -71,9 +71,10 @@
 }
 
 void consensus_service::task::log_role_change() {
-  if (core_->role() == logged_role_ && core_->term() == logged_term_) return;
+  if (core_->role() == logged_role_ && core_->term() == logged_term_ && core_->leader() == logged_leader_) return;
   logged_role_ = core_->role();
   logged_term_ = core_->term();
+  logged_leader_ = core_->leader();
   log_event(log_level::info, "raft_role",
             {{"role", to_name(logged_role_)}, {"term", logged_term_}, {"leader", core_->leader()}});
 }
--- a/consensus/consensus_task.h
+++ b/consensus/consensus_task.h
@@ -125,6 +125,7 @@
   time_point armed_deadline_{};  ///< deadline for which timer_ is set
   raft_role logged_role_ = raft_role::learner;
   std::uint64_t logged_term_ = 0;
+  std::string logged_leader_;
   std::string store_id_;
   std::optional<error> failure_;  ///< set once the store has failed or the core has halted; the process then stops
   bool stopped_ = false;
--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -127,6 +127,16 @@
                                             [&](const auto& entry) { return entry.second.applied >= wanted; });
 }
 
+std::size_t publisher_core::unanswered_offers() const {
+  return static_cast<std::size_t>(std::count_if(subscriptions_.begin(), subscriptions_.end(),
+                                                [](const auto& entry) { return entry.second.outstanding.has_value(); }));
+}
+
+std::optional<version> publisher_core::take_confirmed_version() {
+  if (current() <= taken_confirmed_version_ || !all_applied(current())) return std::nullopt;
+  return taken_confirmed_version_ = current();
+}
+
 std::vector<subscriber_status> publisher_core::statuses(time_point now) const {
   std::vector<subscriber_status> rows;
   rows.reserve(subscriptions_.size());
--- a/control/publisher_core.h
+++ b/control/publisher_core.h
@@ -85,6 +85,12 @@
   /// @return true when this host has `wanted` or a later version and every subscription has applied it.
   bool all_applied(const version& wanted) const;
 
+  /// @return how many subscriptions have an unanswered offer.
+  std::size_t unanswered_offers() const;
+
+  /// @return the version that every subscription has applied, once for each; nothing while one is behind.
+  std::optional<version> take_confirmed_version();
+
   std::vector<subscriber_status> statuses(time_point now) const;
   version current() const { return state_ ? state_->document_version : version{}; }
   std::size_t size() const { return subscriptions_.size(); }
@@ -120,6 +126,7 @@
   std::map<std::pair<version, bool>, std::shared_ptr<const control_message>> deltas_;  ///< by base and `confirmed`
   std::shared_ptr<const control_message> snapshots_[2];                                ///< by `confirmed`
   std::size_t pending_first_offers_ = 0;
+  version taken_confirmed_version_;
   bool quorum_ = false;
   std::mt19937_64 random_;
 };
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -104,10 +104,23 @@
 }
 
 void publisher_service::handle(document_changed&& m) {
-  send(core_.set_document(std::move(m.state), timer_service::now()));
+  offer_document(std::move(m.state));
   answer_waits();
 }
 
+void publisher_service::offer_document(document_state_ptr state) {
+  const version before = core_.current();
+  const std::vector<publisher_core::offer> offers = core_.set_document(std::move(state), timer_service::now());
+  if (core_.current() != before) {
+    log_event(log_level::info, "document_offered",
+              {{"version", core_.current().text()},
+               {"offers", offers.size()},
+               {"unanswered", core_.unanswered_offers()},
+               {"subscriptions", core_.size()}});
+  }
+  send(offers);
+}
+
 void publisher_service::handle(get_subscribers&& m) { m.answer(core_.statuses(timer_service::now())); }
 
 void publisher_service::handle(await_applied&& m) {
@@ -147,7 +160,7 @@
   const std::vector<std::uint64_t> waiting = std::exchange(running_confirmations_, {});
   const time_point now = timer_service::now();
   if (m.state) {
-    send(core_.set_document(m.state->document, now));
+    offer_document(m.state->document);
   } else {
     log_event(log_level::debug, "confirmation_failed", {{"reason", m.state.failure().message()}});
   }
@@ -193,6 +206,10 @@
 
 void publisher_service::on_node_message(std::uint64_t id, const applied_report& report) {
   if (const auto offer = core_.on_applied(id, report, timer_service::now())) send(*offer);
+  if (const auto confirmed = core_.take_confirmed_version()) {
+    log_event(log_level::info, "document_confirmed",
+              {{"version", confirmed->text()}, {"subscriptions", core_.size()}});
+  }
   answer_waits();
 }
 
--- a/control/publisher_service.h
+++ b/control/publisher_service.h
@@ -67,6 +67,7 @@
   void on_node_message(std::uint64_t id, const permit_request& request);
   void on_node_message(std::uint64_t id, const departure_report& report);
 
+  void offer_document(document_state_ptr state);
   void send(const publisher_core::offer& offer);
   void send_departures(std::uint64_t id, const host_departures& departures);
   void send(const std::vector<publisher_core::offer>& offers);
--- a/control/subscription_task.cc
+++ b/control/subscription_task.cc
@@ -50,6 +50,11 @@
   header_list headers{{":status", "200"}};
   (void)co_await s->incoming.stream->send_headers(std::move(headers), false);
   outcome<node_message> first = co_await read_message(s);
+  // A node that tries several hosts at a time uses the first to respond and cancels the others.
+  if (!first && first.failure().kind == error_kind::closed) {
+    log_event(log_level::info, "subscription_cancelled", {{"node", s->incoming.peer_id}});
+    co_return;
+  }
   const auto* request = first ? std::get_if<subscribe_request>(&*first) : nullptr;
   if (request == nullptr || request->node_id != s->incoming.peer_id) {
     log_error("subscription_refused",
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -252,12 +252,12 @@
   if (should_accept(offer.state.document_version)) return accept(offer.state, offer.state_digest);
   // The host does not send this version again on this stream, so the node subscribes again on a new one.
   if (is_unconfirmed(offer.state.document_version)) return {.disconnect_reason = "the document could not be confirmed"};
-  return {};
+  return {.ignored = offer.state.document_version};
 }
 
 subscriber_core::actions subscriber_core::on_offer(const delta_offer& offer) {
   note_confirmation(offer.delta.to, offer.confirmed);
-  if (!should_accept(offer.delta.to)) return {};
+  if (!should_accept(offer.delta.to)) return {.ignored = offer.delta.to};
   outcome<document_state> next = capture([&] { return apply_delta(state_, offer.delta); });
   if (!next) return refuse(offer.delta.to, next.failure());
   return accept(std::move(*next), offer.delta.result_digest);
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -46,6 +46,7 @@
     compiled_document_ptr document;           ///< use this document from now on; may be null
     std::optional<node_message> answer;       ///< send this to the control host
     std::string disconnect_reason;            ///< not empty: disconnect from this control host
+    std::optional<version> ignored;           ///< the offered version that is not used and not refused either
     std::optional<milliseconds> retry_after;  ///< delay before the next attempt in place of the usual backoff
   };
 
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -205,6 +205,10 @@
     log_event(log_level::info, "document_applied",
               {{"version", core_.held_version().text()}, {"source", core_.source()}});
   }
+  if (r.ignored) {
+    log_event(log_level::warning, "offer_ignored",
+              {{"version", r.ignored->text()}, {"held", core_.held_version().text()}, {"source", core_.source()}});
+  }
   if (r.answer) {
     if (const auto* refused = std::get_if<refused_report>(&*r.answer)) log_error("offer_refused", refused->reason);
     co_await write(std::move(*r.answer));
--- a/traffic/traffic_service.cc
+++ b/traffic/traffic_service.cc
@@ -95,6 +95,7 @@
                  [&](update_document& m) {
                    evidence_period_ = m.document->evidence_period();
                    log_accounts(*m.document);
+                   log_event(log_level::info, "document_in_force", {{"version", m.document->document_version.text()}});
                    core_.set_document(std::move(m.document));
                  },
                  [&](const directory_changed& m) { core_.set_members(*m.members, now); },
