--- a/consensus/consensus_task.cc
+++ b/consensus/consensus_task.cc
@@ -39,7 +39,7 @@
 std::vector<raft_member> founders_of(const settings& s) {
   std::vector<raft_member> founders;
   for (const control_host& host : s.control_hosts) founders.push_back({host.id, {}, host.mesh_address, false});
-  if (founders.empty()) founders.push_back({s.id, {}, s.mesh_listen, false});
+  if (founders.empty()) founders.push_back({s.id, {}, s.mesh_address(), false});
   std::sort(founders.begin(), founders.end(),
             [](const raft_member& a, const raft_member& b) { return a.host_id < b.host_id; });
   return founders;
--- a/model/settings.cc
+++ b/model/settings.cc
@@ -52,6 +52,9 @@
     {"region", &settings::region, text_rule::name, "region of this host"},
     {"availability_zone", &settings::availability_zone, text_rule::name, "availability zone of this host"},
     {"mesh_listen", &settings::mesh_listen, text_rule::address, "TCP and UDP address for other processes of the mesh"},
+    {"mesh_advertise", &settings::mesh_advertise, text_rule::address,
+     "address under which other processes reach mesh_listen, when that is another one (port mapping, forwarder); "
+     "default mesh_listen"},
     {"admin_listen", &settings::admin_listen, text_rule::address,
      "HTTP address for dump, metrics, liveness and readiness; bind it to loopback unless the network is trusted"},
     {"operator_listen", &settings::operator_listen, text_rule::address, "role control: HTTP address for operators"},
@@ -258,7 +261,7 @@
   if (!s.control_hosts.empty()) {
     return root.error_at("both 'control_hosts' and 'founders' are given", "remove one of them");
   }
-  const std::string port = s.mesh_listen.substr(s.mesh_listen.rfind(':'));
+  const std::string port = s.mesh_address().substr(s.mesh_address().rfind(':'));
   for (const std::string& founder : s.founders) {
     const std::string ip = founder.substr(0, founder.rfind(':'));
     s.control_hosts.push_back({ip, "unknown", "unknown", ip + port, {}});
@@ -368,7 +371,7 @@
         {"seeds", "list", "ip:port", "empty", "mesh addresses that gossip contacts first, besides the control hosts"},
         {"founders", "list", "ip:port", "empty",
          "control hosts known by address only, instead of control_hosts: their ids are their IP addresses, their mesh "
-         "port is that of mesh_listen"},
+         "port is that under which others reach this process"},
         {"form_log", "flag", "true, false", "true",
          "role control: false keeps a host with an empty data folder from forming a log; it joins the existing one"},
         {"dialect", "name", all_names<dialect_name>(), std::string(to_name(defaults.dialect)),
--- a/model/settings.h
+++ b/model/settings.h
@@ -55,6 +55,7 @@
   bool is_node = false;                ///< the process has the role node
   bool serves_configurations = false;  ///< has the role control and a configuration_listen
   std::string mesh_listen;
+  std::string mesh_advertise;  ///< see mesh_address()
   std::string admin_listen;
   std::string operator_listen;
   std::string caller_listen;
@@ -83,6 +84,9 @@
   std::vector<operator_settings> operators;
   std::vector<std::string> seeds;     ///< mesh addresses that gossip contacts first, besides the control hosts
   std::vector<std::string> founders;  ///< control hosts by address, instead of control_hosts; ports are ignored
+
+  /// @return the mesh address under which other processes reach this one.
+  const std::string& mesh_address() const { return mesh_advertise.empty() ? mesh_listen : mesh_advertise; }
 };
 
 /// @return the mesh addresses that gossip contacts first: those of all control hosts, and `seeds`.
--- a/node/directory_service.cc
+++ b/node/directory_service.cc
@@ -45,7 +45,7 @@
   options.self.node_id = s.id;
   options.self.availability_zone = s.availability_zone;
   options.self.region = s.region;
-  options.self.mesh_address = s.mesh_listen;
+  options.self.mesh_address = s.mesh_address();
   options.self.role = s.is_node ? process_role::node : process_role::control;
   // The wall clock orders the starts of one process. After a clock step backwards other members still know a higher
   // incarnation; the core then raises its own above it.
--- a/node/quarantine_service.cc
+++ b/node/quarantine_service.cc
@@ -29,7 +29,7 @@
 quarantine_options make_options(const settings& s) {
   std::random_device source;
   const std::uint64_t seed = s.seed != 0 ? s.seed : (static_cast<std::uint64_t>(source()) << 32) | source();
-  return {.mesh_address = s.mesh_listen, .random_seed = seed};
+  return {.mesh_address = s.mesh_address(), .random_seed = seed};
 }
 
 }  // namespace
--- a/testing/soak_deployment.cc
+++ b/testing/soak_deployment.cc
@@ -26,7 +26,8 @@
 constexpr unsigned networks = 200;
 constexpr auto http_timeout = 1s;
 constexpr auto resend_period = 100ms;
-constexpr const char* zones[] = {"dar-kivukoni", "dar-kigamboni", "dar-ilala"};
+// The platform names as many control hosts in the settings, however many there are.
+constexpr std::size_t max_founders = 3;
 
 outcome<http_response> call(const std::string& address, http_request request) {
   kernel k;
@@ -52,7 +53,9 @@
   std::unique_ptr<soak_deployment> made(new soak_deployment(std::move(options)));
   for (unsigned i = 0; i < networks; ++i) {
     made->network_ = first_network + (static_cast<unsigned>(::getpid()) + i) % networks;
-    if (made->addresses_are_free()) return made;
+    if (!made->addresses_are_free()) continue;
+    if (made->options_.relayed) BOOST_LEAF_CHECK(made->start_relay());
+    return made;
   }
   return fail(error_kind::usage, "no loopback network has free ports", "end the processes of earlier runs", {});
 }
@@ -62,7 +65,7 @@
   boost::asio::io_context io;
   for (const char kind : {'c', 'n'}) {
     for (const std::string& name : names(kind)) {
-      for (unsigned port = 0; port <= static_cast<unsigned>(soak_port::operators); ++port) {
+      for (unsigned port = 0; port <= static_cast<unsigned>(soak_port::last); ++port) {
         const auto parts = capture([&] { return parse_endpoint(address(name, static_cast<soak_port>(port))); });
         boost::asio::ip::tcp::acceptor acceptor(io);
         boost::system::error_code ec;
@@ -75,6 +78,21 @@
   return true;
 }
 
+result<void> soak_deployment::start_relay() {
+  std::vector<mesh_relay::endpoint> endpoints;
+  for (const char kind : {'c', 'n'}) {
+    for (const std::string& name : names(kind))
+      endpoints.push_back({ip(name), address(name, soak_port::mesh), address(name, soak_port::relayed_mesh)});
+  }
+  BOOST_LEAF_ASSIGN(relay_, mesh_relay::make(std::move(endpoints)));
+  return {};
+}
+
+void soak_deployment::lose_disk(const std::string& name) const {
+  std::error_code ignored;
+  std::filesystem::remove_all(path("data-" + name), ignored);
+}
+
 std::vector<std::string> soak_deployment::names(char kind) const {
   const std::size_t count = kind == 'c' ? options_.control_hosts : options_.services.size();
   std::vector<std::string> list;
@@ -92,16 +110,18 @@
 
 std::string soak_deployment::settings_text(const std::string& name) {
   const auto at = [&](soak_port port) { return address(name, port); };
+  const soak_zone& zone = options_.zones[number_of(name) % options_.zones.size()];
   std::string text = fmt::format(
-      "id: \"{}\"\nregion: dar\navailability_zone: {}\nmesh_listen: \"{}\"\nadmin_listen: \"{}\"\n"
-      "mesh_key: heatherdeck-on-the-platform\nkeepalive_ms: 500\nstop_grace_ms: {}\n",
-      ip(name), zones[number_of(name) % std::size(zones)], at(soak_port::mesh), at(soak_port::admin),
-      options_.stop_grace.count());
+      "id: \"{}\"\nregion: {}\navailability_zone: {}\nmesh_listen: \"{}\"\nmesh_advertise: \"{}\"\n"
+      "admin_listen: \"{}\"\nmesh_key: heatherdeck-on-the-platform\nkeepalive_ms: 500\nstop_grace_ms: {}\n",
+      ip(name), zone.region, zone.name, at(options_.relayed ? soak_port::relayed_mesh : soak_port::mesh),
+      at(soak_port::mesh), at(soak_port::admin), options_.stop_grace.count());
   if (name[0] == 'c') {
     text += fmt::format(
         "roles: [control]\noperator_listen: \"{}\"\nconfiguration_listen: \"{}\"\ndata_folder: \"{}\"\n"
-        "form_log: {}\nrollout_exposure: 0.1\ntolerated_losses: 1\n",
-        at(soak_port::operators), at(soak_port::configuration), path("data-" + name), formed_.insert(name).second);
+        "form_log: {}\nrollout_exposure: 0.1\ntolerated_losses: {}\n",
+        at(soak_port::operators), at(soak_port::configuration), path("data-" + name), formed_.insert(name).second,
+        options_.tolerated_losses);
   } else {
     text += fmt::format(
         "roles: [node]\ncaller_listen: \"{}\"\nupstream_listen: \"{}\"\ncaller_service: {}\ndialect: platform\n"
@@ -109,8 +129,10 @@
         at(soak_port::caller), at(soak_port::announcements), options_.services.at(number_of(name) - 1),
         options_.stop_notice.count());
   }
+  std::vector<std::string> known = names('c');
+  known.resize(std::min(known.size(), max_founders));
   std::string founders;
-  for (const std::string& host : names('c'))
+  for (const std::string& host : known)
     founders += fmt::format("{}\"{}\"", founders.empty() ? "" : ", ", address(host, soak_port::configuration));
   text += fmt::format("founders: [{}]\n", founders);
   return text;
--- a/testing/soak_deployment.h
+++ b/testing/soak_deployment.h
@@ -18,11 +18,17 @@
 
 #include "kernel/result.h"
 #include "kernel/timer_service.h"
+#include "testing/mesh_relay.h"
 #include "testing/process.h"
 #include "wire/http_message.h"
 
 namespace heatherdeck {
 
+struct soak_zone {
+  std::string name;
+  std::string region;
+};
+
 struct soak_deployment_options {
   std::string bin;   ///< build folder with the programs to run
   std::string work;  ///< folder for settings, data and logs; created
@@ -30,10 +36,23 @@
   std::vector<std::string> services;  ///< of the upstreams beside n1, n2, ...
   milliseconds stop_grace{4000};
   milliseconds stop_notice{1500};
+  unsigned tolerated_losses = 1;
+  std::vector<soak_zone> zones{{"dar-kivukoni", "dar"}, {"dar-kigamboni", "dar"}, {"dar-ilala", "dar"}};
+  bool relayed = false;  ///< mesh traffic passes a mesh_relay, so that cut() works
 };
 
 /// Ports of a process on its own address.
-enum class soak_port { mesh, admin, caller, configuration, announcements = configuration, upstream, operators };
+enum class soak_port {
+  mesh,
+  admin,
+  caller,
+  configuration,
+  announcements = configuration,
+  upstream,
+  operators,
+  relayed_mesh,  ///< where a process listens for the mesh when a relay listens at `mesh`
+  last = relayed_mesh
+};
 
 /// Destruction kills all processes.
 class soak_deployment {
@@ -47,6 +66,12 @@
   /// @return the exit code of a process that has ended, without blocking; nothing if it runs.
   std::optional<int> try_wait(const std::string& name) { return processes_.at(name).try_wait(); }
 
+  /// Empties the data folder of a control host that doesn't run.
+  void lose_disk(const std::string& name) const;
+  /// Cuts the mesh links between two processes; each cut needs a heal of its own. Requires `relayed`.
+  void cut(const std::string& name, const std::string& other) { relay_->cut(ip(name), ip(other)); }
+  void heal(const std::string& name, const std::string& other) { relay_->heal(ip(name), ip(other)); }
+
   /// Sends a configuration to the control hosts in turn until one acknowledges it.
   /// @return false after the limit.
   bool put_configuration(const std::string& base_version, const std::string& text, milliseconds limit) const;
@@ -65,6 +90,7 @@
  private:
   explicit soak_deployment(soak_deployment_options options) : options_(std::move(options)) {}
   bool addresses_are_free() const;
+  result<void> start_relay();
   std::string ip(const std::string& name) const;
   std::string path(const std::string& file) const { return options_.work + "/" + file; }
   std::string settings_text(const std::string& name);
@@ -72,6 +98,7 @@
   soak_deployment_options options_;
   unsigned network_ = 0;  ///< second number of all addresses, so that two runs use different ones
   std::set<std::string> formed_;
+  std::unique_ptr<mesh_relay> relay_;
   std::map<std::string, process> processes_;
 };
 
