Control streams fail when their connection goes silent

Cause: a PING without a response failed a stream only until its response had begun, because the holder of a call has a deadline. Raft, evidence, loan and subscription streams have none: their response begins at once and never ends. What was written to them vanished until TCP gave up, and peer_link noticed nothing as long as messages came the other way, on another connection.

Change: only calls with a response are kept.

h2_test, control_stream_fails_when_its_connection_goes_silent: fails on the code before, passes now.

--- a/testing/h2_test.cc
+++ b/testing/h2_test.cc
@@ -317,6 +317,57 @@
   EXPECT_TRUE(client.closed());
 }
 
+// Guards against messages that vanish on a connection that has gone silent: a control stream whose response had begun
+// was kept, and its holder, which has no deadline, went on writing to it.
+TEST(h2, control_stream_fails_when_its_connection_goes_silent) {
+  kernel k;
+  kernel peer;
+  tcp::acceptor acceptor(peer.executor(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  tcp::socket socket(k.executor());
+  socket.connect(acceptor.local_endpoint());
+  mailbox<request> requests{peer.executor(), 16};
+  h2_connection_options server_options;
+  server_options.side = h2_side::server;
+  server_options.peer = "client";
+  server_options.on_request = [inbox = requests.address()](std::shared_ptr<h2_stream_state> state,
+                                                           header_list headers) {
+    inbox.post({std::move(headers), std::make_shared<h2_stream>(std::move(state))});
+  };
+  const h2_connection server = h2_connection::start(acceptor.accept(), peer.timers(), std::move(server_options));
+  h2_connection_options options;
+  options.peer = "server";
+  const h2_connection client = h2_connection::start(std::move(socket), k.timers(), std::move(options));
+  std::shared_ptr<h2_stream> accepted;
+  boost::asio::co_spawn(
+      peer.io(),
+      [&]() -> awaitable<void> {
+        auto arrived = co_await requests.receive();
+        accepted = arrived->stream;
+        header_list headers{{":status", "200"}};
+        (void)co_await accepted->send_headers(std::move(headers), false);
+      },
+      boost::asio::detached);
+  auto stream = client.open(stream_kind::raft, request_headers, false);
+  bool responded = false;
+  boost::asio::co_spawn(
+      k.io(),
+      [&]() -> awaitable<void> {
+        auto headers = co_await stream->read_headers();
+        responded = headers.has_value();
+      },
+      boost::asio::detached);
+  const time_point begun = timer_service::now();
+  while (!responded && timer_service::now() < begun + 10s) {
+    k.io().run_one_for(1ms);
+    peer.io().run_one_for(1ms);
+  }
+  ASSERT_TRUE(responded);
+  // From here on the peer's kernel doesn't run, as if the connection carried nothing.
+  k.io().run_for(4s);
+  EXPECT_TRUE(stream->closed());
+  EXPECT_TRUE(client.closed());
+}
+
 // A client that was slow for more than 1 s lost the calls that it had waited 5 s for: the server closed the connection.
 TEST(h2, server_keeps_the_calls_of_a_slow_client) {
   kernel slow;
--- a/wire/h2_stream_state.h
+++ b/wire/h2_stream_state.h
@@ -56,7 +56,8 @@
     if (failure) return false;
     // The holder of an incoming call has a deadline only until it has written the whole response.
     if (incoming) return on_silence == silence_action::fail || outbound_ended;
-    return !response_begun && on_silence == silence_action::fail;
+    // The holders of the other kinds have no deadline: they write without an answer for as long as the stream is open.
+    return on_silence == silence_action::fail && (kind != stream_kind::call || !response_begun);
   }
 
   const stream_kind kind;
