Subscriber: what is due is state, not a message that can be lost

Cause: the timers of the next attempt and of the next step of a race posted messages that a full mailbox refuses, and nothing else led to the attempt. Likewise one write had no limit, and the subscriber handles no tick while it waits.

Change: the planned attempt and the steps of the race are state with deadlines; timers and the periodic tick only wake the task, which does what is due. A lost wake-up costs one tick, 0.5 s. A write resets the stream after 1 s, and an attempt ends 2 s after its begin, not 2 s after its stream was opened.

--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -115,7 +115,7 @@
   reply<duration> answer;
 };
 
-/// Periodic timer of the subscriber.
+/// From timers, periodic and when something is due: the subscriber does what is due.
 struct subscriber_tick {};
 
 /// From the task that reads the stream: one frame from the source, the control host that the node subscribed to.
@@ -136,20 +136,10 @@
 struct source_opened {
   std::uint64_t generation = 0;
   std::shared_ptr<h2_stream> stream;
-};
-
-/// Posted by a timer: no control host has responded to the attempts under way.
-struct race_step_due {};
-
-/// Posted by a timer: the delay before the next connection attempt is over.
-struct reconnect_due {
-  std::uint64_t generation = 0;
-  std::string host_id;  ///< control host to connect to
   std::string mesh_address;
 };
 
-using subscriber_message =
-    std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened, race_step_due,
-                 reconnect_due, directory_changed, send_permit_request, report_departure>;
+using subscriber_message = std::variant<subscriber_tick, send_evidence, source_frame, source_closed, source_opened,
+                                        directory_changed, send_permit_request, report_departure>;
 
 }  // namespace heatherdeck
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -21,6 +21,8 @@
 constexpr auto tick_period = 500ms;
 // Of one attempt; others are under way meanwhile.
 constexpr auto attempt_timeout = 2s;
+// While a message is being written, this task handles no other.
+constexpr auto write_timeout = 1s;
 constexpr std::uint32_t h2_cancel = 8;
 
 }  // namespace
@@ -50,14 +52,13 @@
   tick_ = k.timers().every(tick_period, [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
   boost::asio::co_spawn(k.executor(), run(), boost::asio::detached);
   schedule_attempt(std::nullopt);
+  arm_wake_timer();
   return {};
 }
 
 void subscriber_service::stop() {
   tick_.cancel();
-  retry_.cancel();
-  race_step_.cancel();
-  leave_.cancel();
+  wake_.cancel();
   inbox_->close();
   if (stream_) stream_->reset(h2_cancel);
 }
@@ -69,53 +70,64 @@
     awaitable<void> handled =
         std::visit([this](auto&& m) { return handle(std::forward<decltype(m)>(m)); }, std::move(*message));
     co_await std::move(handled);
+    arm_wake_timer();
   }
 }
 
 void subscriber_service::schedule_attempt(std::optional<milliseconds> retry_after) {
-  const std::uint64_t generation = ++generation_;
   race_.clear();
-  race_step_.cancel();
   subscriber_core::attempt next = core_.next_attempt();
   const milliseconds delay = retry_after.value_or(next.delay);
   log_event(log_level::info, "source_attempt", {{"source", next.host_id}, {"delay_ms", delay.count()}});
-  retry_ = kernel_->timers().after(delay, [inbox = inbox_->address(), generation, next] {
-    inbox.post(reconnect_due{generation, next.host_id, next.mesh_address});
-  });
-}
-
-awaitable<void> subscriber_service::handle(reconnect_due m) {
-  if (m.generation != generation_) co_return;
-  race_.begin(timer_service::now());
-  begin_attempt(m.host_id, m.mesh_address);
-  arm_race_timer();
+  first_attempt_ = {std::move(next), timer_service::now() + delay};
 }
 
-awaitable<void> subscriber_service::handle(race_step_due) {
-  for (std::size_t left = race_.due(timer_service::now()); left != 0; --left) {
+// Timers only wake this task: what is due is in its state, so that a wake-up that a full mailbox refuses is made up for
+// by the next tick.
+void subscriber_service::begin_due_attempts(time_point now) {
+  if (first_attempt_ && now >= first_attempt_->due) {
+    const subscriber_core::attempt first = std::exchange(first_attempt_, std::nullopt)->host;
+    race_.begin(now);
+    begin_attempt(first);
+    return;
+  }
+  for (std::size_t left = race_.due(now); left != 0; --left) {
     const std::optional<subscriber_core::attempt> next = core_.next_parallel_attempt(race_);
     if (!next) break;
     log_event(log_level::info, "source_attempt", {{"source", next->host_id}, {"parallel", true}});
-    begin_attempt(next->host_id, next->mesh_address);
+    begin_attempt(*next);
   }
-  if (!race_.empty()) arm_race_timer();
-  co_return;
 }
 
-void subscriber_service::begin_attempt(const std::string& host_id, const std::string& mesh_address) {
+void subscriber_service::begin_attempt(const subscriber_core::attempt& next) {
   const std::uint64_t generation = ++generation_;
-  race_.add(generation, host_id, timer_service::now());
-  boost::asio::co_spawn(kernel_->executor(), connect(mesh_address, generation), boost::asio::detached);
+  race_.add(generation, next.host_id, timer_service::now());
+  boost::asio::co_spawn(kernel_->executor(), connect(next.mesh_address, generation), boost::asio::detached);
 }
 
-void subscriber_service::arm_race_timer() {
-  race_step_ = kernel_->timers().after(race_.next_step() - timer_service::now(),
-                                       [inbox = inbox_->address()] { inbox.post(race_step_due{}); });
+std::optional<time_point> subscriber_service::next_deadline() const {
+  std::optional<time_point> first = stream_ ? core_.leave_time() : std::nullopt;
+  const auto add = [&first](time_point t) { first = first ? std::min(*first, t) : t; };
+  if (first_attempt_) add(first_attempt_->due);
+  if (!race_.empty()) add(race_.next_step());
+  return first;
+}
+
+// The periodic tick alone would add up to its period to each of these waits.
+void subscriber_service::arm_wake_timer() {
+  const std::optional<time_point> due = next_deadline();
+  if (due == armed_deadline_) return;
+  armed_deadline_ = due;
+  wake_.cancel();
+  if (!due) return;
+  wake_ = kernel_->timers().after(*due - timer_service::now(),
+                                  [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
 }
 
 // A frozen host accepts connections and streams, so only its response headers show that it runs.
 awaitable<void> subscriber_service::connect(std::string mesh_address, std::uint64_t generation) {
   const address<subscriber_message> inbox = inbox_->address();
+  const time_point deadline = timer_service::now() + attempt_timeout;
   auto make_request = [&mesh_address](reply<std::shared_ptr<h2_stream>> answer) {
     return open_stream{mesh_address, stream_kind::subscribe, {}, false, std::move(answer)};
   };
@@ -127,7 +139,8 @@
     co_return;
   }
   std::shared_ptr<h2_stream> source_stream = *stream;
-  subscription limit = kernel_->timers().after(attempt_timeout, [source_stream] { source_stream->reset(h2_cancel); });
+  subscription limit =
+      kernel_->timers().after(deadline - timer_service::now(), [source_stream] { source_stream->reset(h2_cancel); });
   outcome<header_list> response = co_await source_stream->read_headers();
   limit.cancel();
   if (!response) {
@@ -157,7 +170,6 @@
   const time_point now = timer_service::now();
   const std::string host_id = race_.host(m.generation);
   for (const std::string& silent : race_.win(m.generation, now)) core_.note_silent(silent);
-  race_step_.cancel();
   stream_ = m.stream;
   stream_generation_ = m.generation;
   core_.on_connected(host_id, now);
@@ -214,7 +226,6 @@
     co_await write(std::move(*r.answer));
   }
   if (!r.disconnect_reason.empty()) disconnect(r.disconnect_reason, r.retry_after);
-  arm_leave_timer();
 }
 
 // Messages for other services may come before the first offer, whose meaning depends on being the first.
@@ -243,20 +254,13 @@
   (void)co_await announcements_.send(std::move(notice));
 }
 
-// The periodic tick alone would add up to its period to the wait at a host without a quorum.
-void subscriber_service::arm_leave_timer() {
-  const std::optional<time_point> leave_at = core_.leave_time();
-  if (leave_at == armed_leave_time_) return;
-  armed_leave_time_ = leave_at;
-  leave_.cancel();
-  if (!leave_at) return;
-  leave_ = kernel_->timers().after(*leave_at - timer_service::now(),
-                                   [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
-}
-
 awaitable<void> subscriber_service::handle(subscriber_tick) {
-  const std::string reason = core_.check_connection(timer_service::now());
-  if (!reason.empty()) disconnect(reason, std::nullopt);
+  const time_point now = timer_service::now();
+  const std::string reason = core_.check_connection(now);
+  if (!reason.empty()) {
+    disconnect(reason, std::nullopt);
+  }
+  begin_due_attempts(now);
   expire_reports();
   co_return;
 }
@@ -308,6 +312,7 @@
   if (!stream_) co_return;
   const std::shared_ptr<h2_stream> stream = stream_;
   std::string bytes = encode(message);
+  const subscription limit = kernel_->timers().after(write_timeout, [stream] { stream->reset(h2_cancel); });
   const outcome<void> written = co_await stream->write_frame(std::move(bytes));
   if (!written) log_event(log_level::debug, "source_write_failed", {{"reason", written.failure().message()}});
 }
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -39,6 +39,12 @@
   boost::json::value dump() const override;
 
  private:
+  /// The first attempt of the next race.
+  struct planned_attempt {
+    subscriber_core::attempt host;
+    time_point due;
+  };
+
   explicit subscriber_service(const settings& s) : core_(subscriber_core::make(s)) {}
 
   awaitable<void> run();
@@ -50,8 +56,6 @@
   awaitable<void> handle(source_frame m);
   awaitable<void> handle(source_closed m);
   awaitable<void> handle(source_opened m);
-  awaitable<void> handle(reconnect_due m);
-  awaitable<void> handle(race_step_due m);
   awaitable<void> handle(send_permit_request m);
   awaitable<void> handle(report_departure m);
   awaitable<bool> pass_on(const control_message& message);
@@ -61,9 +65,10 @@
   awaitable<void> write(node_message message);
   void disconnect(const std::string& reason, std::optional<milliseconds> retry_after);
   void schedule_attempt(std::optional<milliseconds> retry_after);
-  void begin_attempt(const std::string& host_id, const std::string& mesh_address);
-  void arm_race_timer();
-  void arm_leave_timer();
+  void begin_due_attempts(time_point now);
+  void begin_attempt(const subscriber_core::attempt& next);
+  std::optional<time_point> next_deadline() const;
+  void arm_wake_timer();
 
   kernel* kernel_ = nullptr;
   subscriber_core core_;
@@ -74,15 +79,14 @@
   std::shared_ptr<h2_stream> stream_;    ///< shared with the coroutine that reads it; null when not subscribed
   std::uint64_t generation_ = 0;         ///< number of the last connection attempt
   std::uint64_t stream_generation_ = 0;  ///< number of the attempt that led to stream_; 0 when not subscribed
+  std::optional<planned_attempt> first_attempt_;
   source_race race_;
-  subscription race_step_;
   departure_reporter departures_;
   std::map<std::uint64_t, reply<duration>> departure_answers_;  ///< by the id of the report
   bool departures_confirmed_ = false;                           ///< "announcements" has got the recorded departures
   subscription tick_;
-  subscription retry_;
-  subscription leave_;
-  std::optional<time_point> armed_leave_time_;  ///< of `leave_`
+  subscription wake_;
+  std::optional<time_point> armed_deadline_;  ///< of `wake_`
 };
 
 }  // namespace heatherdeck
