Subscriptions and hosts that have stopped moving are noticed by both ends

That one of the states below is what the operators saw is not shown; each of them is shown by a test, lasted for good, and looked sound from both ends, as keep-alives went on.

Cause, one class: a wait for an event that may not come, while other messages make the wait look alive. - publisher_core sends no offer while an earlier one is unanswered, and only the answer ended that. - A follower that hears heartbeats reported a quorum, also when no entries reached it or its ledger lagged. - The null frame that ends a subscription was lost when the mailbox of a slow node was full.

Change: - An offer that is unanswered for two keep-alive periods and a tick ends the subscription (subscription_stalled). - A node leaves a host whose stated version stays another than the held one for two keep-alive periods, in either direction, unless it has refused that version. - consensus_status::is_current: false while the commit index that the leader stated an election timeout ago isn't reached. The publisher states a quorum to nodes only if that holds and the ledger has applied what was committed a tick ago. - A reset of a subscription has a mailbox of its own.

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -162,6 +162,8 @@
 
   // raft_follower.cc: messages from the leader, and reads forwarded to it
   bool accept_leader(const raft_message& message);
+  void note_leader_commit(std::uint64_t index);
+  bool lags_behind_leader(time_point now) const;
   void on_append_request(const raft_message& message, const append_request& request);
   void on_snapshot_chunk(const raft_message& message, const snapshot_chunk& chunk);
   void install_snapshot(const snapshot_ptr& snapshot);
@@ -180,6 +182,9 @@
   std::uint64_t commit_index_ = 0;
   std::uint64_t applied_index_ = 0;
   std::uint64_t term_start_index_ = 0;  ///< leader: index of this term's no-op
+  std::uint64_t leader_commit_ = 0;     ///< follower: highest commit index that a leader has stated
+  std::uint64_t awaited_commit_ = 0;    ///< follower: commit index that it has to reach next
+  time_point awaited_since_{};
   time_point now_{};
   time_point last_leader_contact_{};
   time_point election_deadline_{};
--- a/consensus/raft_follower.cc
+++ b/consensus/raft_follower.cc
@@ -28,8 +28,21 @@
   return true;
 }
 
+// A heartbeat states the leader's commit index even if the entries up to it don't arrive here.
+void raft_core::note_leader_commit(std::uint64_t index) {
+  leader_commit_ = std::max(leader_commit_, index);
+  if (commit_index_ < awaited_commit_) return;
+  awaited_commit_ = leader_commit_;
+  awaited_since_ = now_;
+}
+
+bool raft_core::lags_behind_leader(time_point now) const {
+  return state_ != state::leader && commit_index_ < awaited_commit_ && now - awaited_since_ >= config_.election_timeout;
+}
+
 void raft_core::on_append_request(const raft_message& message, const append_request& request) {
   if (!accept_leader(message)) return;
+  note_leader_commit(request.commit_index);
   const std::uint64_t previous = request.previous_index;
   const std::uint64_t end = previous + request.entries.size();
   if (previous > log_.last_index()) {
@@ -70,6 +83,7 @@
 
 void raft_core::on_snapshot_chunk(const raft_message& message, const snapshot_chunk& chunk) {
   if (!accept_leader(message)) return;
+  note_leader_commit(chunk.index);
   if (chunk.index <= commit_index_) {
     incoming_snapshot_bytes_.clear();
     return send_when_durable(make_answer(message, append_response{true, chunk.index, chunk.round}));
--- a/control/ledger_service.cc
+++ b/control/ledger_service.cc
@@ -355,6 +355,8 @@
   message.answer(ledger_image{state_.applied(), encode_image(state_.content())});
 }
 
+void ledger_service::handle(get_applied_index message) { message.answer(state_.applied()); }
+
 void ledger_service::notify_document_changed() {
   if (document_->document_version == state_.document().document_version) return;
   document_ = std::make_shared<const document_state>(state_.document());
--- a/control/ledger_service.h
+++ b/control/ledger_service.h
@@ -71,6 +71,7 @@
   void handle(get_departures message);
   awaitable<void> apply_all(apply_entries message);
   void handle(install_ledger_image message);
+  void handle(get_applied_index message);
   void handle(get_ledger_image message);
   void handle(proposal_finished message);
   void handle(read_confirmed message);
--- a/control/publisher_core.cc
+++ b/control/publisher_core.cc
@@ -115,6 +115,16 @@
   return offers;
 }
 
+std::vector<publisher_core::stalled_subscription> publisher_core::take_stalled() {
+  std::vector<stalled_subscription> stalled;
+  for (auto& [id, s] : subscriptions_) {
+    if (!s.outstanding || ++s.checks_unanswered < limits_.answer_checks) continue;
+    stalled.push_back({id, s.node_id, *s.outstanding, s.applied});
+  }
+  for (const stalled_subscription& one : stalled) close(one.id);
+  return stalled;
+}
+
 void publisher_core::close(std::uint64_t id) {
   const auto found = subscriptions_.find(id);
   if (found == subscriptions_.end()) return;
@@ -128,8 +138,9 @@
 }
 
 std::size_t publisher_core::unanswered_offers() const {
-  return static_cast<std::size_t>(std::count_if(subscriptions_.begin(), subscriptions_.end(),
-                                                [](const auto& entry) { return entry.second.outstanding.has_value(); }));
+  return static_cast<std::size_t>(std::count_if(subscriptions_.begin(), subscriptions_.end(), [](const auto& entry) {
+    return entry.second.outstanding.has_value();
+  }));
 }
 
 std::optional<version> publisher_core::take_confirmed_version() {
@@ -150,6 +161,7 @@
 publisher_core::offer publisher_core::make_offer(std::uint64_t id, subscription& s, bool confirmed, bool force_snapshot,
                                                  time_point now) {
   s.outstanding = state_->document_version;
+  s.checks_unanswered = 0;
   s.last_sent = now;
   return {id, message_for(s, confirmed, force_snapshot)};
 }
--- a/control/publisher_core.h
+++ b/control/publisher_core.h
@@ -9,6 +9,7 @@
 ///     if (auto offer = core.on_applied(id, report, now)) send(*offer);
 ///
 /// Rules: a node has at most one unanswered offer, so a slow node gets one combined delta instead of a queue of deltas;
+/// a node that doesn't answer an offer in time is disconnected, as nothing else would be sent to it;
 /// a node that has the current version gets keep-alives only; a node with a later version than this host gets no offer.
 #pragma once
 
@@ -39,6 +40,17 @@
     /// an election no other host could confirm either. Shorter than the two keep-alives (1 s) after which a node leaves
     /// a silent host.
     milliseconds first_confirmation_timeout{800};
+    /// Calls of take_stalled after which an unanswered offer counts as lost. Calls instead of time, because after a
+    /// suspension of this process only one call is due, and the answers that came meanwhile are read before the next.
+    std::uint32_t answer_checks = 3;
+  };
+
+  /// A subscription that has stopped moving: its node hasn't answered an offer.
+  struct stalled_subscription {
+    std::uint64_t id = 0;
+    std::string node_id;
+    version offered;
+    version applied;
   };
 
   /// One message to one subscription. Subscriptions that get the same content share the message.
@@ -79,6 +91,10 @@
   /// that is due in less than half a tick is sent now, not a tick later.
   std::vector<offer> make_keepalives(bool quorum, time_point now);
 
+  /// Called once a tick. The node is expected to subscribe again after its stream has been reset.
+  /// @return the subscriptions whose offer has been unanswered for `answer_checks` calls; they are removed.
+  std::vector<stalled_subscription> take_stalled();
+
   /// Removes a subscription.
   void close(std::uint64_t id);
 
@@ -106,6 +122,7 @@
     time_point applied_since;
     time_point last_sent;
     std::optional<version> outstanding;
+    std::uint32_t checks_unanswered = 0;  ///< calls of take_stalled since that offer
     std::optional<error> refused;
     bool first_offer_pending = true;  ///< no offer or keep-alive has been sent yet
   };
--- a/control/publisher_service.cc
+++ b/control/publisher_service.cc
@@ -33,6 +33,11 @@
 constexpr auto confirmation_retry_delay = 50ms;
 constexpr auto max_wait = 60s;
 
+// An offer is answered within two keep-alive periods, the time after which a node gives up a silent host.
+std::uint32_t answer_checks(milliseconds keepalive) {
+  return static_cast<std::uint32_t>(2 * keepalive / milliseconds(tick_period)) + 1;
+}
+
 }  // namespace
 
 result<std::unique_ptr<service>> publisher_service::make(const settings& s) {
@@ -41,7 +46,8 @@
 
 publisher_service::publisher_service(const settings& s)
     : settings_(s),
-      core_({.keepalive = s.keepalive, .tick_period = tick_period}, s.seed != 0 ? s.seed : std::random_device{}()) {}
+      core_({.keepalive = s.keepalive, .tick_period = tick_period, .answer_checks = answer_checks(s.keepalive)},
+            s.seed != 0 ? s.seed : std::random_device{}()) {}
 
 std::string_view publisher_service::name() const { return to_name(service_name::publisher); }
 
@@ -78,6 +84,7 @@
   inbox_->close();
   streams_->close();
   outgoing_.clear();
+  resets_.clear();
 }
 
 awaitable<void> publisher_service::run() {
@@ -97,7 +104,8 @@
 }
 
 void publisher_service::handle(publisher_tick&&) {
-  boost::asio::co_spawn(kernel_->executor(), ask_quorum(), boost::asio::detached);
+  boost::asio::co_spawn(kernel_->executor(), ask_host_state(), boost::asio::detached);
+  reset_stalled();
   send(core_.make_keepalives(quorum_, timer_service::now()));
   if (!queued_confirmations_.empty()) begin_confirmation();
   answer_waits();
@@ -130,6 +138,7 @@
 
 void publisher_service::handle(subscription_opened&& m) {
   outgoing_[m.id] = m.outgoing;
+  resets_[m.id] = m.resets;
   if (const auto busy = core_.open(m.id, m.request, timer_service::now())) {
     ++refused_busy_;
     send({m.id, std::make_shared<const control_message>(*busy)});
@@ -184,12 +193,20 @@
   if (!queued_confirmations_.empty()) begin_confirmation();
 }
 
-void publisher_service::handle(quorum_reported&& m) {
-  if (quorum_ != m.present) {
+// What was committed at the last report has to be applied by now; otherwise this host serves an old document, although
+// it hears from the leader.
+void publisher_service::handle(host_state_reported&& m) {
+  const bool is_current = m.is_current && m.applied_index >= reported_commit_index_;
+  reported_commit_index_ = m.commit_index;
+  const bool serves = m.has_quorum && is_current;
+  if (quorum_ != serves) {
     log_event(log_level::info, "publisher_quorum",
-              {{"present", m.present}, {"version", core_.current().text()}, {"subscriptions", core_.size()}});
+              {{"present", m.has_quorum},
+               {"current", is_current},
+               {"version", core_.current().text()},
+               {"subscriptions", core_.size()}});
   }
-  quorum_ = m.present;
+  quorum_ = serves;
   send(core_.make_keepalives(quorum_, timer_service::now()));
 }
 
@@ -207,8 +224,7 @@
 void publisher_service::on_node_message(std::uint64_t id, const applied_report& report) {
   if (const auto offer = core_.on_applied(id, report, timer_service::now())) send(*offer);
   if (const auto confirmed = core_.take_confirmed_version()) {
-    log_event(log_level::info, "document_confirmed",
-              {{"version", confirmed->text()}, {"subscriptions", core_.size()}});
+    log_event(log_level::info, "document_confirmed", {{"version", confirmed->text()}, {"subscriptions", core_.size()}});
   }
   answer_waits();
 }
@@ -276,7 +292,7 @@
                {}},
               {{"node", peers_[offer.to].node_id}});
     core_.close(offer.to);
-    end_stream(offer.to);
+    reset_stream(offer.to);
   }
 }
 
@@ -286,10 +302,19 @@
 
 // A null frame makes the subscription task end the stream after the frames posted before it.
 void publisher_service::end_stream(std::uint64_t id) {
-  if (const auto found = outgoing_.find(id); found != outgoing_.end()) {
-    found->second.post(nullptr);
-    outgoing_.erase(found);
-  }
+  if (const auto found = outgoing_.find(id); found != outgoing_.end()) found->second.post(nullptr);
+  forget_stream(id);
+}
+
+// Frames that the node doesn't read may fill the mailbox, so the reset has one of its own.
+void publisher_service::reset_stream(std::uint64_t id) {
+  if (const auto found = resets_.find(id); found != resets_.end()) found->second.post(reset_subscription{});
+  forget_stream(id);
+}
+
+void publisher_service::forget_stream(std::uint64_t id) {
+  outgoing_.erase(id);
+  resets_.erase(id);
   peers_.erase(id);
 }
 
@@ -328,12 +353,25 @@
   (void)co_await inbox.send(std::move(finished));
 }
 
-awaitable<void> publisher_service::ask_quorum() {
+awaitable<void> publisher_service::ask_host_state() {
   const address<publisher_message> inbox = inbox_->address();
   auto make = [](reply<consensus_status> answer) { return get_consensus_status{std::move(answer)}; };
-  outcome<consensus_status> status =
+  const outcome<consensus_status> status =
       co_await ask<consensus_status>(kernel_->timers(), kernel_->executor(), consensus_, status_timeout, make);
-  inbox.post(quorum_reported{status && status->has_quorum});
+  auto make_request = [](reply<std::uint64_t> answer) { return get_applied_index{std::move(answer)}; };
+  const outcome<std::uint64_t> applied =
+      co_await ask<std::uint64_t>(kernel_->timers(), kernel_->executor(), ledger_, status_timeout, make_request);
+  host_state_reported report;
+  if (status && applied) report = {status->has_quorum, status->is_current, status->commit_index, *applied};
+  inbox.post(report);
+}
+
+void publisher_service::reset_stalled() {
+  for (const publisher_core::stalled_subscription& stalled : core_.take_stalled()) {
+    log_event(log_level::warning, "subscription_stalled",
+              {{"node", stalled.node_id}, {"offered", stalled.offered.text()}, {"applied", stalled.applied.text()}});
+    reset_stream(stalled.id);
+  }
 }
 
 void publisher_service::answer_waits() {
--- a/control/publisher_service.h
+++ b/control/publisher_service.h
@@ -47,7 +47,7 @@
   awaitable<void> accept_streams();
   awaitable<void> ask_confirmation(std::vector<std::string> hosts);
   awaitable<void> record(std::uint64_t subscription, record_departure command, std::uint64_t report);
-  awaitable<void> ask_quorum();
+  awaitable<void> ask_host_state();
 
   void handle(publisher_tick&& m);
   void handle(document_changed&& m);
@@ -58,7 +58,7 @@
   void handle(subscription_closed&& m);
   void handle(confirmation_finished&& m);
   void handle(confirmation_retry_due&& m);
-  void handle(quorum_reported&& m);
+  void handle(host_state_reported&& m);
   void handle(departure_recorded&& m);
   void on_node_message(std::uint64_t id, const subscribe_request& request);
   void on_node_message(std::uint64_t id, const applied_report& report);
@@ -71,7 +71,10 @@
   void send(const publisher_core::offer& offer);
   void send_departures(std::uint64_t id, const host_departures& departures);
   void send(const std::vector<publisher_core::offer>& offers);
+  void reset_stalled();
   void end_stream(std::uint64_t id);
+  void reset_stream(std::uint64_t id);
+  void forget_stream(std::uint64_t id);
   void begin_confirmation();
   void answer_waits();
 
@@ -87,6 +90,7 @@
   subscription tick_;
   subscription confirmation_retry_;
   std::map<std::uint64_t, address<shared_frame>> outgoing_;
+  std::map<std::uint64_t, address<reset_subscription>> resets_;
   std::map<std::uint64_t, subscribe_request> peers_;  ///< node of each subscription, for evidence and logs
   std::vector<std::uint64_t> queued_confirmations_;   ///< subscriptions waiting for the next confirmation
   std::vector<std::uint64_t> running_confirmations_;  ///< subscriptions waiting for the confirmation under way
@@ -96,7 +100,8 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t refused_busy_ = 0;  ///< subscriptions answered with a busy notice
   bool confirming_ = false;
-  bool quorum_ = false;
+  std::uint64_t reported_commit_index_ = 0;  ///< of the last host_state_reported
+  bool quorum_ = false;                      ///< this host has a quorum, and its document is current
 };
 
 }  // namespace heatherdeck
--- a/control/subscription_task.cc
+++ b/control/subscription_task.cc
@@ -1,6 +1,6 @@
-// Two coroutines share one stream: one only reads, the other only writes. When the reader ends, it closes the outgoing
-// mailbox, which ends the writer. Invariant: every `subscription_opened` is followed by one `subscription_closed`.
-// Cost: two coroutine frames and a mailbox of four pointers per node.
+// Three coroutines share one stream: one only reads, one only writes, one resets it when the publisher asks. When the
+// reader ends, it closes the mailboxes of the others, which ends them. Invariant: every `subscription_opened` is
+// followed by one `subscription_closed`. Cost: three coroutine frames and two small mailboxes per node.
 #include "control/subscription_task.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,12 +19,17 @@
 
 struct subscription_state {
   subscription_state(kernel& k, std::uint64_t number, incoming_stream from, address<publisher_message> to)
-      : id(number), incoming(std::move(from)), publisher(std::move(to)), outgoing(k.executor(), outgoing_capacity) {}
+      : id(number),
+        incoming(std::move(from)),
+        publisher(std::move(to)),
+        outgoing(k.executor(), outgoing_capacity),
+        resets(k.executor(), 1) {}
 
   std::uint64_t id;
   incoming_stream incoming;
   address<publisher_message> publisher;
   mailbox<shared_frame> outgoing;
+  mailbox<reset_subscription> resets;
 };
 
 using state_ptr = std::shared_ptr<subscription_state>;
@@ -46,6 +51,11 @@
   (void)co_await s->incoming.stream->write(std::string(), true);
 }
 
+awaitable<void> reset_on_request(state_ptr s) {
+  const auto requested = co_await s->resets.receive();
+  if (requested) s->incoming.stream->reset(h2_cancel);
+}
+
 awaitable<void> read_messages(kernel& k, state_ptr s) {
   header_list headers{{":status", "200"}};
   (void)co_await s->incoming.stream->send_headers(std::move(headers), false);
@@ -65,9 +75,10 @@
     s->incoming.stream->reset(h2_cancel);
     co_return;
   }
-  subscription_opened opened{s->id, *request, s->outgoing.address()};
+  subscription_opened opened{s->id, *request, s->outgoing.address(), s->resets.address()};
   (void)co_await s->publisher.send(std::move(opened));
   boost::asio::co_spawn(k.executor(), write_frames(s), boost::asio::detached);
+  boost::asio::co_spawn(k.executor(), reset_on_request(s), boost::asio::detached);
   for (;;) {
     outcome<node_message> message = co_await read_message(s);
     if (!message) {
@@ -78,6 +89,7 @@
     (void)co_await s->publisher.send(std::move(forwarded));
   }
   s->outgoing.close();
+  s->resets.close();
   subscription_closed closed{s->id};
   (void)co_await s->publisher.send(std::move(closed));
 }
--- a/control/subscription_task.h
+++ b/control/subscription_task.h
@@ -4,7 +4,8 @@
 ///
 ///     spawn_subscription_task(k, id, std::move(incoming), publisher_address);
 ///
-/// The publisher service ends a subscription by posting a null frame; the node ends it by closing the stream.
+/// The publisher service ends a subscription by posting a null frame, which waits behind the frames before it, or
+/// reset_subscription, which doesn't; the node ends it by closing the stream.
 #pragma once
 
 #include <cstdint>
--- a/model/ledger_messages.h
+++ b/model/ledger_messages.h
@@ -137,6 +137,11 @@
   reply<ledger_image> answer;
 };
 
+/// Returns the index of the last entry that the ledger has applied.
+struct get_applied_index {
+  reply<std::uint64_t> answer;
+};
+
 /// From a child task of the ledger service: the outcome of a proposal.
 struct proposal_finished {
   std::uint64_t proposal_id = 0;  ///< id of the proposal within the service
@@ -149,9 +154,9 @@
   reply<document_state_ptr> answer;
 };
 
-using ledger_message =
-    std::variant<submit, propose_system_command, get_document, find_submission, submit_departure, get_departures,
-                 apply_entries, install_ledger_image, get_ledger_image, proposal_finished, read_confirmed>;
+using ledger_message = std::variant<submit, propose_system_command, get_document, find_submission, submit_departure,
+                                    get_departures, apply_entries, install_ledger_image, get_ledger_image,
+                                    get_applied_index, proposal_finished, read_confirmed>;
 
 /// Posted by the ledger service to `publisher`, `rollout` and `operators` after every change. One message may combine
 /// several changes; `history` makes a delta from any of the last 1,000 versions to `state`.
--- a/model/publisher_messages.h
+++ b/model/publisher_messages.h
@@ -46,12 +46,16 @@
 /// An encoded control_message; subscriptions that receive the same message share it.
 using shared_frame = std::shared_ptr<const std::string>;
 
+/// Resets the stream of a subscription, also while a frame is being written.
+struct reset_subscription {};
+
 /// From the task of a subscription: the node's first message, and the mailbox for frames to the node. The mailbox
 /// refuses a frame when the node reads too slowly.
 struct subscription_opened {
   std::uint64_t id = 0;
   subscribe_request request;
   address<shared_frame> outgoing;
+  address<reset_subscription> resets;
 };
 
 /// From the task of a subscription: a later message of the node.
@@ -86,15 +90,18 @@
 /// Posted by a timer: the delay after a failed confirmation is over; try again.
 struct confirmation_retry_due {};
 
-/// Whether this control host is in contact with a leader that has a quorum.
-struct quorum_reported {
-  bool present = false;
+/// From a child task of the publisher: what the services "consensus" and "ledger" of this control host stated.
+struct host_state_reported {
+  bool has_quorum = false;  ///< in contact with a leader that has a quorum
+  bool is_current = false;  ///< no entries are missing that the leader has stated as committed
+  std::uint64_t commit_index = 0;
+  std::uint64_t applied_index = 0;  ///< read after commit_index
 };
 
 using publisher_message =
     std::variant<publisher_tick, document_changed, get_subscribers, await_applied, subscription_opened,
                  subscription_message, subscription_closed, confirmation_finished, confirmation_retry_due,
-                 quorum_reported, departure_recorded>;
+                 host_state_reported, departure_recorded>;
 
 /// Posted by `traffic` to `subscriber` once a second while there are call counts to report.
 struct send_evidence {
--- a/model/raft_messages.h
+++ b/model/raft_messages.h
@@ -168,6 +168,9 @@
   std::uint64_t commit_index = 0;  ///< commit index
   std::string leader;              ///< host id; empty when not known
   bool has_quorum = false;  ///< leader: it has a lease; follower: it heard from a leader within the election time-out
+  /// False while this follower has been short of a commit index that the leader stated for an election timeout or
+  /// longer.
+  bool is_current = true;
   std::vector<raft_member> voters;
 };
 
--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -133,6 +133,8 @@
   leave_at_.reset();
   last_message_at_ = now;
   first_message_ = true;
+  stated_version_ = {};
+  differs_since_.reset();
   retry_nearest_at_ = now + retry_nearest_interval + jitter(retry_nearest_interval);
 }
 
@@ -144,10 +146,31 @@
   last_message_at_ = now;
   actions r = std::visit([this](const auto& m) { return this->on_offer(m); }, message);
   first_message_ = false;
+  note_stated_version(message, now);
   if (r.disconnect_reason.empty()) r.disconnect_reason = check_quorum(now);
   return r;
 }
 
+// Keep-alives alone don't show that a subscription moves: the host may wait for an answer that was lost, or have
+// stopped applying entries itself.
+void subscriber_core::note_stated_version(const control_message& message, time_point now) {
+  if (const auto* periodic = std::get_if<keepalive>(&message)) stated_version_ = periodic->document_version;
+  if (const auto* delta = std::get_if<delta_offer>(&message)) stated_version_ = delta->delta.to;
+  if (const auto* whole = std::get_if<snapshot_offer>(&message)) stated_version_ = whole->state.document_version;
+  const bool same = stated_version_ == state_.document_version || stated_version_ == refused_version_;
+  if (!has_document() || same) {
+    differs_since_.reset();
+  } else if (!differs_since_) {
+    differs_since_ = now;
+  }
+}
+
+std::string subscriber_core::check_progress(time_point now) const {
+  if (!differs_since_ || now - *differs_since_ <= max_silent_periods * keepalive_) return {};
+  return stated_version_ < state_.document_version ? "the control host has an older document"
+                                                   : "the control host does not send the document that it states";
+}
+
 void subscriber_core::on_disconnected() {
   if (!source_.empty()) ++counts_.disconnects;
   source_.clear();
@@ -155,13 +178,21 @@
   if (quorum_seen_) next_index_ = attempted_host_id_ == sources_.front().host_id ? 1 : 0;
 }
 
+bool subscriber_core::is_silent(time_point now) const {
+  return time_since_last_message(now) > max_silent_periods * keepalive_;
+}
+
 std::string subscriber_core::check_connection(time_point now) {
   if (source_.empty()) return {};
   if (std::string reason = check_quorum(now); !reason.empty()) return reason;
-  if (now - last_message_at_ > max_silent_periods * keepalive_) {
+  if (is_silent(now)) {
     note_silent(source_);
     return "no message for two keep-alive periods";
   }
+  if (std::string reason = check_progress(now); !reason.empty()) {
+    note_silent(source_);
+    return reason;
+  }
   if (!at_nearest() && now >= retry_nearest_at_) {
     silent_hosts_.clear();
     sort_sources();
@@ -287,6 +318,8 @@
 
 subscriber_core::actions subscriber_core::refuse(const version& offered, error reason) {
   ++counts_.refused;
+  // After a digest that doesn't match the host sends a snapshot; other reasons hold at every host.
+  if (reason.kind != error_kind::corrupt) refused_version_ = offered;
   return {.answer = refused_report{offered, std::move(reason)}};
 }
 
--- a/node/subscriber_core.h
+++ b/node/subscriber_core.h
@@ -10,7 +10,9 @@
 ///
 /// Rules: a document whose version is not greater than that of the held one is ignored; a document is accepted as a
 /// whole or not at all; the version of the first document must be at or above one that a quorum of control hosts has
-/// confirmed after this process started, because the process does not remember which version it used before.
+/// confirmed after this process started, because the process does not remember which version it used before. A host
+/// whose stated version stays another than the held one for two keep-alive periods is left, although it goes on
+/// sending.
 #pragma once
 
 #include <chrono>
@@ -91,10 +93,13 @@
   void on_disconnected();
 
   /// Called from time to time.
-  /// @return why to disconnect: the control host sends nothing or has no quorum, or the nearest one should be tried
-  /// again; empty to stay.
+  /// @return why to disconnect: the control host sends nothing, has no quorum, has an older document or doesn't send
+  /// the one that it states to have, or the nearest one should be tried again; empty to stay.
   std::string check_connection(time_point now);
 
+  /// @return whether the control host of the open stream has sent nothing for two keep-alive periods.
+  bool is_silent(time_point now) const;
+
   /// @return when to call check_connection besides; nothing while the control host has a quorum.
   std::optional<time_point> leave_time() const { return leave_at_; }
 
@@ -140,6 +145,8 @@
   /// @return whether the host of the open stream, or of the last attempt, is the nearest one.
   bool at_nearest() const { return attempted_host_id_ == nearest_host_id_; }
   void note_confirmation(const version& offered, bool confirmed);
+  void note_stated_version(const control_message& message, time_point now);
+  std::string check_progress(time_point now) const;
   void mark_quorum_seen();
   void mark_quorum_missing();
   std::string check_quorum(time_point now);
@@ -167,6 +174,9 @@
   bool leaves_without_quorum_ = false;              ///< the delay before the next attempt has passed on the old stream
   std::set<std::string> hosts_without_quorum_;      ///< ids of hosts that have stated it in this round of the list
   std::uint32_t rounds_without_quorum_ = 0;         ///< ended rounds since a host had a quorum
+  version stated_version_;                          ///< version of the document of the present host, as it last stated
+  std::optional<time_point> differs_since_;         ///< since when the held version has not been stated_version_
+  version refused_version_;                         ///< the last version that this node refused
   time_point retry_nearest_at_;                     ///< time to try the nearest control host again
   document_state state_;
   digest digest_;
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -78,6 +78,28 @@
   EXPECT_EQ(offer->delta.sections_changed.size(), 1U);
 }
 
+// Guards against a subscription that gets keep-alives only, for good, because the answer to an offer was lost.
+TEST(publisher_core, subscription_with_an_unanswered_offer_is_ended) {
+  publisher_core core({.answer_checks = 3}, 1);
+  const time_point now{};
+  core.set_document(std::make_shared<document_state>(make_state(10, "100")), now);
+  for (const std::uint64_t id : {1, 2, 3}) {
+    ASSERT_FALSE(core.open(id, make_request({1, 10}), now));
+    core.first_offer(id, true, now);
+  }
+  core.set_document(std::make_shared<document_state>(make_state(11, "110")), now);
+  core.on_applied(1, {{1, 11}}, now);
+  EXPECT_TRUE(core.take_stalled().empty());
+  EXPECT_TRUE(core.take_stalled().empty());
+  core.on_applied(2, {{1, 11}}, now);
+  const auto stalled = core.take_stalled();
+  ASSERT_EQ(stalled.size(), 1U);
+  EXPECT_EQ(stalled.front().id, 3U);
+  EXPECT_EQ(stalled.front().offered, (version{1, 11}));
+  EXPECT_EQ(core.size(), 2U);
+  EXPECT_TRUE(core.take_stalled().empty());
+}
+
 TEST(publisher_core, concurrent_subscriptions_are_admitted_up_to_the_limit) {
   publisher_core core({.max_pending_first_offers = 64}, 1);
   const time_point now{};
@@ -258,6 +280,55 @@
   EXPECT_FALSE(core.check_connection(time_point{} + 12s).empty());
 }
 
+// A node with the document of version 1.10 and two hosts, subscribed to the first, which goes on sending keep-alives.
+struct node_with_document : testing::Test {
+  void SetUp() override {
+    core.on_connected(core.next_attempt().host_id, now);
+    const document_state state = make_state(10, "100");
+    ASSERT_NE(core.on_message(snapshot_offer{state, digest_of(state), true}, now).document, nullptr);
+  }
+  // Gets keep-alives with this version until it leaves. @return how long that took.
+  duration leaves_after(const version& stated) {
+    const time_point begun = now;
+    while (core.check_connection(now).empty() && now < begun + 1min) {
+      core.on_message(keepalive{stated, true}, now);
+      now += 500ms;
+    }
+    return now - begun;
+  }
+
+  settings s = [] {
+    settings made = node_settings(2, 7);
+    made.keepalive = 500ms;
+    return made;
+  }();
+  subscriber_core core = subscriber_core::make(s);
+  time_point now{1s};
+};
+
+constexpr auto progress_bound = 2s;  // two keep-alive periods, and one until the node looks
+
+// Guards against a node that stays with an old document because its host states a later one and doesn't send it.
+TEST_F(node_with_document, leaves_a_host_that_does_not_send_the_version_that_it_states) {
+  const std::string left = core.source();
+  EXPECT_LE(leaves_after({1, 11}), progress_bound);
+  core.on_disconnected();
+  EXPECT_NE(core.next_attempt().host_id, left) << "the other host is tried first";
+}
+
+// Guards against a node that follows a host that has stopped applying changes.
+TEST_F(node_with_document, leaves_a_host_whose_document_is_older) { EXPECT_LE(leaves_after({1, 9}), progress_bound); }
+
+TEST_F(node_with_document, stays_at_a_host_with_the_same_version) { EXPECT_GE(leaves_after({1, 10}), 50s); }
+
+// Guards against a node that changes hosts for good because no host has a document that it accepts.
+TEST_F(node_with_document, stays_at_a_host_whose_version_it_has_refused) {
+  const document_state invalid = make_state(11, "-1");
+  const auto refused = core.on_message(snapshot_offer{invalid, digest_of(invalid), false}, now);
+  ASSERT_TRUE(refused.answer && std::holds_alternative<refused_report>(*refused.answer));
+  EXPECT_GE(leaves_after({1, 11}), 50s);
+}
+
 // One seeded schedule: control hosts whose copies of the document differ in age, and one node that restarts, changes
 // hosts and receives messages of streams that it has closed.
 class fault_schedule {
--- a/testing/raft_core_test.cc
+++ b/testing/raft_core_test.cc
@@ -162,6 +162,35 @@
   EXPECT_EQ(core->term(), 5U);
 }
 
+// Guards against a follower that serves an old document as current: it hears the leader, but no entries reach it.
+TEST_F(raft_core_test, follower_that_gets_heartbeats_without_entries_is_not_current) {
+  start();
+  const append_request heartbeat{7, 5, 7, 1, {}};
+  receive("b", heartbeat, 5);
+  EXPECT_TRUE(core->status(now).is_current) << "the entries may be on their way";
+  for (int i = 0; i < 7; ++i) {
+    now += 100ms;
+    receive("b", heartbeat, 5);
+  }
+  EXPECT_TRUE(core->status(now).has_quorum);
+  EXPECT_FALSE(core->status(now).is_current);
+  std::vector<log_entry> entries;
+  for (std::uint64_t index = 2; index <= 7; ++index) entries.push_back({5, index, entry_kind::command, "x"});
+  receive("b", append_request{1, 1, 7, 2, entries}, 5);
+  EXPECT_TRUE(core->status(now).is_current);
+}
+
+// Guards against taking a follower for lagging that is always a little behind a leader with many changes.
+TEST_F(raft_core_test, follower_that_keeps_up_with_a_stream_of_changes_is_current) {
+  start();
+  for (std::uint64_t index = 2; index < 42; ++index) {
+    now += 50ms;
+    receive("b", append_request{index - 1, index == 2 ? 1U : 5U, index + 3, 1, {{5, index, entry_kind::command, "x"}}},
+            5);
+    EXPECT_TRUE(core->status(now).is_current) << "at entry " << index;
+  }
+}
+
 // A command may be given to any host; with several leaders known over time it must reach the present one only.
 TEST_F(raft_core_test, follower_forwards_a_command_to_the_leader) {
   start();
