Nodes look for a control host on new connections while old ones are silent

Cause: three waits that add up. - The mesh gives out one connection for each address as long as it isn't closed, and a failed attempt didn't close it: each attempt at a host with a silent connection waits out its 2 s, the next one as well. - Hosts that have stated that they have no quorum are skipped until the end of the list, also as further attempts beside one that doesn't respond: after an election the silent host was the only candidate, so source_race had nothing to start. - close_connections left the connection in use while any other stream was open on it.

Change: an attempt that has waited out its time and a host that has fallen silent get a new connection next time; close_connections takes the connection out of use at once; hosts without a quorum are tried beside a silent one, after the others.

Why it works: another host is tried 0.3 s after the first, whatever the hosts have stated before, and a silent connection costs one attempt.

--- a/node/subscriber_core.cc
+++ b/node/subscriber_core.cc
@@ -109,13 +109,16 @@
   return {s.host_id, s.mesh_address, delay};
 }
 
+// A host that has stated that it has no quorum may have one by now, and is better than a host that doesn't respond.
 std::optional<subscriber_core::attempt> subscriber_core::next_parallel_attempt(const source_race& race) {
   const std::size_t first = next_index_;
-  for (std::size_t i = 0; i < sources_.size(); ++i) {
-    const candidate& next = sources_[(first + i) % sources_.size()];
-    if (race.has_tried(next.host_id) || hosts_without_quorum_.contains(next.host_id)) continue;
-    next_index_ = std::min(first + i + 1, sources_.size());
-    return attempt{next.host_id, next.mesh_address, {}};
+  for (const bool without_quorum : {false, true}) {
+    for (std::size_t i = 0; i < sources_.size(); ++i) {
+      const candidate& next = sources_[(first + i) % sources_.size()];
+      if (race.has_tried(next.host_id) || hosts_without_quorum_.contains(next.host_id) != without_quorum) continue;
+      next_index_ = std::min(first + i + 1, sources_.size());
+      return attempt{next.host_id, next.mesh_address, {}};
+    }
   }
   return std::nullopt;
 }
--- a/node/subscriber_service.cc
+++ b/node/subscriber_service.cc
@@ -124,7 +124,9 @@
                                   [inbox = inbox_->address()] { inbox.post(subscriber_tick{}); });
 }
 
-// A frozen host accepts connections and streams, so only its response headers show that it runs.
+// A frozen host accepts connections and streams, so only its response headers show that it runs. The connection of one
+// that doesn't respond may be that of an earlier process, which nothing else would show before TCP gives it up; later
+// attempts use a new one.
 awaitable<void> subscriber_service::connect(std::string mesh_address, std::uint64_t generation) {
   const address<subscriber_message> inbox = inbox_->address();
   const time_point deadline = timer_service::now() + attempt_timeout;
@@ -144,11 +146,12 @@
   outcome<header_list> response = co_await source_stream->read_headers();
   limit.cancel();
   if (!response) {
+    if (timer_service::now() >= deadline) mesh_.post(close_connections{mesh_address});
     source_closed closed{generation, response.failure()};
     (void)co_await inbox.send(std::move(closed));
     co_return;
   }
-  source_opened opened{generation, source_stream};
+  source_opened opened{generation, source_stream, mesh_address};
   (void)co_await inbox.send(std::move(opened));
   for (;;) {
     outcome<std::string> frame = co_await source_stream->read_frame();
@@ -171,6 +174,7 @@
   const std::string host_id = race_.host(m.generation);
   for (const std::string& silent : race_.win(m.generation, now)) core_.note_silent(silent);
   stream_ = m.stream;
+  stream_address_ = m.mesh_address;
   stream_generation_ = m.generation;
   core_.on_connected(host_id, now);
   traffic_message permit_source = permit_source_changed{stream_generation_};
@@ -258,6 +262,7 @@
   const time_point now = timer_service::now();
   const std::string reason = core_.check_connection(now);
   if (!reason.empty()) {
+    if (core_.is_silent(now)) mesh_.post(close_connections{stream_address_});
     disconnect(reason, std::nullopt);
   }
   begin_due_attempts(now);
--- a/node/subscriber_service.h
+++ b/node/subscriber_service.h
@@ -77,6 +77,7 @@
   address<traffic_message> traffic_;
   address<announcement_notice> announcements_;
   std::shared_ptr<h2_stream> stream_;    ///< shared with the coroutine that reads it; null when not subscribed
+  std::string stream_address_;           ///< mesh address of its control host
   std::uint64_t generation_ = 0;         ///< number of the last connection attempt
   std::uint64_t stream_generation_ = 0;  ///< number of the attempt that led to stream_; 0 when not subscribed
   std::optional<planned_attempt> first_attempt_;
--- a/testing/distribution_test.cc
+++ b/testing/distribution_test.cc
@@ -329,6 +329,20 @@
   EXPECT_GE(leaves_after({1, 11}), 50s);
 }
 
+// Guards against a search that tries only the host with a silent connection: after an election all others have stated
+// that they have no quorum. Two attempts of 2 s each left nodes with an old document for 4 s.
+TEST_F(node_with_document, hosts_without_quorum_are_tried_beside_a_silent_one) {
+  core.on_message(keepalive{{1, 10}, false}, now);
+  core.on_disconnected();
+  source_race race;
+  race.begin(now);
+  const auto silent = core.next_attempt();
+  race.add(1, silent.host_id, now);
+  const auto beside = core.next_parallel_attempt(race);
+  ASSERT_TRUE(beside);
+  EXPECT_NE(beside->host_id, silent.host_id);
+}
+
 // One seeded schedule: control hosts whose copies of the document differ in age, and one node that restarts, changes
 // hosts and receives messages of streams that it has closed.
 class fault_schedule {
--- a/testing/fault_orders.h
+++ b/testing/fault_orders.h
@@ -1,7 +1,7 @@
 /// @file
-/// Seeded orders of faults of a deployment: which processes are killed, lose power, freeze, stop or are cut off, when, for
-/// how long, and whether a disk is lost. Pure; `propagation_soak` plays them with real processes, `propagation_simulation`
-/// under a virtual clock.
+/// Seeded orders of faults of a deployment: which processes are killed, lose power, freeze, stop or are cut off, when,
+/// for how long, and whether a disk is lost. Pure; `propagation_soak` plays them with real processes,
+/// `propagation_simulation` under a virtual clock.
 ///
 ///     for (const fault& f : draw_faults(random, {"c1", "c2", "c3"}, {"n1", "n2"}, 1)) ...
 #pragma once
@@ -16,7 +16,7 @@
 
 namespace heatherdeck {
 
-enum class fault_kind { kill, power_off, freeze, stop, cut };
+enum class fault_kind { kill, power_off, freeze, stop, cut, silence };
 
 template <>
 struct enum_table<fault_kind> {
@@ -25,7 +25,8 @@
       {fault_kind::power_off, "power_off"},  // peers get no reset, and their bytes are lost
       {fault_kind::freeze, "freeze"},
       {fault_kind::stop, "stop"},
-      {fault_kind::cut, "cut"},  // from all processes outside of its fault's group
+      {fault_kind::cut, "cut"},          // from all processes outside of its fault's group
+      {fault_kind::silence, "silence"},  // of the connections that it has opened, without a reset
   });
 };
 
@@ -44,8 +45,9 @@
 }
 
 /// @param tolerated_losses most disks that an order loses.
-/// @return the faults of one order, by their begin: at random either of some processes, each at a time of its own, or of all
-///   control hosts at the same moment, with all nodes or without, that come back one after the other.
+/// @return the faults of one order, by their begin: at random of some processes, each at a time of its own; or of all
+///   control hosts at the same moment, with all nodes or with silent connections of some, that come back one after the
+///   other; or of half of the connections, which go silent.
 inline std::vector<fault> draw_faults(std::mt19937_64& random, const std::vector<std::string>& control_hosts,
                                       const std::vector<std::string>& nodes, unsigned tolerated_losses) {
   const auto draw = [&random](milliseconds::rep least, milliseconds::rep most) {
@@ -61,13 +63,24 @@
     if (f.loses_disk) --disks_left;
     faults.push_back(std::move(f));
   };
-  if (random() % 2 == 0) {
+  const auto pattern = random() % 3;
+  if (pattern == 0) {
+    for (const auto* names : {&control_hosts, &nodes}) {
+      for (const std::string& name : *names) {
+        const milliseconds begin = draw(0, 200);
+        if (random() % 2 == 0) add({fault_kind::silence, name, begin, begin});
+      }
+    }
+  } else if (pattern == 1) {
     const fault_kind kind = pick_kind({fault_kind::kill, fault_kind::power_off, fault_kind::freeze});
     const milliseconds down = draw(300, 2500);
     const milliseconds spread = draw(0, 2500);
+    const bool with_nodes = random() % 2 == 0;
+    for (const std::string& node : nodes) {
+      if (!with_nodes && random() % 2 == 0) add({fault_kind::silence, node, {}, {}});
+    }
     for (const std::string& host : control_hosts) add({kind, host, {}, down + draw(0, spread.count())});
     const milliseconds nodes_down = draw(300, 6000);
-    const bool with_nodes = random() % 3 != 0;
     for (std::size_t i = 0; with_nodes && i < nodes.size(); ++i) add({kind, nodes[i], {}, nodes_down + draw(0, 500)});
   } else {
     std::vector<std::string> names = control_hosts;
@@ -79,7 +92,8 @@
     for (const std::string& name : names) {
       const fault_kind kind = static_cast<fault_kind>(random() % enum_table<fault_kind>::entries.size());
       const milliseconds begin = kind == fault_kind::cut ? cut_begin : draw(0, 2000);
-      const milliseconds end = kind == fault_kind::cut ? cut_end : begin + draw(200, 7000);
+      milliseconds end = kind == fault_kind::cut ? cut_end : begin + draw(200, 7000);
+      if (kind == fault_kind::silence) end = begin;
       add({kind, name, begin, end, false, 1 + static_cast<unsigned>(random() % 2)});
     }
   }
--- a/testing/mesh_relay.cc
+++ b/testing/mesh_relay.cc
@@ -1,5 +1,5 @@
-// One thread runs an event loop with all sockets; the other threads post changes to it. The id of a connecting process is
-// in its handshake message, which is in plain text. Cost: one copy of each byte.
+// One thread runs an event loop with all sockets; the other threads post changes to it. The id of a connecting process
+// is in its handshake message, which is in plain text. Cost: one copy of each byte.
 #include "testing/mesh_relay.h"
 
 #include <array>
@@ -48,7 +48,10 @@
 
   tcp::socket client;
   tcp::socket server;
-  bool lost = false;  ///< one side ended while the link was cut
+  std::string from;  ///< ids of the two processes
+  std::string to;
+  bool lost = false;    ///< one side ended while the link was cut
+  bool silent = false;  ///< drops what it gets
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -86,6 +89,14 @@
     healed_.cancel();
   }
 
+  void silence(const std::string& from, const std::string& to) {
+    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+    for (const auto& weak : connections_) {
+      const connection_ptr c = weak.lock();
+      if (c->from == from && c->to == to) c->silent = true;
+    }
+  }
+
  private:
   struct gate {
     endpoint where;
@@ -121,8 +132,9 @@
     auto [ec, got] = co_await boost::asio::async_read(c->client, body, use_tuple);
     pb::Handshake message;
     if (ec || !message.ParseFromArray(hello.data() + 2, static_cast<int>(size))) co_return;
-    const std::string from = message.id();
-    co_await wait_healed(from, g.where.id);
+    c->from = message.id();
+    c->to = g.where.id;
+    co_await wait_healed(c->from, c->to);
     const auto target = to_endpoint<tcp>(g.where.listening);
     auto [connect_ec] = co_await c->server.async_connect(target, use_tuple);
     if (connect_ec) co_return c->reset();
@@ -132,26 +144,28 @@
     const auto first = boost::asio::buffer(hello);
     auto [write_ec, written] = co_await boost::asio::async_write(c->server, first, use_tuple);
     if (write_ec) co_return c->reset();
-    boost::asio::co_spawn(io_, pump(c, c->client, c->server, from, g.where.id), boost::asio::detached);
-    boost::asio::co_spawn(io_, pump(c, c->server, c->client, from, g.where.id), boost::asio::detached);
+    connections_.push_back(c);
+    boost::asio::co_spawn(io_, pump(c, c->client, c->server), boost::asio::detached);
+    boost::asio::co_spawn(io_, pump(c, c->server, c->client), boost::asio::detached);
   }
 
-  awaitable<void> pump(connection_ptr c, tcp::socket& from, tcp::socket& to, std::string id, std::string other) {
+  awaitable<void> pump(connection_ptr c, tcp::socket& from, tcp::socket& to) {
     const auto bytes = std::make_unique<std::array<char, buffer_bytes>>();
     while (true) {
       const auto room = boost::asio::buffer(*bytes);
       auto [ec, size] = co_await from.async_read_some(room, use_tuple);
       if (ec) {
-        if (is_cut(id, other)) {
-          c->lost = true;
-          boost::system::error_code ignored;
+        if (is_cut(c->from, c->to)) c->lost = true;
+        boost::system::error_code ignored;
+        if (c->lost || c->silent) {
           from.close(ignored);
-        } else if (!c->lost) {
+        } else {
           c->reset();
         }
         co_return;
       }
-      co_await wait_healed(id, other);
+      if (c->silent) continue;
+      co_await wait_healed(c->from, c->to);
       if (c->lost) co_return c->reset();
       const auto part = boost::asio::buffer(bytes->data(), size);
       auto [write_ec, written] = co_await boost::asio::async_write(to, part, use_tuple);
@@ -169,14 +183,15 @@
       const auto from = by_listening_.find(g.sender);
       if (ec || from == by_listening_.end() || is_cut(from->second->where.id, g.where.id)) continue;
       boost::system::error_code ignored;
-      from->second->datagrams.send_to(boost::asio::buffer(g.buffer.data(), size),
-                                      to_endpoint<udp>(g.where.listening), 0, ignored);
+      from->second->datagrams.send_to(boost::asio::buffer(g.buffer.data(), size), to_endpoint<udp>(g.where.listening),
+                                      0, ignored);
     }
   }
 
   boost::asio::io_context& io_;
   boost::asio::steady_timer healed_;  ///< cancelled to wake those who wait for the end of a cut
   std::vector<std::unique_ptr<gate>> gates_;
+  std::vector<std::weak_ptr<connection>> connections_;
   std::map<udp::endpoint, gate*> by_listening_;
   std::map<std::pair<std::string, std::string>, unsigned> cuts_;  ///< by the two ids in order: how many are in force
 };
@@ -209,4 +224,8 @@
   post([id, other](task& t) { t.heal(id, other); });
 }
 
+void mesh_relay::silence(const std::string& from, const std::string& to) {
+  post([from, to](task& t) { t.silence(from, to); });
+}
+
 }  // namespace heatherdeck
--- a/testing/mesh_relay.h
+++ b/testing/mesh_relay.h
@@ -5,10 +5,12 @@
 ///     auto relay = mesh_relay::make({{"127.10.1.1", "127.10.1.1:18000", "127.10.1.1:18007"}, ...});
 ///     (*relay)->cut("127.10.1.1", "127.10.1.2");
 ///     (*relay)->heal("127.10.1.1", "127.10.1.2");
+///     (*relay)->silence("127.10.1.1", "127.10.1.2");
 ///
 /// A process listens on one address and advertises another (`mesh_advertise`), on which the relay listens. While two
 /// processes are cut off, bytes of their connections wait, and datagrams are lost. A connection whose process ended
-/// meanwhile is reset when the other side next sends something after the cut. All functions may be called from any thread.
+/// meanwhile is reset when the other side next sends something after the cut. All functions may be called from any
+/// thread.
 #pragma once
 
 #include <functional>
@@ -41,6 +43,9 @@
   /// Cuts the links between two processes, in both directions; each cut needs a heal of its own.
   void cut(const std::string& id, const std::string& other);
   void heal(const std::string& id, const std::string& other);
+  /// Drops from now on, without a reset, what is sent on the connections that one process has opened to the other.
+  /// Connections that are opened later work.
+  void silence(const std::string& from, const std::string& to);
 
  private:
   class task;
--- a/testing/mesh_test.cc
+++ b/testing/mesh_test.cc
@@ -207,6 +207,23 @@
   });
 }
 
+// Guards against streams that are opened on a connection whose peer doesn't respond, as long as another stream keeps it
+// open.
+TEST(mesh, stream_after_close_connections_uses_a_new_connection) {
+  process a("a");
+  process b("b");
+  run({&a, &b}, [&]() -> awaitable<void> {
+    auto first = co_await open_call(a, b.address_text(), stream_kind::call);
+    EXPECT_TRUE(first);
+    auto first_arrived = co_await b.proxy->inbox->receive();
+    a.mesh_address.post(close_connections{b.address_text()});
+    auto second = co_await open_call(a, b.address_text(), stream_kind::call);
+    EXPECT_TRUE(second);
+    auto second_arrived = co_await b.proxy->inbox->receive();
+    EXPECT_EQ(b.mesh->dump().at("incoming_connections").as_uint64(), 2U);
+  });
+}
+
 // Guards against connection attempts that hang until TCP retransmits a dropped SYN after 1 s: after a power failure,
 // SYNs to hosts that were not up yet were dropped, and an elected leader did not reach its followers.
 TEST(mesh, dropped_syn_does_not_delay_an_attempt) {
--- a/testing/propagation_soak.cc
+++ b/testing/propagation_soak.cc
@@ -1,5 +1,6 @@
 // One event loop in the calling thread sends all requests and signals. A request counts while its node and the control
-// hosts have been undisturbed for as long as the operators' rules say; outside of that time a node may only not go back.
+// hosts have been undisturbed for as long as the operators' rules say; outside of that time a node may only not go
+// back.
 #include "testing/propagation_soak.h"
 
 #include <csignal>
@@ -174,7 +175,8 @@
   std::vector<std::string> lines =
       deployment_.log_lines("", {"\"subscribed\"", "source_", "document_applied", "offer_", "bad_frame"});
   std::erase_if(lines, [&](const std::string& line) { return !line.starts_with(node + " "); });
-  for (std::size_t i = lines.size() - std::min(lines.size(), most_lines); i < lines.size(); ++i) text += lines[i] + "\n";
+  for (std::size_t i = lines.size() - std::min(lines.size(), most_lines); i < lines.size(); ++i)
+    text += lines[i] + "\n";
   findings_.push_back(std::move(text));
 }
 
@@ -199,11 +201,14 @@
   const auto hosts_left = std::count_if(hosts_.begin(), hosts_.end(),
                                         [&](const std::string& name) { return states_.at(name).undisturbed; });
   if (2 * static_cast<std::size_t>(hosts_left) <= hosts_.size()) most_hosts_disturbed_ = state.disturbed;
-  if (f.kind == fault_kind::cut || f.kind == fault_kind::power_off)
-    change_links(f, order, &soak_deployment::cut);
+  if (f.kind == fault_kind::cut || f.kind == fault_kind::power_off) change_links(f, order, &soak_deployment::cut);
   if (f.kind == fault_kind::kill || f.kind == fault_kind::power_off) deployment_.send_signal(f.name, SIGKILL);
   if (f.kind == fault_kind::freeze) deployment_.send_signal(f.name, SIGSTOP);
   if (f.kind == fault_kind::stop) deployment_.send_signal(f.name, SIGTERM);
+  if (f.kind != fault_kind::silence) return;
+  for (const auto& [other, other_state] : states_) {
+    if (other != f.name && random_() % 2 == 0) deployment_.silence(f.name, other);
+  }
 }
 
 void propagation_soak::end_fault(const fault& f, const std::vector<fault>& order) {
@@ -213,8 +218,7 @@
     while (!deployment_.try_wait(f.name)) std::this_thread::sleep_for(1ms);
     if (f.loses_disk) deployment_.lose_disk(f.name);
   }
-  if (f.kind == fault_kind::cut || f.kind == fault_kind::power_off)
-    change_links(f, order, &soak_deployment::heal);
+  if (f.kind == fault_kind::cut || f.kind == fault_kind::power_off) change_links(f, order, &soak_deployment::heal);
   process_state& state = states_.at(f.name);
   if (ends_process(f.kind)) {
     if (!capture([&] { return deployment_.start(f.name); })) findings_.push_back(f.name + " does not start");
--- a/testing/propagation_soak.h
+++ b/testing/propagation_soak.h
@@ -63,8 +63,8 @@
   awaitable<outcome<http_response>> call(std::string address, http_request request, duration limit);
   void begin_fault(const fault& f, const std::vector<fault>& order);
   void end_fault(const fault& f, const std::vector<fault>& order);
-  void change_links(const fault& f, const std::vector<fault>& order, void (soak_deployment::*change)(
-                                                                         const std::string&, const std::string&));
+  void change_links(const fault& f, const std::vector<fault>& order,
+                    void (soak_deployment::*change)(const std::string&, const std::string&));
   bool core_is_stable(time_point now) const;
   bool in_touch(const std::string& node, time_point now) const;
   void report(const std::string& node, const std::string& what);
--- a/testing/propagation_soak_test.cc
+++ b/testing/propagation_soak_test.cc
@@ -1,7 +1,10 @@
 // Six control hosts and twelve nodes as processes, killed, without power, frozen, stopped, cut off and started again in
 // seeded orders while the configuration changes: every node in touch serves every route 2 s after its acknowledgement.
 //
-// HD_SEED=n plays the seed n instead of the fixed one, HD_ORDERS=n that many orders; the logs are kept if a check fails.
+// HD_SEED=n plays the seed n instead of the fixed one, HD_ORDERS=n that many orders, HD_BIN=folder the programs of
+// another build; the logs are kept if a check fails.
+#include "testing/propagation_soak.h"
+
 #include <cstdlib>
 #include <filesystem>
 
@@ -9,8 +12,6 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include "testing/propagation_soak.h"
-
 namespace heatherdeck {
 namespace {
 
@@ -28,13 +29,18 @@
   const std::string work =
       (std::filesystem::temp_directory_path() / fmt::format("hd_propagation_{}", ::getpid())).string();
   auto made = capture([&] {
-    return soak_deployment::make({.bin = HD_BUILD_FOLDER,
+    const char* bin = std::getenv("HD_BIN");
+    return soak_deployment::make({.bin = bin != nullptr ? bin : HD_BUILD_FOLDER,
                                   .work = work,
                                   .control_hosts = 6,
                                   .services = std::vector<std::string>(12, "desk"),
                                   .tolerated_losses = 2,
-                                  .zones = {{"alex-a", "delta"}, {"tanta-b", "delta"}, {"giza-a", "cairo"},
-                                            {"nasr-b", "cairo"}, {"luxor-a", "upper"}, {"aswan-b", "upper"}},
+                                  .zones = {{"alex-a", "delta"},
+                                            {"tanta-b", "delta"},
+                                            {"giza-a", "cairo"},
+                                            {"nasr-b", "cairo"},
+                                            {"luxor-a", "upper"},
+                                            {"aswan-b", "upper"}},
                                   .relayed = true});
   });
   ASSERT_TRUE(made) << made.failure().message();
--- a/testing/soak_deployment.h
+++ b/testing/soak_deployment.h
@@ -71,6 +71,8 @@
   /// Cuts the mesh links between two processes; each cut needs a heal of its own. Requires `relayed`.
   void cut(const std::string& name, const std::string& other) { relay_->cut(ip(name), ip(other)); }
   void heal(const std::string& name, const std::string& other) { relay_->heal(ip(name), ip(other)); }
+  /// Makes the connections that one process has opened to the other silent; later ones work.
+  void silence(const std::string& name, const std::string& other) { relay_->silence(ip(name), ip(other)); }
 
   /// Sends a configuration to the control hosts in turn until one acknowledges it.
   /// @return false after the limit.
--- a/wire/mesh_messages.h
+++ b/wire/mesh_messages.h
@@ -27,7 +27,8 @@
 /// processed. Also closes the listener.
 struct refuse_new_streams {};
 
-/// Closes the connection to a process that has left the mesh, once no stream is open on it.
+/// Closes the connection to a process that has left the mesh or doesn't respond, once no stream is open on it. Streams
+/// that are opened from now on use a new connection.
 struct close_connections {
   std::string mesh_address;
 };
--- a/wire/mesh_task.cc
+++ b/wire/mesh_task.cc
@@ -203,7 +203,11 @@
 
 void mesh_task::handle(close_connections& request) {
   const auto found = outgoing_.find(request.mesh_address);
-  if (found != outgoing_.end() && found->second.connection) found->second.connection.close_when_idle();
+  if (found == outgoing_.end() || !found->second.connection) return;
+  found->second.connection.close_when_idle();
+  outgoing_ids_.erase(found->second.id);
+  found->second.connection = {};
+  if (found->second.waiting.empty()) outgoing_.erase(found);
 }
 
 void mesh_task::handle(outgoing_connected& done) {
