--- a/testing/silent_source_test.cc
+++ b/testing/silent_source_test.cc
@@ -67,6 +67,39 @@
   for (const silent_case c : {silent_case{2, 0}, {1, 1}, {5, 0}}) check(c, true);
 }
 
+/// Plays silent connections and the loss of the quorum at the same moment. @return the seeds with a late version.
+std::uint64_t play_silent_connections(unsigned percent, milliseconds election, bool replaces_silent) {
+  std::uint64_t failed = 0;
+  std::string first;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    cut_plan plan{.at = time_point{} + 8s, .election = election, .host_delay = 150ms};
+    plan.silent_percent = percent;
+    plan.replaces_silent = replaces_silent;
+    subscription_simulation simulation(seed, plan);
+    const std::vector<std::string> late = simulation.run(plan.at + election + 10s);
+    if (late.empty() || ++failed > 1) continue;
+    first = "seed " + std::to_string(seed) + ": " + late.front();
+  }
+  printf("%u%% silent, election %lld ms, %s: %llu of %llu seeds; %s\n", percent,
+         static_cast<long long>(election.count()), replaces_silent ? "replaced" : "used again",
+         static_cast<unsigned long long>(failed), static_cast<unsigned long long>(seeds), first.c_str());
+  return failed;
+}
+
+// Guards against nodes without a subscription while their connections to control hosts are silent, also when no host
+// has had a quorum meanwhile.
+TEST(silent_source, acknowledged_changes_are_in_force_although_connections_are_silent) {
+  for (const unsigned percent : {20U, 50U, 80U}) {
+    for (const milliseconds election : {0ms, 1200ms, 2500ms})
+      EXPECT_EQ(play_silent_connections(percent, election, true), 0U);
+  }
+}
+
+// The simulation has to show the fault that new connections prevent.
+TEST(silent_source, silent_connections_that_are_used_again_break_the_bound) {
+  EXPECT_GT(play_silent_connections(80, 2500ms, false), 0U);
+}
+
 // The rig has to show the fault that the steps prevent.
 TEST(silent_source, one_attempt_at_a_time_breaks_the_bound) {
   const silent_result result = play({2, 0}, false, false);
--- a/testing/subscription_simulation.h
+++ b/testing/subscription_simulation.h
@@ -64,6 +64,10 @@
   std::size_t nodes = zone_count * nodes_per_zone;
   duration host_delay{0};  ///< longest time that a host takes to respond to an attempt
   bool parallel = true;    ///< several attempts at a time
+  /// Part of the connections between nodes and control hosts, in percent, that go silent at `at`. One is replaced after
+  /// an attempt on it has failed or its stream has fallen silent.
+  unsigned silent_percent = 0;
+  bool replaces_silent = true;  ///< false: a silent connection is used again
 };
 
 class subscription_simulation {
@@ -97,6 +101,7 @@
     }
     for (time_point t = cut_.at + stable_after; !restarts && t < end; t += 20ms) at(t, [this] { check(); });
     for (const time_point t : cut_.resets) at(t, [this] { reset_streams(); });
+    at(cut_.at, [this] { silence_connections(); });
     while (!events_.empty() && events_.begin()->first < end) {
       now_ = events_.begin()->first;
       const std::function<void()> event = std::move(events_.begin()->second);
@@ -126,6 +131,7 @@
     std::uint64_t stream = 0;  ///< 0 when not subscribed
     control_host_model* host = nullptr;
     source_race race;
+    std::set<std::size_t> silent;       ///< zones of the hosts to which the connection is silent
     std::optional<time_point> lost_at;  ///< when the last stream was lost; nothing while there is one
     bool late = false;
   };
@@ -236,7 +242,9 @@
   }
 
   void check_connection(node_model& node) {
-    if (!node.core->check_connection(now_).empty()) disconnect(node, std::nullopt);
+    if (node.core->check_connection(now_).empty()) return;
+    if (node.core->is_silent(now_)) replace_connection(node, *node.host);
+    disconnect(node, std::nullopt);
   }
 
   void schedule_attempt(node_model& node, std::optional<milliseconds> retry_after) {
@@ -277,9 +285,12 @@
   }
 
   void connect(node_model& node, control_host_model& host, std::uint64_t generation) {
-    if (is_off(host) || is_frozen(host)) {
+    if (is_off(host) || is_frozen(host) || node.silent.contains(host.zone)) {
       const duration limit = is_off(host) ? duration(connect_limit) : duration(attempt_limit);
-      at(now_ + limit, [this, n = &node, generation] { fail_attempt(*n, generation); });
+      at(now_ + limit, [this, n = &node, h = &host, generation] {
+        replace_connection(*n, *h);
+        fail_attempt(*n, generation);
+      });
       return;
     }
     if (!node.race.contains(generation)) return;
@@ -306,7 +317,7 @@
   }
 
   void receive(node_model& node, std::uint64_t stream, const control_message& message) {
-    if (stream != node.stream || is_frozen(*node.host)) return;
+    if (stream != node.stream || is_frozen(*node.host) || node.silent.contains(node.host->zone)) return;
     const subscriber_core::actions r = node.core->on_message(message, now_);
     if (r.answer) {
       if (const auto* applied = std::get_if<applied_report>(&*r.answer)) {
@@ -327,6 +338,18 @@
     schedule_attempt(node, retry_after);
   }
 
+  void silence_connections() {
+    for (auto& node : nodes_) {
+      for (const auto& host : hosts_) {
+        if (random_() % 100 < cut_.silent_percent) node->silent.insert(host->zone);
+      }
+    }
+  }
+
+  void replace_connection(node_model& node, const control_host_model& host) {
+    if (cut_.replaces_silent) node.silent.erase(host.zone);
+  }
+
   void reset_streams() {
     for (auto& node : nodes_) {
       const bool reset = random_() % 10 != 0;
