--- a/testing/propagation_soak.cc
+++ b/testing/propagation_soak.cc
@@ -68,7 +68,8 @@
 
 void propagation_soak::start() {
   began_ = steady_clock::now();
-  for (const auto& [name, state] : states_) {
+  for (const auto& entry : states_) {
+    const std::string& name = entry.first;
     if (!capture([&] { return deployment_.start(name); })) findings_.push_back(name + " does not start");
   }
   boost::asio::co_spawn(kernel_.io(), change_configuration(), boost::asio::detached);
@@ -184,7 +185,8 @@
 
 void propagation_soak::change_links(const fault& f, const std::vector<fault>& order,
                                     void (soak_deployment::*change)(const std::string&, const std::string&)) {
-  for (const auto& [other, state] : states_) {
+  for (const auto& entry : states_) {
+    const std::string& other = entry.first;
     if (other == f.name) continue;
     const bool same_group = f.kind == fault_kind::cut && std::any_of(order.begin(), order.end(), [&](const fault& o) {
                               return o.name == other && o.kind == fault_kind::cut && o.group == f.group;
