--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -36,6 +36,16 @@
   EXPECT_EQ(s->drain_limit, std::chrono::seconds(30));
 }
 
+// Behind a port mapping the other processes must get the outer address, not the one that this process listens on.
+TEST(settings, advertised_address_replaces_the_listening_one_for_others) {
+  const auto plain = parse(node_yaml);
+  ASSERT_TRUE(plain);
+  EXPECT_EQ(plain->mesh_address(), "127.0.0.1:7001");
+  const auto mapped = parse(std::string(node_yaml) + "mesh_advertise: \"10.0.0.9:9001\"\n");
+  ASSERT_TRUE(mapped) << mapped.failure().message();
+  EXPECT_EQ(mapped->mesh_address(), "10.0.0.9:9001");
+}
+
 struct refusal_case {
   const char* added;
   const char* text;
