--- a/testing/fault_orders.h
+++ b/testing/fault_orders.h
@@ -3,7 +3,7 @@
 /// for how long, and whether a disk is lost. Pure; `propagation_soak` plays them with real processes,
 /// `propagation_simulation` under a virtual clock.
 ///
-///     for (const fault& f : draw_faults(random, {"c1", "c2", "c3"}, {"n1", "n2"}, 1)) ...
+///     for (const process_fault& f : draw_faults(random, {"c1", "c2", "c3"}, {"n1", "n2"}, 1)) ...
 #pragma once
 
 #include <algorithm>
@@ -31,7 +31,7 @@
 };
 
 /// A fault of one process. Faults of the same process don't overlap.
-struct fault {
+struct process_fault {
   fault_kind kind = fault_kind::kill;
   std::string name;
   milliseconds begin{0};  ///< since the start of the order
@@ -48,17 +48,17 @@
 /// @return the faults of one order, by their begin: at random of some processes, each at a time of its own; or of all
 ///   control hosts at the same moment, with all nodes or with silent connections of some, that come back one after the
 ///   other; or of half of the connections, which go silent.
-inline std::vector<fault> draw_faults(std::mt19937_64& random, const std::vector<std::string>& control_hosts,
-                                      const std::vector<std::string>& nodes, unsigned tolerated_losses) {
+inline std::vector<process_fault> draw_faults(std::mt19937_64& random, const std::vector<std::string>& control_hosts,
+                                              const std::vector<std::string>& nodes, unsigned tolerated_losses) {
   const auto draw = [&random](milliseconds::rep least, milliseconds::rep most) {
     return milliseconds(std::uniform_int_distribution<milliseconds::rep>(least, most)(random));
   };
   const auto pick_kind = [&random](std::initializer_list<fault_kind> kinds) {
     return std::data(kinds)[random() % kinds.size()];
   };
-  std::vector<fault> faults;
+  std::vector<process_fault> faults;
   unsigned disks_left = tolerated_losses;
-  const auto add = [&](fault f) {
+  const auto add = [&](process_fault f) {
     f.loses_disk = f.name[0] == 'c' && disks_left != 0 && ends_process(f.kind) && random() % 3 == 0;
     if (f.loses_disk) --disks_left;
     faults.push_back(std::move(f));
@@ -97,7 +97,8 @@
       add({kind, name, begin, end, false, 1 + static_cast<unsigned>(random() % 2)});
     }
   }
-  std::stable_sort(faults.begin(), faults.end(), [](const fault& a, const fault& b) { return a.begin < b.begin; });
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const process_fault& a, const process_fault& b) { return a.begin < b.begin; });
   return faults;
 }
 
--- a/testing/propagation_soak.cc
+++ b/testing/propagation_soak.cc
@@ -183,19 +183,20 @@
 
 // Faults.
 
-void propagation_soak::change_links(const fault& f, const std::vector<fault>& order,
+void propagation_soak::change_links(const process_fault& f, const std::vector<process_fault>& order,
                                     void (soak_deployment::*change)(const std::string&, const std::string&)) {
   for (const auto& entry : states_) {
     const std::string& other = entry.first;
     if (other == f.name) continue;
-    const bool same_group = f.kind == fault_kind::cut && std::any_of(order.begin(), order.end(), [&](const fault& o) {
-                              return o.name == other && o.kind == fault_kind::cut && o.group == f.group;
-                            });
+    const bool same_group =
+        f.kind == fault_kind::cut && std::any_of(order.begin(), order.end(), [&](const process_fault& o) {
+          return o.name == other && o.kind == fault_kind::cut && o.group == f.group;
+        });
     if (!same_group) (deployment_.*change)(f.name, other);
   }
 }
 
-void propagation_soak::begin_fault(const fault& f, const std::vector<fault>& order) {
+void propagation_soak::begin_fault(const process_fault& f, const std::vector<process_fault>& order) {
   process_state& state = states_.at(f.name);
   state.undisturbed = false;
   state.disturbed = steady_clock::now();
@@ -213,7 +214,7 @@
   }
 }
 
-void propagation_soak::end_fault(const fault& f, const std::vector<fault>& order) {
+void propagation_soak::end_fault(const process_fault& f, const std::vector<process_fault>& order) {
   if (f.kind == fault_kind::freeze) deployment_.send_signal(f.name, SIGCONT);
   if (ends_process(f.kind)) {
     deployment_.send_signal(f.name, SIGKILL);  // a planned stop may take longer
@@ -232,7 +233,7 @@
   if (most_were && f.name[0] == 'c') most_hosts_disturbed_ = state.disturbed;
 }
 
-awaitable<void> propagation_soak::play(fault f, std::vector<fault> order) {
+awaitable<void> propagation_soak::play(process_fault f, std::vector<process_fault> order) {
   co_await sleep(f.begin);
   begin_fault(f, order);
   co_await sleep(f.end - f.begin);
@@ -240,9 +241,9 @@
   --pending_;
 }
 
-void propagation_soak::play_order(const std::vector<fault>& order) {
+void propagation_soak::play_order(const std::vector<process_fault>& order) {
   milliseconds length{0};
-  for (const fault& f : order) {
+  for (const process_fault& f : order) {
     journal_ += fmt::format("{} {} {}-{} ms{}\n", to_name(f.kind), f.name, f.begin.count(), f.end.count(),
                             f.loses_disk ? ", loses its disk" : "");
     length = std::max(length, f.end);
--- a/testing/propagation_soak.h
+++ b/testing/propagation_soak.h
@@ -36,7 +36,7 @@
   void start();
   /// Plays a drawn order of faults, waits until the deployment counts as stable, and asks every node for every route.
   void play_order() { play_order(draw_faults(random_, hosts_, nodes_, tolerated_losses)); }
-  void play_order(const std::vector<fault>& order);
+  void play_order(const std::vector<process_fault>& order);
   /// Ends the changes.
   void stop();
 
@@ -61,12 +61,12 @@
   awaitable<void> ask_later(acknowledgement change);
   awaitable<void> ask_all_nodes(acknowledgement change);
   awaitable<void> ask(std::string node, acknowledgement change);
-  awaitable<void> play(fault f, std::vector<fault> order);
+  awaitable<void> play(process_fault f, std::vector<process_fault> order);
   awaitable<void> sleep(duration length);
   awaitable<outcome<http_response>> call(std::string address, http_request request, duration limit);
-  void begin_fault(const fault& f, const std::vector<fault>& order);
-  void end_fault(const fault& f, const std::vector<fault>& order);
-  void change_links(const fault& f, const std::vector<fault>& order,
+  void begin_fault(const process_fault& f, const std::vector<process_fault>& order);
+  void end_fault(const process_fault& f, const std::vector<process_fault>& order);
+  void change_links(const process_fault& f, const std::vector<process_fault>& order,
                     void (soak_deployment::*change)(const std::string&, const std::string&));
   bool core_is_stable(time_point now) const;
   bool in_touch(const std::string& node, time_point now) const;
